--- /dev/null
+++ b/modules/state/records/forget_record.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+#include "modules/state/member_id.h"
+
+namespace citrongrade {
+
+// An operator declares that a member is gone for good, where neither witnesses
+// nor a restart can show it. Its slots become unowned.
+struct ForgetRecord {
+  MemberId member;
+  std::string operator_name;
+
+  friend auto operator<=>(const ForgetRecord&, const ForgetRecord&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/state/records/leave_record.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <compare>
+
+#include "modules/state/member_id.h"
+
+namespace citrongrade {
+
+// A member that owns no slot any more leaves for good.
+struct LeaveRecord {
+  MemberId member;
+
+  friend auto operator<=>(const LeaveRecord&, const LeaveRecord&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/state/records/transfer_record.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <compare>
+#include <vector>
+
+#include "modules/state/member_id.h"
+#include "modules/state/service_id.h"
+#include "modules/state/slot_run.h"
+
+namespace citrongrade {
+
+// A live owner gives slots of its own to others, which have already taken over
+// its window of request ids. Written by the owner alone.
+struct TransferRecord {
+  MemberId from;
+  ServiceId service;
+  std::vector<SlotRun> runs;
+
+  friend auto operator<=>(const TransferRecord&,
+                          const TransferRecord&) = default;
+};
+
+}  // namespace citrongrade
