--- /dev/null
+++ b/modules/state/accept_all_config.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "modules/state/config_validator.h"
+
+namespace citrongrade {
+
+// Takes every configuration record as valid, for tests of other rules.
+class AcceptAllConfig final : public ConfigValidator {
+ public:
+  std::optional<std::string> FindProblem(
+      const MeshState& /*state*/,
+      const ConfigRecord& /*record*/) const override {
+    return std::nullopt;
+  }
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/state/mesh_state.cc
@@ -0,0 +1,538 @@
+#include "modules/state/mesh_state.h"
+
+#include <algorithm>
+#include <cassert>
+#include <optional>
+#include <variant>
+
+#include "modules/state/config_validator.h"
+
+namespace citrongrade {
+
+namespace {
+
+ApplyResult Accept() {
+  return {};
+}
+
+ApplyResult Reject(RejectReason reason, std::string detail = {}) {
+  return {reason, std::move(detail)};
+}
+
+Witness MakeWitness(const Member& member) {
+  return {member.id, member.announcement.boot_id,
+          member.announcement.peer_address};
+}
+
+bool HasDuplicates(std::vector<MemberId> members) {
+  std::sort(members.begin(), members.end());
+  return std::adjacent_find(members.begin(), members.end()) != members.end();
+}
+
+bool RunsOverlap(std::vector<SlotRun> runs) {
+  std::sort(runs.begin(), runs.end());
+  for (std::size_t i = 1; i < runs.size(); ++i) {
+    const std::uint64_t end_of_previous =
+        std::uint64_t{runs[i - 1].first.value()} + runs[i - 1].count;
+    if (end_of_previous > runs[i].first.value()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::uint64_t CountSlots(const std::vector<SlotRun>& runs) {
+  std::uint64_t count = 0;
+  for (const SlotRun& run : runs) {
+    count += run.count;
+  }
+  return count;
+}
+
+}  // namespace
+
+MeshState::MeshState(const ConfigValidator& validator)
+    : m_validator(&validator) {}
+
+MeshState::MeshState(const ConfigValidator& validator, const MeshImage& image)
+    : m_validator(&validator), m_next_offset(image.next_offset) {
+  for (const Member& member : image.members) {
+    m_members.emplace(member.id, member);
+    Incarnation& current = m_current[member.id.node];
+    current = std::max(current, member.id.incarnation);
+  }
+  m_departed.insert(image.departed.begin(), image.departed.end());
+  for (const MeshImage::Service& service : image.services) {
+    SlotTable table(service.slot_count, service.hash_seed);
+    for (const auto& [run, epoch] : service.runs) {
+      table.Give(run, epoch);
+    }
+    m_services.emplace(service.id, std::move(table));
+  }
+  for (const ConfigEntry& entry : image.config) {
+    m_config.emplace(ConfigKey(entry.kind, entry.name), entry);
+  }
+  m_takeovers.assign(image.takeovers.begin(), image.takeovers.end());
+}
+
+ApplyResult MeshState::Apply(const LogEntry& entry) {
+  // The caller skipped or repeated entries: its table would differ from that of
+  // other nodes.
+  assert(entry.offset == m_next_offset);
+  m_next_offset = entry.offset.Next();
+  return std::visit(
+      [this, &entry](const auto& record) {
+        return ApplyRecord(entry.offset, record);
+      },
+      entry.record);
+}
+
+const Member* MeshState::FindMember(const MemberId& id) const {
+  const auto found = m_members.find(id);
+  return found == m_members.end() ? nullptr : &found->second;
+}
+
+const Member* MeshState::FindCurrentMember(const NodeId& node) const {
+  const auto found = m_current.find(node);
+  return found == m_current.end() ? nullptr : FindMember({node, found->second});
+}
+
+std::vector<const Member*> MeshState::CurrentMembers() const {
+  std::vector<const Member*> members;
+  for (const auto& [node, incarnation] : m_current) {
+    const Member* member = FindMember({node, incarnation});
+    if (member != nullptr) {
+      members.push_back(member);
+    }
+  }
+  return members;
+}
+
+bool MeshState::IsDeparted(const MemberId& id) const {
+  return m_departed.contains(id);
+}
+
+const SlotTable* MeshState::FindSlots(const ServiceId& service) const {
+  const auto found = m_services.find(service);
+  return found == m_services.end() ? nullptr : &found->second;
+}
+
+bool MeshState::OwnsSlots(const MemberId& id) const {
+  return std::any_of(
+      m_services.begin(), m_services.end(),
+      [&id](const auto& service) { return service.second.CountOf(id) > 0; });
+}
+
+const ConfigEntry* MeshState::FindConfig(ConfigKind kind,
+                                         const std::string& name) const {
+  const auto found = m_config.find(ConfigKey(kind, name));
+  return found == m_config.end() ? nullptr : &found->second;
+}
+
+const TakeoverHistory* MeshState::FindTakeover(Epoch epoch) const {
+  for (const TakeoverHistory& history : m_takeovers) {
+    if (history.epoch == epoch) {
+      return &history;
+    }
+  }
+  return nullptr;
+}
+
+MeshImage MeshState::Image() const {
+  MeshImage image;
+  image.next_offset = m_next_offset;
+  for (const auto& [id, member] : m_members) {
+    image.members.push_back(member);
+  }
+  image.departed.assign(m_departed.begin(), m_departed.end());
+  for (const auto& [id, table] : m_services) {
+    image.services.push_back(
+        {id, table.slot_count(), table.hash_seed(), table.Runs()});
+  }
+  for (const auto& [key, entry] : m_config) {
+    image.config.push_back(entry);
+  }
+  image.takeovers.assign(m_takeovers.begin(), m_takeovers.end());
+  return image;
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset /*offset*/,
+                                   const UnreadableRecord& record) {
+  return Reject(RejectReason::kUnreadable, record.reason);
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset offset, const JoinRecord& record) {
+  const MemberId id{record.node, Incarnation(offset.value())};
+  m_members.emplace(id, Member{id, record, {}, std::nullopt});
+  m_current[record.node] = id.incarnation;
+  RemoveSupersededWithoutSlots(record.node);
+  return Accept();
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset /*offset*/,
+                                   const LeaveRecord& record) {
+  if (FindMember(record.member) == nullptr) {
+    return Reject(RejectReason::kUnknownMember);
+  }
+  if (OwnsSlots(record.member)) {
+    return Reject(RejectReason::kMemberOwnsSlots);
+  }
+  m_departed.insert(record.member);
+  RemoveMember(record.member);
+  return Accept();
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset offset,
+                                   const WitnessSetRecord& record) {
+  const auto found = m_members.find(record.member);
+  if (found == m_members.end()) {
+    return Reject(RejectReason::kUnknownMember);
+  }
+  Member& member = found->second;
+  if (!IsCurrent(member.id)) {
+    return Reject(RejectReason::kSupersededMember);
+  }
+  // A pending set may be replaced: the member still counts on its confirmed set
+  // then, which every takeover needs as well.
+  if (record.based_on != member.witnesses.version) {
+    return Reject(RejectReason::kStaleVersion);
+  }
+  WitnessSet proposed{WitnessSetVersion(offset.value()), {}};
+  for (const MemberId& witness : record.witnesses) {
+    const Member* known = FindMember(witness);
+    if (known == nullptr || !IsCurrent(witness) || witness == member.id) {
+      return Reject(RejectReason::kBadWitnessSet);
+    }
+    proposed.witnesses.push_back(MakeWitness(*known));
+  }
+  if (proposed.witnesses.empty() || HasDuplicates(record.witnesses)) {
+    return Reject(RejectReason::kBadWitnessSet);
+  }
+  member.pending_witnesses = std::move(proposed);
+  return Accept();
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset /*offset*/,
+                                   const WitnessSetConfirmedRecord& record) {
+  const auto found = m_members.find(record.member);
+  if (found == m_members.end()) {
+    return Reject(RejectReason::kUnknownMember);
+  }
+  Member& member = found->second;
+  if (!member.pending_witnesses.has_value()) {
+    return Reject(RejectReason::kNothingPending);
+  }
+  if (member.pending_witnesses->version != record.confirmed) {
+    return Reject(RejectReason::kStaleVersion);
+  }
+  member.witnesses = *member.pending_witnesses;
+  member.pending_witnesses.reset();
+  ForgetUnreferencedDeparted();
+  return Accept();
+}
+
+ApplyResult MeshState::CheckNewOwner(const ServiceId& service,
+                                     const SlotRun& run) const {
+  const Member* owner = FindMember(run.owner);
+  if (owner == nullptr) {
+    return Reject(RejectReason::kUnknownMember);
+  }
+  if (!IsCurrent(run.owner)) {
+    return Reject(RejectReason::kSupersededMember);
+  }
+  if (owner->announcement.service != service) {
+    return Reject(RejectReason::kUnknownService);
+  }
+  // Without witnesses nobody could ever show that the owner's lease has lapsed,
+  // and its slots would be stuck with it. A mesh of one has nobody to ask.
+  const bool alone = m_current.size() == 1;
+  if (owner->witnesses.witnesses.empty() && !alone) {
+    return Reject(RejectReason::kOwnerWithoutWitnesses);
+  }
+  return Accept();
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset offset,
+                                   const AssignRecord& record) {
+  if (record.slot_count == 0 || record.runs.empty() ||
+      RunsOverlap(record.runs)) {
+    return Reject(RejectReason::kBadSlots);
+  }
+  const SlotTable* known = FindSlots(record.service);
+  const SlotTable empty(known == nullptr ? record.slot_count : 0, 0);
+  if (known != nullptr && (known->slot_count() != record.slot_count ||
+                           known->hash_seed() != record.hash_seed)) {
+    return Reject(RejectReason::kBadSlots);
+  }
+  const SlotTable& table = known == nullptr ? empty : *known;
+  for (const SlotRun& run : record.runs) {
+    if (!table.Contains(run)) {
+      return Reject(RejectReason::kBadSlots);
+    }
+    if (!table.IsOwnedBy(run, std::nullopt)) {
+      return Reject(RejectReason::kNotOwner);
+    }
+    const ApplyResult owner = CheckNewOwner(record.service, run);
+    if (!owner.accepted()) {
+      return owner;
+    }
+  }
+  const auto placed = m_services.try_emplace(record.service, record.slot_count,
+                                             record.hash_seed);
+  for (const SlotRun& run : record.runs) {
+    placed.first->second.Give(run, Epoch(offset.value()));
+  }
+  return Accept();
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset offset,
+                                   const TransferRecord& record) {
+  const auto found = m_services.find(record.service);
+  if (found == m_services.end()) {
+    return Reject(RejectReason::kUnknownService);
+  }
+  SlotTable& table = found->second;
+  if (record.runs.empty() || RunsOverlap(record.runs)) {
+    return Reject(RejectReason::kBadSlots);
+  }
+  for (const SlotRun& run : record.runs) {
+    if (!table.Contains(run)) {
+      return Reject(RejectReason::kBadSlots);
+    }
+    if (!table.IsOwnedBy(run, record.from)) {
+      return Reject(RejectReason::kNotOwner);
+    }
+    const ApplyResult owner = CheckNewOwner(record.service, run);
+    if (!owner.accepted()) {
+      return owner;
+    }
+  }
+  for (const SlotRun& run : record.runs) {
+    table.Give(run, Epoch(offset.value()));
+  }
+  RemoveSupersededWithoutSlots(record.from.node);
+  return Accept();
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset offset,
+                                   const TakeoverRecord& record) {
+  const Member* lost = FindMember(record.lost);
+  if (lost == nullptr) {
+    return Reject(RejectReason::kUnknownMember);
+  }
+  if (record.service != lost->announcement.service) {
+    return Reject(RejectReason::kUnknownService);
+  }
+  const ApplyResult evidence = CheckTestimonies(*lost, record);
+  if (!evidence.accepted()) {
+    return evidence;
+  }
+  const auto found = m_services.find(record.service);
+  const std::uint32_t owned =
+      found == m_services.end() ? 0 : found->second.CountOf(record.lost);
+  if (CountSlots(record.runs) != owned || RunsOverlap(record.runs)) {
+    return Reject(RejectReason::kBadSlots);
+  }
+  for (const SlotRun& run : record.runs) {
+    if (!found->second.Contains(run)) {
+      return Reject(RejectReason::kBadSlots);
+    }
+    if (!found->second.IsOwnedBy(run, record.lost)) {
+      return Reject(RejectReason::kNotOwner);
+    }
+    const ApplyResult owner = CheckNewOwner(record.service, run);
+    if (!owner.accepted()) {
+      return owner;
+    }
+  }
+  const Epoch epoch(offset.value());
+  RememberTakeover(epoch, *lost, record.service);
+  for (const SlotRun& run : record.runs) {
+    found->second.Give(run, epoch);
+  }
+  RemoveMember(record.lost);
+  return Accept();
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset /*offset*/,
+                                   const ForgetRecord& record) {
+  if (FindMember(record.member) == nullptr) {
+    return Reject(RejectReason::kUnknownMember);
+  }
+  for (auto& [id, table] : m_services) {
+    table.Release(record.member);
+  }
+  m_departed.insert(record.member);
+  RemoveMember(record.member);
+  return Accept();
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset offset,
+                                   const ConfigRecord& record) {
+  const ConfigEntry* current = FindConfig(record.kind, record.name);
+  const ConfigVersion version =
+      current == nullptr ? ConfigVersion() : current->version;
+  if (record.based_on != version) {
+    return Reject(RejectReason::kStaleVersion,
+                  "current version is " + std::to_string(version.value()));
+  }
+  std::optional<std::string> problem = m_validator->FindProblem(*this, record);
+  if (problem.has_value()) {
+    return Reject(RejectReason::kInvalidConfig, std::move(*problem));
+  }
+  m_config.insert_or_assign(
+      ConfigKey(record.kind, record.name),
+      ConfigEntry{record.kind, record.name, ConfigVersion(offset.value()),
+                  record.body, record.operator_name});
+  return Accept();
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset /*offset*/,
+                                   const SnapshotRecord& /*record*/) {
+  // It tells a node that has replayed everything nothing new.
+  return Accept();
+}
+
+bool MeshState::IsCurrent(const MemberId& id) const {
+  const auto found = m_current.find(id.node);
+  return found != m_current.end() && found->second == id.incarnation;
+}
+
+ApplyResult MeshState::CheckTestimonies(const Member& lost,
+                                        const TakeoverRecord& record) const {
+  if (IsRestartInPlace(lost, record)) {
+    return Accept();
+  }
+  if (lost.witnesses.witnesses.empty() && !OwnsSlots(lost.id)) {
+    // It never came to hold a lease, so none has to lapse.
+    return Accept();
+  }
+  for (const Testimony& testimony : record.testimonies) {
+    const bool valid = IsValidTestimony(lost.witnesses, testimony) ||
+                       (lost.pending_witnesses.has_value() &&
+                        IsValidTestimony(*lost.pending_witnesses, testimony));
+    if (!valid) {
+      return Reject(RejectReason::kBadTestimony);
+    }
+  }
+  const std::size_t counted = CountTestimonies(lost.witnesses, record);
+  if (lost.witnesses.witnesses.empty() ||
+      counted < lost.witnesses.MajoritySize()) {
+    return Reject(RejectReason::kNotEnoughTestimonies);
+  }
+  if (lost.pending_witnesses.has_value() &&
+      CountTestimonies(*lost.pending_witnesses, record) <
+          lost.pending_witnesses->MajoritySize()) {
+    return Reject(RejectReason::kNotEnoughTestimonies);
+  }
+  return Accept();
+}
+
+bool MeshState::IsValidTestimony(const WitnessSet& set,
+                                 const Testimony& testimony) const {
+  const Witness* witness = set.Find(testimony.witness);
+  if (witness == nullptr || testimony.version != set.version) {
+    return false;
+  }
+  if (!testimony.without_memory) {
+    return true;
+  }
+  // A later incarnation speaks for the one that was asked. That is safe only if
+  // the earlier process is gone: were it merely paused, it could wake and renew
+  // the lease that its successor declares dead. Same boot and same listening
+  // address show that it is gone.
+  const Member* later = FindCurrentMember(witness->member.node);
+  return later != nullptr &&
+         later->id.incarnation > witness->member.incarnation &&
+         !witness->boot_id.empty() &&
+         later->announcement.boot_id == witness->boot_id &&
+         later->announcement.peer_address == witness->peer_address;
+}
+
+std::size_t MeshState::CountTestimonies(const WitnessSet& set,
+                                        const TakeoverRecord& record) const {
+  std::size_t count = 0;
+  for (const Witness& witness : set.witnesses) {
+    const bool testified =
+        std::any_of(record.testimonies.begin(), record.testimonies.end(),
+                    [&set, &witness](const Testimony& testimony) {
+                      return testimony.witness == witness.member &&
+                             testimony.version == set.version;
+                    });
+    if (testified || IsDeparted(witness.member)) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+bool MeshState::IsRestartInPlace(const Member& lost,
+                                 const TakeoverRecord& record) const {
+  const Member* later = FindCurrentMember(lost.id.node);
+  if (later == nullptr || later->id.incarnation <= lost.id.incarnation) {
+    return false;
+  }
+  const JoinRecord& before = lost.announcement;
+  const JoinRecord& now = later->announcement;
+  const bool same_place = !before.boot_id.empty() &&
+                          before.boot_id == now.boot_id &&
+                          before.peer_address == now.peer_address;
+  return same_place && std::all_of(record.runs.begin(), record.runs.end(),
+                                   [later](const SlotRun& run) {
+                                     return run.owner == later->id;
+                                   });
+}
+
+void MeshState::RemoveMember(const MemberId& id) {
+  m_members.erase(id);
+  const auto current = m_current.find(id.node);
+  if (current != m_current.end() && current->second == id.incarnation) {
+    m_current.erase(current);
+  }
+  ForgetUnreferencedDeparted();
+}
+
+void MeshState::RemoveSupersededWithoutSlots(const NodeId& node) {
+  const auto first = m_members.lower_bound(MemberId{node, Incarnation()});
+  for (auto it = first; it != m_members.end() && it->first.node == node;) {
+    const bool superseded = !IsCurrent(it->first);
+    if (superseded && !OwnsSlots(it->first)) {
+      it = m_members.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void MeshState::ForgetUnreferencedDeparted() {
+  std::set<MemberId> referenced;
+  const auto add = [&referenced](const WitnessSet& set) {
+    for (const Witness& witness : set.witnesses) {
+      referenced.insert(witness.member);
+    }
+  };
+  for (const auto& [id, member] : m_members) {
+    add(member.witnesses);
+    if (member.pending_witnesses.has_value()) {
+      add(*member.pending_witnesses);
+    }
+  }
+  std::erase_if(m_departed, [&referenced](const MemberId& id) {
+    return !referenced.contains(id);
+  });
+}
+
+void MeshState::RememberTakeover(Epoch epoch,
+                                 const Member& lost,
+                                 const ServiceId& service) {
+  TakeoverHistory history{epoch, lost.id, service, {lost.witnesses}};
+  if (lost.pending_witnesses.has_value()) {
+    history.witness_sets.push_back(*lost.pending_witnesses);
+  }
+  m_takeovers.push_back(std::move(history));
+  if (m_takeovers.size() > kMaxTakeoverHistories) {
+    m_takeovers.pop_front();
+  }
+}
+
+}  // namespace citrongrade
--- a/modules/state/records/join_record.h
+++ b/modules/state/records/join_record.h
@@ -13,12 +13,14 @@
 struct JoinRecord {
   NodeId node;
   AvailabilityZone availability_zone;
-  // "ip:port" for callers' HTTP, for data RPC and for control RPC.
-  std::string http_address;
-  std::string data_address;
+  // "ip:port" of callers' HTTP, of operators' HTTP, of the RPC that carries
+  // requests, and of the RPC that carries leases and request ids.
+  std::string caller_address;
   std::string control_address;
-  // Id of the host's boot: with an equal control address it proves that the
-  // node's earlier process is gone, since two processes can't listen there.
+  std::string data_address;
+  std::string peer_address;
+  // Id of the host's boot: with an equal peer address it proves that the node's
+  // earlier process is gone, since two processes can't listen there.
   std::string boot_id;
   ServiceId service;
   // Requests that the target runs at once, and connections that it accepts.
--- a/modules/state/records/takeover_record.h
+++ b/modules/state/records/takeover_record.h
@@ -12,7 +12,8 @@
 
 // Takes all slots of a lost member. Valid with testimonies of a majority of its
 // witness set (and of the pending set, if there is one), or, with none, when
-// written by a later incarnation on the same boot and control address.
+// all runs go to a later incarnation of the lost node on the same boot and
+// peer address.
 struct TakeoverRecord {
   MemberId lost;
   ServiceId service;
--- /dev/null
+++ b/modules/state/slot_ownership.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <compare>
+
+#include "modules/state/identifiers.h"
+#include "modules/state/member_id.h"
+
+namespace citrongrade {
+
+// Who owns a slot, and the fencing token of that grant.
+struct SlotOwnership {
+  MemberId owner;
+  Epoch epoch;
+
+  friend auto operator<=>(const SlotOwnership&, const SlotOwnership&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/state/slot_table.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "modules/state/identifiers.h"
+#include "modules/state/member_id.h"
+#include "modules/state/slot_ownership.h"
+#include "modules/state/slot_run.h"
+
+namespace citrongrade {
+
+// The slots of one service and their owners. State is kept by slot and never by
+// key: 12 bytes a slot, whatever the number of keys.
+class SlotTable {
+ public:
+  SlotTable(std::uint32_t slot_count, std::uint64_t hash_seed);
+
+  std::uint32_t slot_count() const { return m_slot_count; }
+  std::uint64_t hash_seed() const { return m_hash_seed; }
+
+  // Slot of a key: XXH3 with the service's seed.
+  SlotIndex SlotOf(std::string_view key) const;
+
+  // Nothing for a slot that nobody owns.
+  std::optional<SlotOwnership> OwnerOf(SlotIndex slot) const;
+
+  // Slots of one member in ascending order.
+  std::vector<SlotIndex> SlotsOf(const MemberId& member) const;
+  std::uint32_t CountOf(const MemberId& member) const;
+  std::uint32_t UnownedCount() const;
+
+  // Every slot of the run exists.
+  bool Contains(const SlotRun& run) const;
+  // Every slot of the run is owned by `owner`; by nobody for an empty optional.
+  bool IsOwnedBy(const SlotRun& run,
+                 const std::optional<MemberId>& owner) const;
+
+  void Give(const SlotRun& run, Epoch epoch);
+  void Release(const MemberId& member);
+
+  // All owned slots as runs of equal owner and epoch, for snapshots.
+  std::vector<std::pair<SlotRun, Epoch>> Runs() const;
+
+  friend bool operator==(const SlotTable& left, const SlotTable& right) {
+    return left.m_slot_count == right.m_slot_count &&
+           left.m_hash_seed == right.m_hash_seed && left.Runs() == right.Runs();
+  }
+
+ private:
+  // Index into m_owners, kept small since there is one for each slot.
+  using OwnerIndex = std::uint32_t;
+  static constexpr OwnerIndex kUnowned = 0xffffffff;
+
+  OwnerIndex FindOwner(const MemberId& member) const;
+  OwnerIndex FindOrAddOwner(const MemberId& member);
+
+  std::uint32_t m_slot_count;
+  std::uint64_t m_hash_seed;
+  std::vector<OwnerIndex> m_owner_of_slot;
+  std::vector<Epoch> m_epoch_of_slot;
+  std::vector<MemberId> m_owners;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/state/witness_set.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <vector>
+
+#include "modules/state/identifiers.h"
+#include "modules/state/witness.h"
+
+namespace citrongrade {
+
+// The members whose majority grants a holder's lease and, once it has lapsed,
+// testifies so. An empty set belongs to a member that may not own slots yet,
+// or to the only member of a mesh.
+struct WitnessSet {
+  WitnessSetVersion version;
+  std::vector<Witness> witnesses;
+
+  // Any two majorities share a witness. 0 for an empty set.
+  std::size_t MajoritySize() const {
+    return witnesses.empty() ? 0 : witnesses.size() / 2 + 1;
+  }
+
+  const Witness* Find(const MemberId& member) const {
+    for (const Witness& witness : witnesses) {
+      if (witness.member == member) {
+        return &witness;
+      }
+    }
+    return nullptr;
+  }
+
+  friend auto operator<=>(const WitnessSet&, const WitnessSet&) = default;
+};
+
+}  // namespace citrongrade
