--- a/modules/state/mesh_state.cc
+++ b/modules/state/mesh_state.cc
@@ -41,6 +41,12 @@
   return false;
 }
 
+void GiveAll(SlotTable& table, const std::vector<SlotRun>& runs, Epoch epoch) {
+  for (const SlotRun& run : runs) {
+    table.Give(run, epoch);
+  }
+}
+
 std::uint64_t CountSlots(const std::vector<SlotRun>& runs) {
   std::uint64_t count = 0;
   for (const SlotRun& run : runs) {
@@ -232,12 +238,12 @@
 }
 
 ApplyResult MeshState::CheckNewOwner(const ServiceId& service,
-                                     const SlotRun& run) const {
-  const Member* owner = FindMember(run.owner);
+                                     const MemberId& new_owner) const {
+  const Member* owner = FindMember(new_owner);
   if (owner == nullptr) {
     return Reject(RejectReason::kUnknownMember);
   }
-  if (!IsCurrent(run.owner)) {
+  if (!IsCurrent(new_owner)) {
     return Reject(RejectReason::kSupersededMember);
   }
   if (owner->announcement.service != service) {
@@ -252,36 +258,49 @@
   return Accept();
 }
 
-ApplyResult MeshState::ApplyRecord(LogOffset offset,
-                                   const AssignRecord& record) {
-  if (record.slot_count == 0 || record.runs.empty() ||
-      RunsOverlap(record.runs)) {
+ApplyResult MeshState::CheckRuns(
+    const ServiceId& service,
+    const SlotTable& table,
+    const std::vector<SlotRun>& runs,
+    const std::optional<MemberId>& owner_before) const {
+  if (RunsOverlap(runs)) {
     return Reject(RejectReason::kBadSlots);
   }
-  const SlotTable* known = FindSlots(record.service);
-  const SlotTable empty(known == nullptr ? record.slot_count : 0, 0);
-  if (known != nullptr && (known->slot_count() != record.slot_count ||
-                           known->hash_seed() != record.hash_seed)) {
-    return Reject(RejectReason::kBadSlots);
-  }
-  const SlotTable& table = known == nullptr ? empty : *known;
-  for (const SlotRun& run : record.runs) {
+  for (const SlotRun& run : runs) {
     if (!table.Contains(run)) {
       return Reject(RejectReason::kBadSlots);
     }
-    if (!table.IsOwnedBy(run, std::nullopt)) {
+    if (!table.IsOwnedBy(run, owner_before)) {
       return Reject(RejectReason::kNotOwner);
     }
-    const ApplyResult owner = CheckNewOwner(record.service, run);
+    ApplyResult owner = CheckNewOwner(service, run.owner);
     if (!owner.accepted()) {
       return owner;
     }
   }
-  const auto placed = m_services.try_emplace(record.service, record.slot_count,
-                                             record.hash_seed);
-  for (const SlotRun& run : record.runs) {
-    placed.first->second.Give(run, Epoch(offset.value()));
+  return Accept();
+}
+
+ApplyResult MeshState::ApplyRecord(LogOffset offset,
+                                   const AssignRecord& record) {
+  if (record.slot_count == 0 || record.slot_count > kMaxSlotCount ||
+      record.runs.empty()) {
+    return Reject(RejectReason::kBadSlots);
+  }
+  const SlotTable unowned(record.slot_count, record.hash_seed);
+  const SlotTable* known = FindSlots(record.service);
+  const SlotTable& table = known == nullptr ? unowned : *known;
+  if (table.slot_count() != record.slot_count ||
+      table.hash_seed() != record.hash_seed) {
+    return Reject(RejectReason::kBadSlots);
+  }
+  ApplyResult runs =
+      CheckRuns(record.service, table, record.runs, std::nullopt);
+  if (!runs.accepted()) {
+    return runs;
   }
+  const auto placed = m_services.try_emplace(record.service, table);
+  GiveAll(placed.first->second, record.runs, Epoch(offset.value()));
   return Accept();
 }
 
@@ -291,25 +310,15 @@
   if (found == m_services.end()) {
     return Reject(RejectReason::kUnknownService);
   }
-  SlotTable& table = found->second;
-  if (record.runs.empty() || RunsOverlap(record.runs)) {
+  if (record.runs.empty()) {
     return Reject(RejectReason::kBadSlots);
   }
-  for (const SlotRun& run : record.runs) {
-    if (!table.Contains(run)) {
-      return Reject(RejectReason::kBadSlots);
-    }
-    if (!table.IsOwnedBy(run, record.from)) {
-      return Reject(RejectReason::kNotOwner);
-    }
-    const ApplyResult owner = CheckNewOwner(record.service, run);
-    if (!owner.accepted()) {
-      return owner;
-    }
-  }
-  for (const SlotRun& run : record.runs) {
-    table.Give(run, Epoch(offset.value()));
+  ApplyResult runs =
+      CheckRuns(record.service, found->second, record.runs, record.from);
+  if (!runs.accepted()) {
+    return runs;
   }
+  GiveAll(found->second, record.runs, Epoch(offset.value()));
   RemoveSupersededWithoutSlots(record.from.node);
   return Accept();
 }
@@ -323,33 +332,28 @@
   if (record.service != lost->announcement.service) {
     return Reject(RejectReason::kUnknownService);
   }
-  const ApplyResult evidence = CheckTestimonies(*lost, record);
+  ApplyResult evidence = CheckTestimonies(*lost, record);
   if (!evidence.accepted()) {
     return evidence;
   }
+  // A slot left out would have an owner that nobody can ever take over from.
   const auto found = m_services.find(record.service);
+  const bool has_slots = found != m_services.end();
   const std::uint32_t owned =
-      found == m_services.end() ? 0 : found->second.CountOf(record.lost);
-  if (CountSlots(record.runs) != owned || RunsOverlap(record.runs)) {
+      has_slots ? found->second.CountOf(record.lost) : 0;
+  if (CountSlots(record.runs) != owned) {
     return Reject(RejectReason::kBadSlots);
   }
-  for (const SlotRun& run : record.runs) {
-    if (!found->second.Contains(run)) {
-      return Reject(RejectReason::kBadSlots);
-    }
-    if (!found->second.IsOwnedBy(run, record.lost)) {
-      return Reject(RejectReason::kNotOwner);
-    }
-    const ApplyResult owner = CheckNewOwner(record.service, run);
-    if (!owner.accepted()) {
-      return owner;
+  const Epoch epoch(offset.value());
+  if (has_slots) {
+    ApplyResult runs =
+        CheckRuns(record.service, found->second, record.runs, record.lost);
+    if (!runs.accepted()) {
+      return runs;
     }
+    GiveAll(found->second, record.runs, epoch);
   }
-  const Epoch epoch(offset.value());
   RememberTakeover(epoch, *lost, record.service);
-  for (const SlotRun& run : record.runs) {
-    found->second.Give(run, epoch);
-  }
   RemoveMember(record.lost);
   return Accept();
 }
--- a/modules/state/mesh_state.h
+++ b/modules/state/mesh_state.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -72,6 +74,9 @@
   // A takeover's history is of use for some seconds after it; 73 members a day
   // come and go at target size, so this covers days.
   static constexpr std::size_t kMaxTakeoverHistories = 256;
+  // 16 times the slots of the largest service planned for; a larger number in a
+  // record is a mistake that would cost every node memory.
+  static constexpr std::uint32_t kMaxSlotCount = 1U << 20;
 
  private:
   ApplyResult ApplyRecord(LogOffset offset, const UnreadableRecord& record);
@@ -88,8 +93,15 @@
   ApplyResult ApplyRecord(LogOffset offset, const SnapshotRecord& record);
 
   bool IsCurrent(const MemberId& id) const;
-  // Why `run` may not go to its owner; nothing when it may.
-  ApplyResult CheckNewOwner(const ServiceId& service, const SlotRun& run) const;
+  // Whether slots of the service may go to this member.
+  ApplyResult CheckNewOwner(const ServiceId& service,
+                            const MemberId& new_owner) const;
+  // Whether all runs may go from `owner_before` (nobody when empty) to the
+  // owners that they name.
+  ApplyResult CheckRuns(const ServiceId& service,
+                        const SlotTable& table,
+                        const std::vector<SlotRun>& runs,
+                        const std::optional<MemberId>& owner_before) const;
   ApplyResult CheckTestimonies(const Member& lost,
                                const TakeoverRecord& record) const;
   // `testimony` is the word of a witness of `set` on this very set.
--- /dev/null
+++ b/modules/state/mesh_state_test.cc
@@ -0,0 +1,353 @@
+#include "modules/state/mesh_state.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "modules/state/accept_all_config.h"
+
+namespace citrongrade {
+
+namespace {
+
+const ServiceId kService{WorkspaceName("instituto"), ServiceName("sorteio")};
+constexpr std::uint32_t kSlotCount = 16;
+
+// Appends records to a state as the log would, and gives out their offsets.
+class ReplayedLog {
+ public:
+  const MeshState& state() const { return m_state; }
+
+  ApplyResult Append(Record record) {
+    return m_state.Apply(
+        {m_state.next_offset(), RecordId("any"), std::move(record)});
+  }
+
+  MemberId Join(const std::string& node,
+                const std::string& boot = "boot",
+                const std::string& address = "") {
+    JoinRecord record;
+    record.node = NodeId(node);
+    record.boot_id = boot;
+    record.peer_address = address.empty() ? "host-of-" + node : address;
+    record.service = kService;
+    const Incarnation incarnation(m_state.next_offset().value());
+    CHECK(Append(record).accepted());
+    return {record.node, incarnation};
+  }
+
+  WitnessSetVersion Propose(const MemberId& member,
+                            const std::vector<MemberId>& witnesses) {
+    const Member* known = m_state.FindMember(member);
+    REQUIRE(known != nullptr);
+    const WitnessSetVersion version(m_state.next_offset().value());
+    CHECK(Append(WitnessSetRecord{member, known->witnesses.version, witnesses})
+              .accepted());
+    return version;
+  }
+
+  WitnessSetVersion GiveWitnesses(const MemberId& member,
+                                  const std::vector<MemberId>& witnesses) {
+    const WitnessSetVersion version = Propose(member, witnesses);
+    CHECK(Append(WitnessSetConfirmedRecord{member, version}).accepted());
+    return version;
+  }
+
+  ApplyResult Assign(std::vector<SlotRun> runs) {
+    return Append(AssignRecord{kService, kSlotCount, 0, std::move(runs)});
+  }
+
+ private:
+  AcceptAllConfig m_validator;
+  MeshState m_state{m_validator};
+};
+
+SlotRun AllSlotsTo(const MemberId& member) {
+  return {SlotIndex(0), kSlotCount, member};
+}
+
+// An owner "a" of all slots with the witnesses "b", "c" and "d".
+struct OwnedMesh {
+  ReplayedLog log;
+  MemberId owner = log.Join("a");
+  MemberId b = log.Join("b");
+  MemberId c = log.Join("c");
+  MemberId d = log.Join("d");
+  WitnessSetVersion version = log.GiveWitnesses(owner, {b, c, d});
+
+  OwnedMesh() {
+    log.GiveWitnesses(b, {c, d});
+    log.GiveWitnesses(c, {b, d});
+    CHECK(log.Assign({AllSlotsTo(owner)}).accepted());
+  }
+
+  TakeoverRecord Takeover(const MemberId& successor,
+                          std::vector<Testimony> testimonies) const {
+    return {owner, kService, std::move(testimonies), {AllSlotsTo(successor)}};
+  }
+
+  MemberId OwnerOfFirstSlot() const {
+    return log.state().FindSlots(kService)->OwnerOf(SlotIndex(0))->owner;
+  }
+};
+
+}  // namespace
+
+TEST_CASE(
+    "two members that claim the same free slots: the log's order decides") {
+  // Both read the slots as free and append an assignment. The first one in the
+  // log wins, and the second is told that the slots are owned.
+  ReplayedLog log;
+  const MemberId a = log.Join("a");
+  const MemberId b = log.Join("b");
+  log.GiveWitnesses(a, {b});
+  log.GiveWitnesses(b, {a});
+  CHECK(log.Assign({AllSlotsTo(a)}).accepted());
+  CHECK(log.Assign({AllSlotsTo(b)}).rejected == RejectReason::kNotOwner);
+  CHECK(log.state().FindSlots(kService)->CountOf(a) == kSlotCount);
+}
+
+TEST_CASE("an assignment is taken whole or not at all") {
+  ReplayedLog log;
+  const MemberId a = log.Join("a");
+  const ApplyResult result =
+      log.Assign({{SlotIndex(0), 4, a}, {SlotIndex(3), 2, a}});
+  CHECK(result.rejected == RejectReason::kBadSlots);
+  CHECK(log.state().FindSlots(kService) == nullptr);
+}
+
+TEST_CASE(
+    "slots don't go to a member without witnesses, except in a mesh of one") {
+  // Nobody could ever show that such an owner's lease has lapsed, so a loss
+  // would leave its slots unserved until an operator steps in.
+  ReplayedLog log;
+  const MemberId a = log.Join("a");
+  CHECK(log.Assign({{SlotIndex(0), 1, a}}).accepted());
+  log.Join("b");
+  CHECK(log.Assign({{SlotIndex(1), 1, a}}).rejected ==
+        RejectReason::kOwnerWithoutWitnesses);
+}
+
+TEST_CASE("a takeover needs a majority of the lost member's witnesses") {
+  OwnedMesh mesh;
+  const Testimony from_b{mesh.b, mesh.version};
+  const Testimony from_c{mesh.c, mesh.version};
+
+  SUBCASE("one of three is too few") {
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, {from_b})).rejected ==
+          RejectReason::kNotEnoughTestimonies);
+  }
+  SUBCASE("one that testifies twice counts once") {
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, {from_b, from_b})).rejected ==
+          RejectReason::kNotEnoughTestimonies);
+  }
+  SUBCASE("a member that is no witness does not count") {
+    const MemberId stranger = mesh.log.Join("e");
+    const Testimony strange{stranger, mesh.version};
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, {from_b, strange})).rejected ==
+          RejectReason::kBadTestimony);
+  }
+  SUBCASE("two of three are enough, and the same takeover again is rejected") {
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, {from_b, from_c})).accepted());
+    CHECK(mesh.OwnerOfFirstSlot() == mesh.b);
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.c, {from_b, from_c})).rejected ==
+          RejectReason::kUnknownMember);
+    CHECK(mesh.OwnerOfFirstSlot() == mesh.b);
+    const Epoch epoch =
+        mesh.log.state().FindSlots(kService)->OwnerOf(SlotIndex(0))->epoch;
+    REQUIRE(mesh.log.state().FindTakeover(epoch) != nullptr);
+    CHECK(mesh.log.state().FindTakeover(epoch)->lost == mesh.owner);
+  }
+}
+
+TEST_CASE("a takeover by witnesses that the owner has replaced is rejected") {
+  // The owner counts on b, c, e since its confirmation. Word of b and c about
+  // the old set says nothing of the lease that it holds now: the takeover would
+  // make two owners.
+  OwnedMesh mesh;
+  const MemberId e = mesh.log.Join("e");
+  mesh.log.GiveWitnesses(mesh.owner, {mesh.b, mesh.c, e});
+  const ApplyResult result = mesh.log.Append(
+      mesh.Takeover(mesh.b, {{mesh.b, mesh.version}, {mesh.c, mesh.version}}));
+  CHECK(result.rejected == RejectReason::kBadTestimony);
+  CHECK(mesh.OwnerOfFirstSlot() == mesh.owner);
+}
+
+TEST_CASE("while a witness set is pending, a takeover needs both majorities") {
+  // The owner may count on the new set already and its confirmation may be on
+  // the way. Until the log has it, nobody can know which of the two it counts
+  // on, so both have to say that its lease has lapsed.
+  OwnedMesh mesh;
+  const MemberId e = mesh.log.Join("e");
+  const MemberId f = mesh.log.Join("f");
+  const WitnessSetVersion pending =
+      mesh.log.Propose(mesh.owner, {mesh.b, e, f});
+  const std::vector<Testimony> of_old = {{mesh.b, mesh.version},
+                                         {mesh.c, mesh.version}};
+  CHECK(mesh.log.Append(mesh.Takeover(mesh.b, of_old)).rejected ==
+        RejectReason::kNotEnoughTestimonies);
+
+  std::vector<Testimony> of_both = of_old;
+  of_both.push_back({mesh.b, pending});
+  CHECK(mesh.log.Append(mesh.Takeover(mesh.b, of_both)).rejected ==
+        RejectReason::kNotEnoughTestimonies);
+  of_both.push_back({e, pending});
+  CHECK(mesh.log.Append(mesh.Takeover(mesh.b, of_both)).accepted());
+}
+
+TEST_CASE(
+    "a restarted witness speaks for its earlier life only from the same boot") {
+  // c restarts. If its earlier process were merely paused on another host, it
+  // could wake and renew the owner's lease after c's word was counted.
+  OwnedMesh mesh;
+  const std::vector<Testimony> word = {{mesh.b, mesh.version, false},
+                                       {mesh.c, mesh.version, true}};
+
+  SUBCASE("same boot, same address") {
+    mesh.log.Join("c");
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, word)).accepted());
+  }
+  SUBCASE("another boot") {
+    mesh.log.Join("c", "another boot");
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, word)).rejected ==
+          RejectReason::kBadTestimony);
+  }
+  SUBCASE("another address") {
+    mesh.log.Join("c", "boot", "elsewhere");
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, word)).rejected ==
+          RejectReason::kBadTestimony);
+  }
+  SUBCASE("it did not restart at all") {
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, word)).rejected ==
+          RejectReason::kBadTestimony);
+  }
+}
+
+TEST_CASE(
+    "a witness counts as closed when it left or was forgotten, not when it "
+    "was taken over") {
+  OwnedMesh mesh;
+  const std::vector<Testimony> word = {{mesh.b, mesh.version}};
+
+  SUBCASE("left") {
+    CHECK(mesh.log.Append(LeaveRecord{mesh.d}).accepted());
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, word)).accepted());
+  }
+  SUBCASE("forgotten by an operator") {
+    CHECK(mesh.log.Append(ForgetRecord{mesh.d, "operator"}).accepted());
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, word)).accepted());
+  }
+  SUBCASE("taken over: it may be paused, and grant the lease when it wakes") {
+    const WitnessSetVersion version =
+        mesh.log.state().FindMember(mesh.c)->witnesses.version;
+    const TakeoverRecord of_witness{
+        mesh.c, kService, {{mesh.b, version}, {mesh.d, version}}, {}};
+    CHECK(mesh.log.Append(of_witness).accepted());
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, word)).rejected ==
+          RejectReason::kNotEnoughTestimonies);
+  }
+}
+
+TEST_CASE(
+    "a node that restarts in place takes its own slots back without "
+    "witnesses") {
+  OwnedMesh mesh;
+
+  SUBCASE("same boot, same address: its earlier process can't be alive") {
+    const MemberId again = mesh.log.Join("a");
+    mesh.log.GiveWitnesses(again, {mesh.b, mesh.c, mesh.d});
+    CHECK(mesh.log.Append(mesh.Takeover(again, {})).accepted());
+    CHECK(mesh.OwnerOfFirstSlot() == again);
+  }
+  SUBCASE("another host of the same name proves nothing") {
+    const MemberId again = mesh.log.Join("a", "another boot");
+    mesh.log.GiveWitnesses(again, {mesh.b, mesh.c, mesh.d});
+    CHECK(mesh.log.Append(mesh.Takeover(again, {})).rejected ==
+          RejectReason::kNotEnoughTestimonies);
+  }
+  SUBCASE("nobody else can do so in its name") {
+    mesh.log.Join("a");
+    CHECK(mesh.log.Append(mesh.Takeover(mesh.b, {})).rejected ==
+          RejectReason::kNotEnoughTestimonies);
+  }
+}
+
+TEST_CASE("a transfer is valid from the owner only, and to a current member") {
+  OwnedMesh mesh;
+  const SlotRun to_b{SlotIndex(3), 2, mesh.b};
+  CHECK(mesh.log.Append(TransferRecord{mesh.c, kService, {to_b}}).rejected ==
+        RejectReason::kNotOwner);
+  CHECK(
+      mesh.log.Append(TransferRecord{mesh.owner, kService, {to_b}}).accepted());
+  CHECK(
+      mesh.log.Append(TransferRecord{mesh.owner, kService, {to_b}}).rejected ==
+      RejectReason::kNotOwner);
+
+  mesh.log.Join("c");
+  const SlotRun to_old_c{SlotIndex(0), 1, mesh.c};
+  CHECK(mesh.log.Append(TransferRecord{mesh.owner, kService, {to_old_c}})
+            .rejected == RejectReason::kUnknownMember);
+}
+
+TEST_CASE("a takeover that leaves out slots of the lost member is rejected") {
+  // The lost member's entry goes with the takeover; a slot left out would have
+  // an owner that nobody can ever take over from.
+  OwnedMesh mesh;
+  const TakeoverRecord partial{mesh.owner,
+                               kService,
+                               {{mesh.b, mesh.version}, {mesh.c, mesh.version}},
+                               {{SlotIndex(0), kSlotCount - 1, mesh.b}}};
+  CHECK(mesh.log.Append(partial).rejected == RejectReason::kBadSlots);
+}
+
+TEST_CASE("a member that owns slots can't leave") {
+  OwnedMesh mesh;
+  CHECK(mesh.log.Append(LeaveRecord{mesh.owner}).rejected ==
+        RejectReason::kMemberOwnsSlots);
+}
+
+TEST_CASE("of two operators who publish at once, the log's order tells one") {
+  ReplayedLog log;
+  const ConfigRecord first{ConfigKind::kTemplate, "sampling", {}, "{}", "ana"};
+  const ConfigRecord second{ConfigKind::kTemplate, "sampling", {}, "[]", "rui"};
+  CHECK(log.Append(first).accepted());
+  CHECK(log.Append(second).rejected == RejectReason::kStaleVersion);
+  const ConfigEntry* entry =
+      log.state().FindConfig(ConfigKind::kTemplate, "sampling");
+  REQUIRE(entry != nullptr);
+  CHECK(entry->operator_name == "ana");
+}
+
+TEST_CASE("a state restored from its image goes on as the original does") {
+  // A node that was away longer than the log's retention starts from a
+  // snapshot. Whatever the log holds next, it must come to the same table as
+  // the others.
+  OwnedMesh mesh;
+  mesh.log.Join("c");
+  mesh.log.Propose(mesh.owner, {mesh.b, mesh.d});
+  CHECK(mesh.log.Append(ForgetRecord{mesh.d, "operator"}).accepted());
+  const AcceptAllConfig validator;
+  MeshState restored(validator, mesh.log.state().Image());
+  CHECK(restored.Image() == mesh.log.state().Image());
+
+  const MemberId e{NodeId("e"),
+                   Incarnation(mesh.log.state().next_offset().value())};
+  JoinRecord join;
+  join.node = e.node;
+  join.service = kService;
+  const std::vector<Record> records = {
+      join, WitnessSetRecord{e, {}, {mesh.b}},
+      WitnessSetConfirmedRecord{e,
+                                WitnessSetVersion(e.incarnation.value() + 1)},
+      TransferRecord{mesh.owner, kService, {{SlotIndex(5), 3, e}}}};
+  for (const Record& record : records) {
+    const LogEntry entry{restored.next_offset(), RecordId("any"), record};
+    CHECK(restored.Apply(entry).accepted());
+    CHECK(mesh.log.Append(record).accepted());
+  }
+  CHECK(restored.Image() == mesh.log.state().Image());
+}
+
+}  // namespace citrongrade
--- a/modules/state/slot_table.cc
+++ b/modules/state/slot_table.cc
@@ -11,7 +11,8 @@
     : m_slot_count(slot_count),
       m_hash_seed(hash_seed),
       m_owner_of_slot(slot_count, kUnowned),
-      m_epoch_of_slot(slot_count) {}
+      m_epoch_of_slot(slot_count),
+      m_unowned_count(slot_count) {}
 
 SlotIndex SlotTable::SlotOf(std::string_view key) const {
   const std::uint64_t hash =
@@ -24,7 +25,7 @@
   if (owner == kUnowned) {
     return std::nullopt;
   }
-  return SlotOwnership{m_owners[owner], m_epoch_of_slot[slot.value()]};
+  return SlotOwnership{m_owners[owner].member, m_epoch_of_slot[slot.value()]};
 }
 
 std::vector<SlotIndex> SlotTable::SlotsOf(const MemberId& member) const {
@@ -43,16 +44,7 @@
 
 std::uint32_t SlotTable::CountOf(const MemberId& member) const {
   const OwnerIndex owner = FindOwner(member);
-  if (owner == kUnowned) {
-    return 0;
-  }
-  return static_cast<std::uint32_t>(
-      std::count(m_owner_of_slot.begin(), m_owner_of_slot.end(), owner));
-}
-
-std::uint32_t SlotTable::UnownedCount() const {
-  return static_cast<std::uint32_t>(
-      std::count(m_owner_of_slot.begin(), m_owner_of_slot.end(), kUnowned));
+  return owner == kUnowned ? 0 : m_owners[owner].slot_count;
 }
 
 bool SlotTable::Contains(const SlotRun& run) const {
@@ -79,16 +71,14 @@
   const OwnerIndex owner = FindOrAddOwner(run.owner);
   const std::uint32_t end = run.first.value() + run.count;
   for (std::uint32_t slot = run.first.value(); slot < end; ++slot) {
-    m_owner_of_slot[slot] = owner;
+    SetOwner(slot, owner);
     m_epoch_of_slot[slot] = epoch;
   }
 }
 
 void SlotTable::Release(const MemberId& member) {
-  const OwnerIndex owner = FindOwner(member);
-  if (owner != kUnowned) {
-    std::replace(m_owner_of_slot.begin(), m_owner_of_slot.end(), owner,
-                 kUnowned);
+  for (const SlotIndex slot : SlotsOf(member)) {
+    SetOwner(slot.value(), kUnowned);
   }
 }
 
@@ -104,23 +94,21 @@
       SlotRun& last = runs.back().first;
       const bool follows = last.first.value() + last.count == slot;
       const bool alike =
-          last.owner == m_owners[owner] && runs.back().second == epoch;
+          last.owner == m_owners[owner].member && runs.back().second == epoch;
       if (follows && alike) {
         ++last.count;
         continue;
       }
     }
-    runs.emplace_back(SlotRun{SlotIndex(slot), 1, m_owners[owner]}, epoch);
+    runs.emplace_back(SlotRun{SlotIndex(slot), 1, m_owners[owner].member},
+                      epoch);
   }
   return runs;
 }
 
 SlotTable::OwnerIndex SlotTable::FindOwner(const MemberId& member) const {
-  const auto found = std::find(m_owners.begin(), m_owners.end(), member);
-  if (found == m_owners.end()) {
-    return kUnowned;
-  }
-  return static_cast<OwnerIndex>(found - m_owners.begin());
+  const auto found = m_index_of_owner.find(member);
+  return found == m_index_of_owner.end() ? kUnowned : found->second;
 }
 
 SlotTable::OwnerIndex SlotTable::FindOrAddOwner(const MemberId& member) {
@@ -130,17 +118,33 @@
   }
   // An entry that owns nothing any more is taken again, so that the list stays
   // as long as the mesh is wide however many members came and went.
-  for (OwnerIndex index = 0; index < m_owners.size(); ++index) {
-    const bool in_use =
-        std::find(m_owner_of_slot.begin(), m_owner_of_slot.end(), index) !=
-        m_owner_of_slot.end();
-    if (!in_use) {
-      m_owners[index] = member;
-      return index;
-    }
+  const auto unused =
+      std::find_if(m_owners.begin(), m_owners.end(),
+                   [](const Owner& owner) { return owner.slot_count == 0; });
+  const auto index = static_cast<OwnerIndex>(unused - m_owners.begin());
+  if (unused == m_owners.end()) {
+    m_owners.push_back({member});
+  } else {
+    m_index_of_owner.erase(unused->member);
+    unused->member = member;
+  }
+  m_index_of_owner.emplace(member, index);
+  return index;
+}
+
+void SlotTable::SetOwner(std::uint32_t slot, OwnerIndex owner) {
+  const OwnerIndex before = m_owner_of_slot[slot];
+  if (before == kUnowned) {
+    --m_unowned_count;
+  } else {
+    --m_owners[before].slot_count;
+  }
+  m_owner_of_slot[slot] = owner;
+  if (owner == kUnowned) {
+    ++m_unowned_count;
+  } else {
+    ++m_owners[owner].slot_count;
   }
-  m_owners.push_back(member);
-  return static_cast<OwnerIndex>(m_owners.size() - 1);
 }
 
 }  // namespace citrongrade
--- a/modules/state/slot_table.h
+++ b/modules/state/slot_table.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -32,7 +33,7 @@
   // Slots of one member in ascending order.
   std::vector<SlotIndex> SlotsOf(const MemberId& member) const;
   std::uint32_t CountOf(const MemberId& member) const;
-  std::uint32_t UnownedCount() const;
+  std::uint32_t UnownedCount() const { return m_unowned_count; }
 
   // Every slot of the run exists.
   bool Contains(const SlotRun& run) const;
@@ -59,11 +60,19 @@
   OwnerIndex FindOwner(const MemberId& member) const;
   OwnerIndex FindOrAddOwner(const MemberId& member);
 
+  struct Owner {
+    MemberId member;
+    std::uint32_t slot_count = 0;
+  };
+  void SetOwner(std::uint32_t slot, OwnerIndex owner);
+
   std::uint32_t m_slot_count;
   std::uint64_t m_hash_seed;
   std::vector<OwnerIndex> m_owner_of_slot;
   std::vector<Epoch> m_epoch_of_slot;
-  std::vector<MemberId> m_owners;
+  std::vector<Owner> m_owners;
+  std::map<MemberId, OwnerIndex> m_index_of_owner;
+  std::uint32_t m_unowned_count;
 };
 
 }  // namespace citrongrade
--- /dev/null
+++ b/modules/state/slot_table_test.cc
@@ -0,0 +1,69 @@
+#include "modules/state/slot_table.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <cstddef>
+#include <string>
+
+namespace citrongrade {
+
+namespace {
+
+const MemberId kFirst{NodeId("a"), Incarnation(1)};
+const MemberId kSecond{NodeId("b"), Incarnation(2)};
+
+}  // namespace
+
+TEST_CASE("keys spread evenly over the slots") {
+  constexpr std::uint32_t kSlots = 64;
+  constexpr int kKeysPerSlot = 1000;
+  const SlotTable table(kSlots, 7);
+  std::vector<int> keys_in_slot(kSlots);
+  for (int key = 0; key < static_cast<int>(kSlots) * kKeysPerSlot; ++key) {
+    ++keys_in_slot[table.SlotOf("key-" + std::to_string(key)).value()];
+  }
+  // Five standard deviations of a binomial count.
+  const double allowed = 5 * std::sqrt(kKeysPerSlot);
+  for (const int count : keys_in_slot) {
+    CHECK(std::abs(count - kKeysPerSlot) < allowed);
+  }
+}
+
+TEST_CASE("runs of equal owner and epoch come back as they were given") {
+  SlotTable table(10, 0);
+  table.Give({SlotIndex(0), 4, kFirst}, Epoch(5));
+  table.Give({SlotIndex(4), 3, kSecond}, Epoch(5));
+  table.Give({SlotIndex(2), 1, kSecond}, Epoch(6));
+
+  CHECK(table.CountOf(kFirst) == 3);
+  CHECK(table.CountOf(kSecond) == 4);
+  CHECK(table.UnownedCount() == 3);
+  CHECK(table.OwnerOf(SlotIndex(2)) == SlotOwnership{kSecond, Epoch(6)});
+  CHECK_FALSE(table.OwnerOf(SlotIndex(9)).has_value());
+  CHECK(table.Runs().size() == 4);
+}
+
+TEST_CASE("a run beyond the last slot is not contained, nor is an empty one") {
+  const SlotTable table(10, 0);
+  CHECK(table.Contains({SlotIndex(9), 1, kFirst}));
+  CHECK_FALSE(table.Contains({SlotIndex(9), 2, kFirst}));
+  CHECK_FALSE(table.Contains({SlotIndex(3), 0, kFirst}));
+  CHECK_FALSE(table.Contains({SlotIndex(1), 0xffffffff, kFirst}));
+}
+
+TEST_CASE("members that come and go don't lengthen the list of owners") {
+  // A mesh that restarts for years must not slow down: a member whose slots are
+  // all gone gives its place to the next, and the slots of others stay theirs.
+  SlotTable table(4, 0);
+  table.Give({SlotIndex(0), 1, kFirst}, Epoch(1));
+  for (std::uint64_t life = 2; life < 100; ++life) {
+    const MemberId member{NodeId("b"), Incarnation(life)};
+    table.Give({SlotIndex(1), 3, member}, Epoch(life));
+    CHECK(table.CountOf(member) == 3);
+    CHECK(table.CountOf({NodeId("b"), Incarnation(life - 1)}) == 0);
+  }
+  CHECK(table.CountOf(kFirst) == 1);
+}
+
+}  // namespace citrongrade
