State the public faces of the decisions under load

Cause: the node has to be written against these classes while their insides are still being written and measured.

--- /dev/null
+++ b/modules/coordination/load/burst_credit.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "modules/coordination/clock.h"
+
+namespace citrongrade {
+
+// Lets a rush wait as long as its deadlines allow, for as many requests as idle
+// time before it has earned.
+//
+// Load pattern: the whole audience within one minute. The right length of a
+// queue depends on why it grew. A rush ends, so waiting serves everyone; steady
+// overload doesn't, so there waiting only makes every answer late. Without
+// credit one bound must serve both: a short one refuses half the audience, a
+// long one turns hours of overload into hours of answers at the deadline.
+//
+// Earned at `earned_per_second` times the idle share of the target, so a
+// target that is always full earns none; one credit lets one request wait
+// longer than the standing bound. Starts full: a fresh node meets the rush too.
+//
+// Thread-confined.
+class BurstCredit {
+ public:
+  struct Parameters {
+    double capacity = 0;
+    double earned_per_second = 0;
+
+    friend auto operator<=>(const Parameters&, const Parameters&) = default;
+  };
+
+  BurstCredit(const Clock& clock, const Parameters& parameters);
+
+  // Call whenever the idle share of the target changes: what was earned until
+  // now is counted at the share set before. 0 to 1.
+  void SetIdleShare(double idle_share);
+
+  // Spends one credit; false when there is none.
+  bool TryTake();
+
+  double available() const { return m_available; }
+
+ private:
+  void Earn();
+
+  const Clock& m_clock;
+  Parameters m_parameters;
+  double m_available;
+  double m_idle_share = 0;
+  Clock::TimePoint m_earned_until;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/load/key_load.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <compare>
+
+#include "modules/coordination/load/load_identifiers.h"
+
+namespace citrongrade {
+
+// Work that one key causes, in busy slots (seconds of work a second).
+struct KeyLoad {
+  KeyHash key;
+  double load = 0;
+
+  friend auto operator<=>(const KeyLoad&, const KeyLoad&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/load/target_picker.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <random>
+
+#include "modules/coordination/clock.h"
+#include "modules/coordination/load/load_identifiers.h"
+#include "modules/coordination/load/target_description.h"
+
+namespace citrongrade {
+
+// Where a request for a service that is not divided by key goes.
+//
+// Load patterns: a slow target, one that lies about its load, many nodes that
+// pick at once. A static hash ignores load. The least loaded by reports draws
+// every node to the same target until the next report, and a target that
+// reports zero draws everything for good. Two random choices by own outstanding
+// work have neither fault: what this node sees of its own requests can't lie,
+// and no two nodes draw the same pair.
+//
+// Score: own outstanding work by capacity, plus reported load, aged by
+// half-life and worth at most kReportedCap of the capacity: enough to tell a
+// busy target from an idle one that this node has not used, never enough to
+// outweigh a queue that this node sees. Targets of the own availability zone go
+// first while the better of two has room (score below kRoomBelow).
+//
+// Thread-confined. Not for services divided by key: there the owner decides.
+// Kin: TargetEjection says who may be picked.
+class TargetPicker {
+ public:
+  static constexpr double kReportedCap = 0.25;
+  static constexpr double kRoomBelow = 0.75;
+  static constexpr std::chrono::milliseconds kReportHalfLife{1000};
+
+  TargetPicker(const Clock& clock,
+               std::mt19937_64& random,
+               AvailabilityZone own_zone);
+  ~TargetPicker();
+  TargetPicker(const TargetPicker&) = delete;
+  TargetPicker& operator=(const TargetPicker&) = delete;
+
+  // Adds a target or changes its description; keeps what is outstanding.
+  void SetTarget(const TargetDescription& target);
+  void RemoveTarget(const TargetId& id);
+
+  // False takes it out of the choice; set from TargetEjection. Throws
+  // UnknownTargetError, as do the calls below.
+  void SetEligible(const TargetId& id, bool eligible);
+
+  // Share of its capacity that it may be given now, from its ColdStartRamp.
+  void SetCapacityShare(const TargetId& id, double share);
+
+  // `load` is running plus queued as the target itself reports; `lag` is how
+  // old the report was on arrival.
+  void OnReport(const TargetId& id, std::size_t load, Clock::Duration lag);
+
+  void OnSent(const TargetId& id);
+  // Ignores a target that was removed meanwhile.
+  void OnFinished(const TargetId& id);
+
+  // None when no target is eligible. `excluded`: the one that has just failed.
+  std::optional<TargetId> Pick(
+      const std::optional<TargetId>& excluded = std::nullopt);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace citrongrade
