--- /dev/null
+++ b/modules/coordination/load/admission_controller.cc
@@ -0,0 +1,529 @@
+#include "modules/coordination/load/admission_controller.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <cassert>
+#include <cmath>
+#include <cstdint>
+#include <unordered_map>
+#include <utility>
+
+#include "modules/coordination/load/load_errors.h"
+#include "modules/coordination/load/retry_after_pacer.h"
+#include "modules/coordination/load/service_time_estimator.h"
+
+namespace citrongrade {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+// Part of the limit that either class of work always has.
+constexpr std::size_t kGuaranteedPart = 4;
+
+// How fast the memory of short work's demand fades.
+constexpr std::chrono::duration<double> kDemandMemory(2.0);
+
+// Below this, short work counts as absent and long work may take everything.
+constexpr double kNoDemand = 0.05;
+
+// Long work may wait for this many of its own run times: by the standing wait
+// of short work alone, no upload could ever wait for the one before it.
+constexpr int kLongRunsToWait = 2;
+
+std::size_t IndexOf(WorkClass work_class) {
+  return static_cast<std::size_t>(work_class);
+}
+
+double ToSeconds(Clock::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Mean of how much short work runs or waits, fading over kDemandMemory.
+class DemandAverage {
+ public:
+  explicit DemandAverage(const Clock& clock)
+      : m_clock(clock), m_updated(clock.Now()) {}
+
+  // `demand` holds from now on; the one before it held until now.
+  void Set(std::size_t demand) {
+    m_average = average();
+    m_updated = m_clock.Now();
+    m_demand = static_cast<double>(demand);
+  }
+
+  double average() const {
+    const std::chrono::duration<double> held = m_clock.Now() - m_updated;
+    const double kept = std::exp(-held / kDemandMemory);
+    return m_demand + (m_average - m_demand) * kept;
+  }
+
+ private:
+  const Clock& m_clock;
+  double m_average = 0;
+  double m_demand = 0;
+  Clock::TimePoint m_updated;
+};
+
+struct RunningRequest {
+  WorkClass work_class = WorkClass::kShort;
+  Clock::TimePoint deadline;
+  bool reported_overdue = false;
+};
+
+BurstCredit::Parameters CreditFor(
+    const AdmissionController::Parameters& parameters) {
+  const double capacity =
+      static_cast<double>(parameters.slots) * ToSeconds(parameters.burst);
+  return {capacity, capacity / ToSeconds(parameters.burst_refill)};
+}
+
+ConcurrencyLimit::Parameters LimitFor(
+    const AdmissionController::Parameters& parameters) {
+  ConcurrencyLimit::Parameters limit;
+  limit.declared_slots = parameters.slots;
+  limit.declared_connections = parameters.connections;
+  return limit;
+}
+
+ColdStartRamp RampFor(const Clock& clock,
+                      const AdmissionController::Parameters& parameters) {
+  if (parameters.starts_cold) {
+    return {clock, parameters.ramp};
+  }
+  return ColdStartRamp::Finished(clock);
+}
+
+}  // namespace
+
+class AdmissionController::Impl {
+ public:
+  Impl(const Clock& clock,
+       std::mt19937_64& random,
+       const Parameters& parameters)
+      : m_clock(clock),
+        m_parameters(parameters),
+        m_limit(clock, LimitFor(parameters)),
+        m_ramp(RampFor(clock, parameters)),
+        m_credit(clock, CreditFor(parameters)),
+        m_pacer(clock, random, RetryAfterPacer::Parameters{}),
+        m_queues{RequestQueue(parameters.short_queue),
+                 RequestQueue(parameters.long_queue)},
+        m_times{ServiceTimeEstimator(parameters.initial_short_time),
+                ServiceTimeEstimator(parameters.initial_long_time)},
+        m_short_demand(clock),
+        m_last_progress(clock.Now()),
+        m_last_sweep(clock.Now()) {
+    UpdateLoad();
+  }
+
+  AdmissionDecision Offer(const RequestFacts& facts) {
+    if (m_stopped) {
+      return Refuse(facts.work_class, RefusalReason::kTargetLeaving, {});
+    }
+    if (CanStartAtOnce(facts.work_class)) {
+      return OfferToFreeSlot(facts);
+    }
+    return OfferToQueue(facts);
+  }
+
+  void OnFinished(RequestTicket ticket,
+                  RunOutcome outcome,
+                  Clock::Duration latency) {
+    const auto found = m_running.find(ticket);
+    if (found == m_running.end()) {
+      throw UnknownTicketError(ticket);
+    }
+    const WorkClass work_class = found->second.work_class;
+    // A refusal by the target is quick and says nothing about work that runs.
+    if (outcome != RunOutcome::kNotRun) {
+      m_limit.OnFinished(work_class, latency, m_running.size());
+      m_times[IndexOf(work_class)].OnSample(latency);
+    }
+    --m_running_of[IndexOf(work_class)];
+    m_running.erase(found);
+    m_last_progress = m_clock.Now();
+    UpdateLoad();
+  }
+
+  AdmissionChanges Poll() {
+    AdmissionChanges changes;
+    if (m_stopped) {
+      RefuseAllWaiting();
+    }
+    SweepWhenDue(changes);
+    StartWaiting(changes);
+    changes.refused = std::exchange(m_refused, {});
+    UpdateLoad();
+    return changes;
+  }
+
+  CancelResult Cancel(RequestTicket ticket) {
+    if (m_running.contains(ticket)) {
+      return CancelResult::kRuns;
+    }
+    for (RequestQueue& queue : m_queues) {
+      if (queue.Cancel(ticket)) {
+        UpdateLoad();
+        return CancelResult::kWasWaiting;
+      }
+    }
+    return CancelResult::kUnknown;
+  }
+
+  void StopAdmitting() { m_stopped = true; }
+
+  AdmissionStatus Status() const {
+    AdmissionStatus status;
+    status.limit = Limit();
+    status.running = m_running.size();
+    status.running_long = RunningOf(WorkClass::kLong);
+    status.waiting = Waiting();
+    status.waiting_bytes = m_queues[0].bytes() + m_queues[1].bytes();
+    status.burst_credit = m_credit.available();
+    status.admitted_total = m_admitted_total;
+    status.refused_total = m_refused_total;
+    status.mean_wait = std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::duration<double>(acc::mean(m_waits)));
+    return status;
+  }
+
+ private:
+  RequestQueue& QueueOf(WorkClass work_class) {
+    return m_queues[IndexOf(work_class)];
+  }
+
+  const RequestQueue& QueueOf(WorkClass work_class) const {
+    return m_queues[IndexOf(work_class)];
+  }
+
+  const ServiceTimeEstimator& TimeOf(WorkClass work_class) const {
+    return m_times[IndexOf(work_class)];
+  }
+
+  std::size_t RunningOf(WorkClass work_class) const {
+    return m_running_of[IndexOf(work_class)];
+  }
+
+  std::size_t Waiting() const {
+    return m_queues[0].size() + m_queues[1].size();
+  }
+
+  std::size_t Limit() const {
+    const double ramped = static_cast<double>(m_limit.limit()) * m_ramp.Share();
+    return std::max<std::size_t>(1, static_cast<std::size_t>(ramped));
+  }
+
+  std::size_t GuaranteedForLong() const {
+    return std::max<std::size_t>(1, Limit() / kGuaranteedPart);
+  }
+
+  // Square-root staffing: with its mean demand and the root of it again, short
+  // work seldom meets a moment at which long work holds all that it needs.
+  std::size_t MostLong() const {
+    const double demand = m_short_demand.average();
+    if (demand < kNoDemand) {
+      return Limit();
+    }
+    const double staffing = std::ceil(demand + std::sqrt(demand));
+    const std::size_t kept =
+        std::max(static_cast<std::size_t>(staffing), Limit() / kGuaranteedPart);
+    const std::size_t guaranteed = GuaranteedForLong();
+    return kept + guaranteed >= Limit() ? guaranteed : Limit() - kept;
+  }
+
+  bool CanStartAtOnce(WorkClass work_class) const {
+    if (!QueueOf(work_class).empty() || m_running.size() >= Limit()) {
+      return false;
+    }
+    return work_class == WorkClass::kShort || MayStartLong();
+  }
+
+  bool MayStartLong() const {
+    const std::size_t running = RunningOf(WorkClass::kLong);
+    if (running < GuaranteedForLong()) {
+      return true;
+    }
+    return QueueOf(WorkClass::kShort).empty() && running < MostLong();
+  }
+
+  // With nothing of its class running, a request is let through even if past
+  // run times say that it would be late. Otherwise one slow spell that pushed
+  // the estimate over everybody's deadline would refuse everything for good:
+  // with nothing run, nothing could ever correct it.
+  bool IsOnlyMeasurement(WorkClass work_class) const {
+    return RunningOf(work_class) == 0;
+  }
+
+  AdmissionDecision OfferToFreeSlot(const RequestFacts& facts) {
+    const Clock::TimePoint now = m_clock.Now();
+    const bool in_time =
+        IsOnlyMeasurement(facts.work_class)
+            ? now < facts.deadline
+            : now + TimeOf(facts.work_class).mean() <= facts.deadline;
+    if (!in_time) {
+      return Refuse(facts.work_class, RefusalReason::kDeadlineTooClose, {});
+    }
+    Start(facts);
+    return {};
+  }
+
+  AdmissionDecision OfferToQueue(const RequestFacts& facts) {
+    const std::size_t rank = QueueOf(facts.work_class).RankOf(facts);
+    const Clock::Duration wait = Stall() + static_cast<std::int64_t>(rank + 1) *
+                                               TimePerRank(facts.work_class);
+    const Clock::TimePoint end =
+        m_clock.Now() + wait + TimeOf(facts.work_class).cautious();
+    if (end > facts.deadline) {
+      return Refuse(facts.work_class, RefusalReason::kDeadlineTooClose, wait);
+    }
+    if (wait > StandingWait(facts.work_class) && !TakeCredit(facts)) {
+      return Refuse(facts.work_class, RefusalReason::kOverloaded, wait);
+    }
+    return Enqueue(facts, wait);
+  }
+
+  Clock::Duration StandingWait(WorkClass work_class) const {
+    if (work_class == WorkClass::kShort) {
+      return m_parameters.standing_wait;
+    }
+    return std::max<Clock::Duration>(
+        m_parameters.standing_wait,
+        kLongRunsToWait * TimeOf(work_class).mean());
+  }
+
+  bool TakeCredit(const RequestFacts& facts) {
+    return m_credit.TryTake(ToSeconds(TimeOf(facts.work_class).mean()));
+  }
+
+  AdmissionDecision Enqueue(const RequestFacts& facts, Clock::Duration wait) {
+    const RequestQueue::PushResult result =
+        QueueOf(facts.work_class).Push(facts, m_clock.Now());
+    const RefusalReason reason = result.bytes_decided
+                                     ? RefusalReason::kQueueBytesFull
+                                     : RefusalReason::kQueueFull;
+    for (const RequestFacts& evicted : result.evicted) {
+      RefuseWaiting(evicted, reason, wait);
+    }
+    if (!result.accepted) {
+      return Refuse(facts.work_class, reason, wait);
+    }
+    UpdateLoad();
+    return {AdmissionDecision::Verdict::kQueued, std::nullopt};
+  }
+
+  // How many places the class has when all are in use.
+  std::size_t ServersOf(WorkClass work_class) const {
+    if (work_class == WorkClass::kLong) {
+      return std::max(MostLong(), GuaranteedForLong());
+    }
+    const std::size_t taken = std::min(RunningOf(WorkClass::kLong), MostLong());
+    return std::max<std::size_t>(1, Limit() - std::min(taken, Limit() - 1));
+  }
+
+  Clock::Duration TimePerRank(WorkClass work_class) const {
+    return TimeOf(work_class).mean() /
+           static_cast<std::int64_t>(ServersOf(work_class));
+  }
+
+  // A frozen target finishes nothing, so run times never show it. What has
+  // stood still for longer than a run takes is expected to go on doing so for
+  // as long again; those who can't wait for that are told at once.
+  Clock::Duration Stall() const {
+    if (m_running.empty()) {
+      return {};
+    }
+    const Clock::Duration still = m_clock.Now() - m_last_progress;
+    return still > LongestExpectedRun() ? still : Clock::Duration(0);
+  }
+
+  Clock::Duration LongestExpectedRun() const {
+    const bool runs_long = RunningOf(WorkClass::kLong) > 0;
+    const Clock::Duration of_short = TimeOf(WorkClass::kShort).cautious();
+    return runs_long ? std::max(of_short, TimeOf(WorkClass::kLong).cautious())
+                     : of_short;
+  }
+
+  void Start(const RequestFacts& facts) {
+    if (m_running.empty()) {
+      m_last_progress = m_clock.Now();
+    }
+    const bool is_new =
+        m_running
+            .emplace(facts.ticket,
+                     RunningRequest{facts.work_class, facts.deadline, false})
+            .second;
+    // The caller used one ticket for two requests.
+    assert(is_new);
+    static_cast<void>(is_new);
+    ++m_running_of[IndexOf(facts.work_class)];
+    ++m_admitted_total;
+    UpdateLoad();
+  }
+
+  void StartWaiting(AdmissionChanges& changes) {
+    while (m_running.size() < Limit()) {
+      const std::optional<WorkClass> next = NextClass();
+      if (!next) {
+        return;
+      }
+      StartOrGiveUp(*QueueOf(*next).Pop(), changes);
+    }
+  }
+
+  std::optional<WorkClass> NextClass() const {
+    const bool long_waits = !QueueOf(WorkClass::kLong).empty();
+    if (long_waits && MayStartLong()) {
+      return WorkClass::kLong;
+    }
+    if (!QueueOf(WorkClass::kShort).empty()) {
+      return WorkClass::kShort;
+    }
+    return std::nullopt;
+  }
+
+  void StartOrGiveUp(const RequestQueue::Waiting& waiting,
+                     AdmissionChanges& changes) {
+    const RequestFacts& facts = waiting.facts;
+    const Clock::TimePoint now = m_clock.Now();
+    const Clock::Duration needed = IsOnlyMeasurement(facts.work_class)
+                                       ? Clock::Duration(1)
+                                       : TimeOf(facts.work_class).cautious();
+    if (now + needed > facts.deadline) {
+      RefuseWaiting(facts, RefusalReason::kDeadlineTooClose, {});
+      return;
+    }
+    m_waits(ToSeconds(now - waiting.since));
+    Start(facts);
+    changes.admitted.push_back(facts.ticket);
+  }
+
+  void SweepWhenDue(AdmissionChanges& changes) {
+    const Clock::TimePoint now = m_clock.Now();
+    if (now - m_last_sweep < kPollInterval) {
+      return;
+    }
+    m_last_sweep = now;
+    GiveUpHopeless(WorkClass::kShort);
+    GiveUpHopeless(WorkClass::kLong);
+    ReportOverdue(changes);
+  }
+
+  void GiveUpHopeless(WorkClass work_class) {
+    const Clock::Duration first = Stall() + TimeOf(work_class).cautious();
+    const std::vector<RequestFacts> hopeless =
+        QueueOf(work_class)
+            .TakeHopeless(m_clock.Now() + first, TimePerRank(work_class));
+    for (const RequestFacts& facts : hopeless) {
+      RefuseWaiting(facts, RefusalReason::kDeadlineTooClose, first);
+    }
+  }
+
+  void ReportOverdue(AdmissionChanges& changes) {
+    const Clock::TimePoint now = m_clock.Now();
+    for (auto& [ticket, running] : m_running) {
+      if (!running.reported_overdue && now >= running.deadline) {
+        running.reported_overdue = true;
+        changes.overdue.push_back(ticket);
+      }
+    }
+  }
+
+  void RefuseAllWaiting() {
+    for (RequestQueue& queue : m_queues) {
+      for (const RequestFacts& facts : queue.TakeAll()) {
+        RefuseWaiting(facts, RefusalReason::kTargetLeaving, {});
+      }
+    }
+  }
+
+  Refusal MakeRefusal(WorkClass work_class,
+                      RefusalReason reason,
+                      Clock::Duration wait) {
+    ++m_refused_total;
+    const double per_second = static_cast<double>(ServersOf(work_class)) /
+                              ToSeconds(TimeOf(work_class).mean());
+    return {reason, m_pacer.Next(per_second, wait)};
+  }
+
+  AdmissionDecision Refuse(WorkClass work_class,
+                           RefusalReason reason,
+                           Clock::Duration wait) {
+    return {AdmissionDecision::Verdict::kRefused,
+            MakeRefusal(work_class, reason, wait)};
+  }
+
+  void RefuseWaiting(const RequestFacts& facts,
+                     RefusalReason reason,
+                     Clock::Duration wait) {
+    m_refused.push_back(
+        {facts.ticket, MakeRefusal(facts.work_class, reason, wait)});
+  }
+
+  void UpdateLoad() {
+    const double used =
+        static_cast<double>(m_running.size()) / static_cast<double>(Limit());
+    m_credit.SetIdleShare(std::max(0.0, 1 - used));
+    m_short_demand.Set(RunningOf(WorkClass::kShort) +
+                       QueueOf(WorkClass::kShort).size());
+  }
+
+  const Clock& m_clock;
+  const Parameters m_parameters;
+  ConcurrencyLimit m_limit;
+  ColdStartRamp m_ramp;
+  BurstCredit m_credit;
+  RetryAfterPacer m_pacer;
+  std::array<RequestQueue, kWorkClassCount> m_queues;
+  std::array<ServiceTimeEstimator, kWorkClassCount> m_times;
+  std::array<std::size_t, kWorkClassCount> m_running_of{};
+  std::unordered_map<RequestTicket, RunningRequest> m_running;
+  DemandAverage m_short_demand;
+  // Refused since the last Poll().
+  std::vector<RefusedRequest> m_refused;
+  Clock::TimePoint m_last_progress;
+  Clock::TimePoint m_last_sweep;
+  bool m_stopped = false;
+  std::uint64_t m_admitted_total = 0;
+  std::uint64_t m_refused_total = 0;
+  acc::accumulator_set<double, acc::stats<acc::tag::mean>> m_waits;
+};
+
+AdmissionController::AdmissionController(const Clock& clock,
+                                         std::mt19937_64& random,
+                                         const Parameters& parameters)
+    : m_impl(std::make_unique<Impl>(clock, random, parameters)) {}
+
+AdmissionController::~AdmissionController() = default;
+
+AdmissionDecision AdmissionController::Offer(const RequestFacts& facts) {
+  return m_impl->Offer(facts);
+}
+
+void AdmissionController::OnFinished(RequestTicket ticket,
+                                     RunOutcome outcome,
+                                     Clock::Duration latency) {
+  m_impl->OnFinished(ticket, outcome, latency);
+}
+
+AdmissionChanges AdmissionController::Poll() {
+  return m_impl->Poll();
+}
+
+AdmissionController::CancelResult AdmissionController::Cancel(
+    RequestTicket ticket) {
+  return m_impl->Cancel(ticket);
+}
+
+void AdmissionController::StopAdmitting() {
+  m_impl->StopAdmitting();
+}
+
+AdmissionStatus AdmissionController::Status() const {
+  return m_impl->Status();
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/load/burst_credit.cc
@@ -0,0 +1,40 @@
+#include "modules/coordination/load/burst_credit.h"
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+
+namespace citrongrade {
+
+BurstCredit::BurstCredit(const Clock& clock, const Parameters& parameters)
+    : m_clock(clock),
+      m_parameters(parameters),
+      m_available(parameters.capacity),
+      m_earned_until(clock.Now()) {}
+
+void BurstCredit::SetIdleShare(double idle_share) {
+  // The caller divided by a limit that shrank below what already runs.
+  assert(idle_share >= 0 && idle_share <= 1);
+  Earn();
+  m_idle_share = idle_share;
+}
+
+bool BurstCredit::TryTake(double slot_seconds) {
+  Earn();
+  if (m_available < slot_seconds) {
+    return false;
+  }
+  m_available -= slot_seconds;
+  return true;
+}
+
+void BurstCredit::Earn() {
+  const Clock::TimePoint now = m_clock.Now();
+  const double seconds =
+      std::chrono::duration<double>(now - m_earned_until).count();
+  const double earned = seconds * m_idle_share * m_parameters.earned_per_second;
+  m_available = std::min(m_parameters.capacity, m_available + earned);
+  m_earned_until = now;
+}
+
+}  // namespace citrongrade
--- a/modules/coordination/load/burst_credit.h
+++ b/modules/coordination/load/burst_credit.h
@@ -13,9 +13,10 @@
 // credit one bound must serve both: a short one refuses half the audience, a
 // long one turns hours of overload into hours of answers at the deadline.
 //
-// Earned at `earned_per_second` times the idle share of the target, so a
-// target that is always full earns none; one credit lets one request wait
-// longer than the standing bound. Starts full: a fresh node meets the rush too.
+// Counted in seconds of one target slot. Earned at `earned_per_second` times
+// the idle share of the target, so that a target which is always full earns
+// none; spent by each request that waits longer than the standing bound. Starts
+// full: a fresh node meets the rush too.
 //
 // Thread-confined.
 class BurstCredit {
@@ -33,8 +34,8 @@
   // now is counted at the share set before. 0 to 1.
   void SetIdleShare(double idle_share);
 
-  // Spends one credit; false when there is none.
-  bool TryTake();
+  // Spends `slot_seconds`; false, and nothing spent, when there are fewer.
+  bool TryTake(double slot_seconds);
 
   double available() const { return m_available; }
 
--- /dev/null
+++ b/modules/coordination/load/concurrency_limit.cc
@@ -0,0 +1,205 @@
+#include "modules/coordination/load/concurrency_limit.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace citrongrade {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+using MeanLatency =
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::mean>>;
+
+// One window takes at most this share away, so that a single odd window (a
+// pause of the machine) does not undo minutes of growth.
+constexpr double kLargestCut = 0.8;
+
+double ToSeconds(Clock::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// The best mean latency of one class over the periods kept.
+class Baseline {
+ public:
+  void Add(double latency) { m_current(latency); }
+
+  // Periods without enough samples are carried on into the next one, so that
+  // a quiet class keeps what it knows.
+  void ClosePeriod(std::size_t min_samples, std::size_t periods_kept) {
+    if (acc::count(m_current) < min_samples) {
+      return;
+    }
+    m_kept.push_back(acc::mean(m_current));
+    m_current = MeanLatency();
+    while (m_kept.size() > periods_kept) {
+      m_kept.pop_front();
+    }
+  }
+
+  std::optional<double> Best(std::size_t min_samples) const {
+    if (!m_kept.empty()) {
+      return *std::min_element(m_kept.begin(), m_kept.end());
+    }
+    if (acc::count(m_current) >= min_samples) {
+      return acc::mean(m_current);
+    }
+    return std::nullopt;
+  }
+
+ private:
+  MeanLatency m_current;
+  std::deque<double> m_kept;
+};
+
+}  // namespace
+
+class ConcurrencyLimit::Impl {
+ public:
+  Impl(const Clock& clock, const Parameters& parameters)
+      : m_clock(clock),
+        m_parameters(parameters),
+        m_limit(std::max<std::size_t>(1, parameters.declared_slots)),
+        m_window_began(clock.Now()),
+        m_period_began(clock.Now()) {}
+
+  void OnFinished(WorkClass work_class,
+                  Clock::Duration latency,
+                  std::size_t running) {
+    const auto index = static_cast<std::size_t>(work_class);
+    const double seconds = ToSeconds(latency);
+    m_window[index](seconds);
+    m_most_running = std::max(m_most_running, running);
+    if (IsUncongested(running)) {
+      m_baselines[index].Add(seconds);
+    }
+    ClosePeriodWhenDue();
+    CloseWindowWhenDue();
+  }
+
+  std::size_t limit() const { return m_limit; }
+
+ private:
+  // Below half of the slots many targets answer faster than they can when busy
+  // (caches, turbo): taken as the best, that would shrink a healthy target.
+  bool IsUncongested(std::size_t running) const {
+    return running <= m_parameters.declared_slots &&
+           2 * running >= m_parameters.declared_slots;
+  }
+
+  void ClosePeriodWhenDue() {
+    if (m_clock.Now() - m_period_began < m_parameters.baseline_period) {
+      return;
+    }
+    m_period_began = m_clock.Now();
+    for (Baseline& baseline : m_baselines) {
+      baseline.ClosePeriod(m_parameters.min_samples,
+                           m_parameters.baseline_periods);
+    }
+  }
+
+  void CloseWindowWhenDue() {
+    if (m_clock.Now() - m_window_began < m_parameters.window) {
+      return;
+    }
+    if (SamplesInWindow() < m_parameters.min_samples) {
+      return;
+    }
+    if (const std::optional<double> slowdown = Slowdown()) {
+      Adjust(*slowdown);
+    }
+    m_window_began = m_clock.Now();
+    m_most_running = 0;
+    m_window = {};
+  }
+
+  std::size_t SamplesInWindow() const {
+    std::size_t samples = 0;
+    for (const MeanLatency& latency : m_window) {
+      samples += acc::count(latency);
+    }
+    return samples;
+  }
+
+  // How many times the best latency the window's was, over all classes.
+  std::optional<double> Slowdown() const {
+    double sum = 0;
+    double weight = 0;
+    for (std::size_t index = 0; index < kWorkClassCount; ++index) {
+      const auto best = m_baselines[index].Best(m_parameters.min_samples);
+      const auto samples = static_cast<double>(acc::count(m_window[index]));
+      if (!best || samples == 0) {
+        continue;
+      }
+      sum += samples * acc::mean(m_window[index]) / *best;
+      weight += samples;
+    }
+    if (weight == 0) {
+      return std::nullopt;
+    }
+    return sum / weight;
+  }
+
+  void Adjust(double slowdown) {
+    if (slowdown > kShrinkAbove) {
+      Shrink(slowdown);
+      return;
+    }
+    const bool in_use = m_most_running >= m_limit;
+    if (slowdown < kGrowBelow && in_use) {
+      m_limit = std::min(m_limit + 1, Ceiling());
+    }
+  }
+
+  void Shrink(double slowdown) {
+    const double cut = std::max(kLargestCut, kShrinkAbove / slowdown);
+    const auto wanted =
+        static_cast<std::size_t>(static_cast<double>(m_limit) * cut);
+    m_limit = std::max(wanted, Floor());
+  }
+
+  std::size_t Floor() const {
+    return std::max<std::size_t>(1, (m_parameters.declared_slots + 1) / 2);
+  }
+
+  std::size_t Ceiling() const {
+    return std::max(m_parameters.declared_connections,
+                    m_parameters.declared_slots);
+  }
+
+  const Clock& m_clock;
+  const Parameters m_parameters;
+  std::size_t m_limit;
+  std::size_t m_most_running = 0;
+  std::array<MeanLatency, kWorkClassCount> m_window;
+  std::array<Baseline, kWorkClassCount> m_baselines;
+  Clock::TimePoint m_window_began;
+  Clock::TimePoint m_period_began;
+};
+
+ConcurrencyLimit::ConcurrencyLimit(const Clock& clock,
+                                   const Parameters& parameters)
+    : m_impl(std::make_unique<Impl>(clock, parameters)) {}
+
+ConcurrencyLimit::~ConcurrencyLimit() = default;
+
+void ConcurrencyLimit::OnFinished(WorkClass work_class,
+                                  Clock::Duration latency,
+                                  std::size_t running) {
+  m_impl->OnFinished(work_class, latency, running);
+}
+
+std::size_t ConcurrencyLimit::limit() const {
+  return m_impl->limit();
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/load/request_queue.cc
@@ -0,0 +1,325 @@
+#include "modules/coordination/load/request_queue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <compare>
+#include <cstdint>
+#include <ext/pb_ds/assoc_container.hpp>
+#include <ext/pb_ds/tree_policy.hpp>
+#include <functional>
+#include <unordered_map>
+#include <utility>
+
+namespace citrongrade {
+
+namespace {
+
+// Work in a body grows with its size; below this, requests cost alike.
+constexpr double kBytesPerStep = 1024.0 * 1024.0;
+
+// Where a request stands: by start tag, then by arrival.
+struct Place {
+  double tag = 0;
+  std::uint64_t arrival = 0;
+
+  friend auto operator<=>(const Place&, const Place&) = default;
+};
+
+// The standing of one caller or key.
+struct Flow {
+  // Start tag of its next request, unless virtual time has passed it.
+  double next_tag = 0;
+  std::size_t waiting = 0;
+};
+
+struct Item {
+  RequestQueue::Waiting waiting;
+  double caller_end = 0;
+  double key_end = 0;
+};
+
+double StepsOf(const RequestFacts& facts) {
+  return std::max(1.0, static_cast<double>(facts.bytes) / kBytesPerStep);
+}
+
+// An ordered map that also tells the rank of a place in logarithmic time.
+using Order = __gnu_pbds::tree<Place,
+                               Item,
+                               std::less<>,
+                               __gnu_pbds::rb_tree_tag,
+                               __gnu_pbds::tree_order_statistics_node_update>;
+
+template <typename Hash>
+class FlowTable {
+ public:
+  explicit FlowTable(std::size_t bound) : m_bound(bound) {}
+
+  double NextTag(Hash hash) const {
+    const auto found = m_flows.find(hash);
+    return found == m_flows.end() ? 0 : found->second.next_tag;
+  }
+
+  void Add(Hash hash, double end) {
+    ForgetIdleAtBound();
+    Flow& flow = m_flows[hash];
+    flow.next_tag = end;
+    ++flow.waiting;
+  }
+
+  void Remove(Hash hash) { --m_flows.at(hash).waiting; }
+
+  // Gives back what a request that never ran had cost its flow, when it was
+  // the last one: the flow's earlier ones still count.
+  void Refund(Hash hash, double tag, double end) {
+    Flow& flow = m_flows.at(hash);
+    if (flow.next_tag == end) {
+      flow.next_tag = tag;
+    }
+  }
+
+  void Clear() { m_flows.clear(); }
+
+ private:
+  // Flows that nothing waits for are kept only for their tags. Callers that
+  // come once each would otherwise grow the table without end while the queue
+  // stays busy; forgetting gives such a caller one place too early, no more.
+  void ForgetIdleAtBound() {
+    if (m_flows.size() < m_bound) {
+      return;
+    }
+    std::erase_if(m_flows,
+                  [](const auto& entry) { return entry.second.waiting == 0; });
+  }
+
+  const std::size_t m_bound;
+  std::unordered_map<Hash, Flow> m_flows;
+};
+
+}  // namespace
+
+class RequestQueue::Impl {
+ public:
+  explicit Impl(const Parameters& parameters)
+      : m_parameters(parameters),
+        m_callers(2 * parameters.max_count + 1),
+        m_keys(2 * parameters.max_count + 1) {}
+
+  std::size_t RankOf(const RequestFacts& facts) const {
+    return m_order.order_of_key(Place{TagOf(facts), m_next_arrival});
+  }
+
+  PushResult Push(const RequestFacts& facts, Clock::TimePoint now) {
+    PushResult result;
+    const Place place{TagOf(facts), m_next_arrival};
+    if (!MakeRoom(facts, place, result)) {
+      return result;
+    }
+    Insert(facts, place, now);
+    result.accepted = true;
+    return result;
+  }
+
+  std::optional<Waiting> Pop() {
+    if (m_order.empty()) {
+      return std::nullopt;
+    }
+    const auto first = m_order.begin();
+    m_virtual_time = first->first.tag;
+    const Waiting waiting = first->second.waiting;
+    Erase(first->first);
+    return waiting;
+  }
+
+  bool Cancel(RequestTicket ticket) {
+    const auto found = m_places.find(ticket);
+    if (found == m_places.end()) {
+      return false;
+    }
+    Refund(found->second);
+    Erase(found->second);
+    return true;
+  }
+
+  std::vector<RequestFacts> TakeHopeless(Clock::TimePoint first_end,
+                                         Clock::Duration per_rank) {
+    std::vector<Place> hopeless;
+    Clock::TimePoint end = first_end;
+    for (const auto& [place, item] : m_order) {
+      if (end > item.waiting.facts.deadline) {
+        hopeless.push_back(place);
+      } else {
+        end += per_rank;
+      }
+    }
+    return TakeBackwards(hopeless);
+  }
+
+  std::vector<RequestFacts> TakeAll() {
+    std::vector<Place> all;
+    all.reserve(m_order.size());
+    for (const auto& [place, item] : m_order) {
+      all.push_back(place);
+    }
+    return TakeBackwards(all);
+  }
+
+  std::size_t size() const { return m_order.size(); }
+  std::size_t bytes() const { return m_bytes; }
+
+ private:
+  double TagOf(const RequestFacts& facts) const {
+    return std::max({m_virtual_time, m_callers.NextTag(facts.caller),
+                     m_keys.NextTag(facts.key)});
+  }
+
+  // Evicts from the far end while the new one is nearer the front.
+  bool MakeRoom(const RequestFacts& facts, Place place, PushResult& result) {
+    if (facts.bytes > m_parameters.max_bytes || m_parameters.max_count == 0) {
+      result.bytes_decided = facts.bytes > m_parameters.max_bytes;
+      return false;
+    }
+    if (!CanMakeRoom(facts, place, result.bytes_decided)) {
+      return false;
+    }
+    while (!Fits(facts, m_order.size(), m_bytes)) {
+      const Place last = std::prev(m_order.end())->first;
+      result.evicted.push_back(Take(last));
+    }
+    return true;
+  }
+
+  // Decided before anything is evicted: evicting and then refusing the new one
+  // as well would cost two requests for nothing.
+  bool CanMakeRoom(const RequestFacts& facts, Place place, bool& by_bytes) {
+    std::size_t count = m_order.size();
+    std::size_t bytes = m_bytes;
+    auto next = m_order.end();
+    while (!Fits(facts, count, bytes)) {
+      by_bytes = count < m_parameters.max_count;
+      --next;
+      if (next->first < place) {
+        return false;
+      }
+      --count;
+      bytes -= next->second.waiting.facts.bytes;
+    }
+    return true;
+  }
+
+  bool Fits(const RequestFacts& facts,
+            std::size_t count,
+            std::size_t bytes) const {
+    return count < m_parameters.max_count &&
+           bytes + facts.bytes <= m_parameters.max_bytes;
+  }
+
+  void Insert(const RequestFacts& facts, Place place, Clock::TimePoint now) {
+    const double steps = StepsOf(facts);
+    Item item;
+    item.waiting = {facts, now};
+    item.caller_end = place.tag + steps;
+    item.key_end = place.tag + steps / m_parameters.callers_per_key;
+    m_callers.Add(facts.caller, item.caller_end);
+    m_keys.Add(facts.key, item.key_end);
+    m_order.insert({place, item});
+    const bool is_new = m_places.emplace(facts.ticket, place).second;
+    // The caller used one ticket for two requests.
+    assert(is_new);
+    static_cast<void>(is_new);
+    m_bytes += facts.bytes;
+    ++m_next_arrival;
+  }
+
+  // The last place first: a flow's tags are refunded from its end.
+  std::vector<RequestFacts> TakeBackwards(const std::vector<Place>& places) {
+    std::vector<RequestFacts> taken;
+    taken.reserve(places.size());
+    for (auto place = places.rbegin(); place != places.rend(); ++place) {
+      taken.push_back(Take(*place));
+    }
+    return taken;
+  }
+
+  RequestFacts Take(Place place) {
+    const RequestFacts facts = m_order.find(place)->second.waiting.facts;
+    Refund(place);
+    Erase(place);
+    return facts;
+  }
+
+  void Refund(Place place) {
+    const Item& item = m_order.find(place)->second;
+    m_callers.Refund(item.waiting.facts.caller, place.tag, item.caller_end);
+    m_keys.Refund(item.waiting.facts.key, place.tag, item.key_end);
+  }
+
+  void Erase(Place place) {
+    const RequestFacts facts = m_order.find(place)->second.waiting.facts;
+    m_callers.Remove(facts.caller);
+    m_keys.Remove(facts.key);
+    m_places.erase(facts.ticket);
+    m_bytes -= facts.bytes;
+    m_order.erase(place);
+    if (m_order.empty()) {
+      BeginAnew();
+    }
+  }
+
+  // With nothing waiting nobody is ahead of anybody; this also keeps tags
+  // small, so that steps never vanish in a double's rounding.
+  void BeginAnew() {
+    m_virtual_time = 0;
+    m_callers.Clear();
+    m_keys.Clear();
+  }
+
+  const Parameters m_parameters;
+  Order m_order;
+  std::unordered_map<RequestTicket, Place> m_places;
+  FlowTable<CallerHash> m_callers;
+  FlowTable<KeyHash> m_keys;
+  double m_virtual_time = 0;
+  std::uint64_t m_next_arrival = 0;
+  std::size_t m_bytes = 0;
+};
+
+RequestQueue::RequestQueue(const Parameters& parameters)
+    : m_impl(std::make_unique<Impl>(parameters)) {}
+
+RequestQueue::~RequestQueue() = default;
+
+std::size_t RequestQueue::RankOf(const RequestFacts& facts) const {
+  return m_impl->RankOf(facts);
+}
+
+RequestQueue::PushResult RequestQueue::Push(const RequestFacts& facts,
+                                            Clock::TimePoint now) {
+  return m_impl->Push(facts, now);
+}
+
+std::optional<RequestQueue::Waiting> RequestQueue::Pop() {
+  return m_impl->Pop();
+}
+
+bool RequestQueue::Cancel(RequestTicket ticket) {
+  return m_impl->Cancel(ticket);
+}
+
+std::vector<RequestFacts> RequestQueue::TakeHopeless(Clock::TimePoint first_end,
+                                                     Clock::Duration per_rank) {
+  return m_impl->TakeHopeless(first_end, per_rank);
+}
+
+std::vector<RequestFacts> RequestQueue::TakeAll() {
+  return m_impl->TakeAll();
+}
+
+std::size_t RequestQueue::size() const {
+  return m_impl->size();
+}
+
+std::size_t RequestQueue::bytes() const {
+  return m_impl->bytes();
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/load/target_picker.cc
@@ -0,0 +1,229 @@
+#include "modules/coordination/load/target_picker.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "modules/coordination/load/load_errors.h"
+
+namespace citrongrade {
+
+namespace {
+
+struct Entry {
+  TargetDescription description;
+  bool eligible = true;
+  double capacity_share = 1;
+  std::size_t outstanding = 0;
+  double reported_load = 0;
+  Clock::TimePoint reported_at;
+
+  double Capacity() const {
+    return std::max(1.0,
+                    static_cast<double>(description.slots) * capacity_share);
+  }
+};
+
+using Pool = std::vector<Entry*>;
+
+}  // namespace
+
+class TargetPicker::Impl {
+ public:
+  Impl(const Clock& clock, std::mt19937_64& random, AvailabilityZone own_zone)
+      : m_clock(clock), m_random(random), m_own_zone(std::move(own_zone)) {}
+
+  void SetTarget(const TargetDescription& target) {
+    m_entries[target.id].description = target;
+    RebuildPools();
+  }
+
+  void RemoveTarget(const TargetId& id) {
+    m_entries.erase(id);
+    RebuildPools();
+  }
+
+  void SetEligible(const TargetId& id, bool eligible) {
+    Entry& entry = EntryOf(id);
+    if (entry.eligible == eligible) {
+      return;
+    }
+    entry.eligible = eligible;
+    RebuildPools();
+  }
+
+  void SetCapacityShare(const TargetId& id, double share) {
+    EntryOf(id).capacity_share = share;
+  }
+
+  void OnReport(const TargetId& id, std::size_t load, Clock::Duration lag) {
+    Entry& entry = EntryOf(id);
+    entry.reported_load = static_cast<double>(load);
+    entry.reported_at = m_clock.Now() - lag;
+  }
+
+  void OnSent(const TargetId& id) { ++EntryOf(id).outstanding; }
+
+  void OnFinished(const TargetId& id) {
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end() && found->second.outstanding > 0) {
+      --found->second.outstanding;
+    }
+  }
+
+  std::optional<TargetId> Pick(const std::optional<TargetId>& excluded) {
+    const Entry* nearby = BetterOfTwo(m_own_pool, excluded);
+    if (nearby != nullptr && HasRoom(*nearby)) {
+      return nearby->description.id;
+    }
+    const Entry* best = Better(nearby, BetterOfTwo(m_pool, excluded));
+    if (best == nullptr) {
+      return std::nullopt;
+    }
+    return best->description.id;
+  }
+
+ private:
+  Entry& EntryOf(const TargetId& id) {
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+      throw UnknownTargetError(id);
+    }
+    return found->second;
+  }
+
+  // In the order of ids, so that a run with the same seed repeats whatever
+  // order the hash table has.
+  void RebuildPools() {
+    m_pool.clear();
+    m_own_pool.clear();
+    for (auto& [id, entry] : m_entries) {
+      if (entry.eligible) {
+        m_pool.push_back(&entry);
+      }
+    }
+    std::sort(m_pool.begin(), m_pool.end(), [](const Entry* a, const Entry* b) {
+      return a->description.id < b->description.id;
+    });
+    std::copy_if(m_pool.begin(), m_pool.end(), std::back_inserter(m_own_pool),
+                 [this](const Entry* entry) {
+                   return entry->description.zone == m_own_zone;
+                 });
+  }
+
+  const Entry* BetterOfTwo(const Pool& pool,
+                           const std::optional<TargetId>& excluded) {
+    const Entry* first = RandomOf(pool, excluded, nullptr);
+    if (first == nullptr) {
+      return nullptr;
+    }
+    return Better(first, RandomOf(pool, excluded, first));
+  }
+
+  // A random start, then the first that may be taken: at most two are skipped.
+  const Entry* RandomOf(const Pool& pool,
+                        const std::optional<TargetId>& excluded,
+                        const Entry* other_than) {
+    if (pool.empty()) {
+      return nullptr;
+    }
+    std::uniform_int_distribution<std::size_t> any(0, pool.size() - 1);
+    std::size_t index = any(m_random);
+    const std::size_t tries = std::min<std::size_t>(pool.size(), 3);
+    for (std::size_t attempt = 0; attempt < tries; ++attempt) {
+      const Entry* entry = pool[index];
+      if (entry != other_than && entry->description.id != excluded) {
+        return entry;
+      }
+      index = (index + 1) % pool.size();
+    }
+    return nullptr;
+  }
+
+  const Entry* Better(const Entry* first, const Entry* second) const {
+    if (first == nullptr) {
+      return second;
+    }
+    if (second == nullptr) {
+      return first;
+    }
+    return Score(*second) < Score(*first) ? second : first;
+  }
+
+  double OwnShare(const Entry& entry) const {
+    return static_cast<double>(entry.outstanding + 1) / entry.Capacity();
+  }
+
+  double ReportedShare(const Entry& entry) const {
+    const std::chrono::duration<double> age = m_clock.Now() - entry.reported_at;
+    const double kept = std::exp2(-age / kReportHalfLife);
+    return kept * entry.reported_load / entry.Capacity();
+  }
+
+  double Score(const Entry& entry) const {
+    const double reported = std::min(1.0, ReportedShare(entry));
+    return OwnShare(entry) + kReportedCap * reported;
+  }
+
+  // Other nodes' work counts here in full, as far as reports show it: each of
+  // many nodes has little outstanding at a target that is full. A report can
+  // only send work away from here; one that is too low sends none here that
+  // two random choices would not.
+  bool HasRoom(const Entry& entry) const {
+    return std::max(OwnShare(entry), ReportedShare(entry)) < kRoomBelow;
+  }
+
+  const Clock& m_clock;
+  std::mt19937_64& m_random;
+  const AvailabilityZone m_own_zone;
+  std::unordered_map<TargetId, Entry> m_entries;
+  // Point into m_entries, whose nodes stay where they are.
+  Pool m_pool;
+  Pool m_own_pool;
+};
+
+TargetPicker::TargetPicker(const Clock& clock,
+                           std::mt19937_64& random,
+                           AvailabilityZone own_zone)
+    : m_impl(std::make_unique<Impl>(clock, random, std::move(own_zone))) {}
+
+TargetPicker::~TargetPicker() = default;
+
+void TargetPicker::SetTarget(const TargetDescription& target) {
+  m_impl->SetTarget(target);
+}
+
+void TargetPicker::RemoveTarget(const TargetId& id) {
+  m_impl->RemoveTarget(id);
+}
+
+void TargetPicker::SetEligible(const TargetId& id, bool eligible) {
+  m_impl->SetEligible(id, eligible);
+}
+
+void TargetPicker::SetCapacityShare(const TargetId& id, double share) {
+  m_impl->SetCapacityShare(id, share);
+}
+
+void TargetPicker::OnReport(const TargetId& id,
+                            std::size_t load,
+                            Clock::Duration lag) {
+  m_impl->OnReport(id, load, lag);
+}
+
+void TargetPicker::OnSent(const TargetId& id) {
+  m_impl->OnSent(id);
+}
+
+void TargetPicker::OnFinished(const TargetId& id) {
+  m_impl->OnFinished(id);
+}
+
+std::optional<TargetId> TargetPicker::Pick(
+    const std::optional<TargetId>& excluded) {
+  return m_impl->Pick(excluded);
+}
+
+}  // namespace citrongrade
