--- a/benchmarks/load_policy_undivided_mesh.h
+++ b/benchmarks/load_policy_undivided_mesh.h
@@ -51,6 +51,9 @@
                            LoadPolicyBaselineMesh::kColdRuns);
     AddNode(index, true);
     Announce();
+    for (const auto& entry : m_entries) {
+      entry->ejection.MarkCold(IdOf(index));
+    }
   }
 
   void MakeLie(std::size_t index) override { m_liars.insert(index); }
--- a/modules/coordination/load/admission_controller.cc
+++ b/modules/coordination/load/admission_controller.cc
@@ -42,6 +42,10 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// Without progress for this many of the longest run expected, a target is
+// frozen; one that is merely ten times slower goes on ending runs.
+constexpr int kStallRuns = 10;
+
 // Mean of how much short work runs or waits, fading over kDemandMemory.
 class DemandAverage {
  public:
@@ -70,6 +74,7 @@
 
 struct RunningRequest {
   WorkClass work_class = WorkClass::kShort;
+  Clock::TimePoint started;
   Clock::TimePoint deadline;
   bool reported_overdue = false;
 };
@@ -138,8 +143,10 @@
       throw UnknownTicketError(ticket);
     }
     const WorkClass work_class = found->second.work_class;
+    NoteEndOfStall();
+    const bool spans_stall = found->second.started < m_stall_ended;
     // A refusal by the target is quick and says nothing about work that runs.
-    if (outcome != RunOutcome::kNotRun) {
+    if (outcome != RunOutcome::kNotRun && !spans_stall) {
       m_limit.OnFinished(work_class, latency, m_running.size());
       m_times[IndexOf(work_class)].OnSample(latency);
     }
@@ -280,7 +287,8 @@
     if (end > facts.deadline) {
       return Refuse(facts.work_class, RefusalReason::kDeadlineTooClose, wait);
     }
-    if (wait > StandingWait(facts.work_class) && !TakeCredit(facts)) {
+    const bool is_long_wait = wait > StandingWait(facts.work_class);
+    if (is_long_wait && !TakeCredit(facts)) {
       return Refuse(facts.work_class, RefusalReason::kOverloaded, wait);
     }
     return Enqueue(facts, wait);
@@ -295,7 +303,12 @@
         kLongRunsToWait * TimeOf(work_class).mean());
   }
 
+  // Not for a caller that is over its share: it alone would spend the credit
+  // that all need, and then they would be refused for its rush.
   bool TakeCredit(const RequestFacts& facts) {
+    if (QueueOf(facts.work_class).IsOverShare(facts)) {
+      return false;
+    }
     return m_credit.TryTake(ToSeconds(TimeOf(facts.work_class).mean()));
   }
 
@@ -340,6 +353,15 @@
     return still > LongestExpectedRun() ? still : Clock::Duration(0);
   }
 
+  // What ran through a freeze all ends together when it is over, each with the
+  // freeze in its latency. Taken as run times, these would have every request
+  // refused as too late just when the target is well again.
+  void NoteEndOfStall() {
+    if (m_clock.Now() - m_last_progress > kStallRuns * LongestExpectedRun()) {
+      m_stall_ended = m_clock.Now();
+    }
+  }
+
   Clock::Duration LongestExpectedRun() const {
     const bool runs_long = RunningOf(WorkClass::kLong) > 0;
     const Clock::Duration of_short = TimeOf(WorkClass::kShort).cautious();
@@ -354,7 +376,8 @@
     const bool is_new =
         m_running
             .emplace(facts.ticket,
-                     RunningRequest{facts.work_class, facts.deadline, false})
+                     RunningRequest{facts.work_class, m_clock.Now(),
+                                    facts.deadline, false})
             .second;
     // The caller used one ticket for two requests.
     assert(is_new);
@@ -485,6 +508,7 @@
   // Refused since the last Poll().
   std::vector<RefusedRequest> m_refused;
   Clock::TimePoint m_last_progress;
+  Clock::TimePoint m_stall_ended;
   Clock::TimePoint m_last_sweep;
   bool m_stopped = false;
   std::uint64_t m_admitted_total = 0;
--- a/modules/coordination/load/request_queue.cc
+++ b/modules/coordination/load/request_queue.cc
@@ -17,6 +17,9 @@
 // Work in a body grows with its size; below this, requests cost alike.
 constexpr double kBytesPerStep = 1024.0 * 1024.0;
 
+// A caller with more than this many times the mean is over its share.
+constexpr double kMostOfMean = 2;
+
 // Where a request stands: by finish tag, then by arrival.
 struct Place {
   double tag = 0;
@@ -63,10 +66,24 @@
     ForgetIdleAtBound();
     Flow& flow = m_flows[hash];
     flow.next_start = end;
+    m_active += flow.waiting == 0 ? 1 : 0;
     ++flow.waiting;
   }
 
-  void Remove(Hash hash) { --m_flows.at(hash).waiting; }
+  void Remove(Hash hash) {
+    Flow& flow = m_flows.at(hash);
+    --flow.waiting;
+    m_active -= flow.waiting == 0 ? 1 : 0;
+  }
+
+  double Waiting(Hash hash) const {
+    const auto found = m_flows.find(hash);
+    return found == m_flows.end() ? 0
+                                  : static_cast<double>(found->second.waiting);
+  }
+
+  // Flows that something waits for.
+  std::size_t active() const { return m_active; }
 
   // Gives back what a request that never ran had cost its flow, when it was
   // the last one: the flow's earlier ones still count.
@@ -92,6 +109,7 @@
   }
 
   const std::size_t m_bound;
+  std::size_t m_active = 0;
   std::unordered_map<Hash, Flow> m_flows;
 };
 
@@ -108,6 +126,17 @@
     return m_order.order_of_key(PlaceOf(facts));
   }
 
+  bool IsOverShare(const RequestFacts& facts) const {
+    if (m_callers.active() == 0) {
+      return false;
+    }
+    const double mean = static_cast<double>(m_order.size()) /
+                        static_cast<double>(m_callers.active());
+    const double most = kMostOfMean * mean + 1;
+    return m_callers.Waiting(facts.caller) > most ||
+           m_keys.Waiting(facts.key) > m_parameters.callers_per_key * most;
+  }
+
   PushResult Push(const RequestFacts& facts, Clock::TimePoint now) {
     PushResult result;
     const Place place = PlaceOf(facts);
@@ -305,6 +334,10 @@
   return m_impl->Pop();
 }
 
+bool RequestQueue::IsOverShare(const RequestFacts& facts) const {
+  return m_impl->IsOverShare(facts);
+}
+
 bool RequestQueue::Cancel(RequestTicket ticket) {
   return m_impl->Cancel(ticket);
 }
--- a/modules/coordination/load/request_queue.h
+++ b/modules/coordination/load/request_queue.h
@@ -57,6 +57,10 @@
   // How many of those that wait would go before this one.
   std::size_t RankOf(const RequestFacts& facts) const;
 
+  // Whether its caller or its key already has more than twice the mean share of
+  // what waits. Not for a queue that few wait in: all have too much of that.
+  bool IsOverShare(const RequestFacts& facts) const;
+
   PushResult Push(const RequestFacts& facts, Clock::TimePoint now);
 
   struct Waiting {
--- a/modules/coordination/load/slot_move_planner.cc
+++ b/modules/coordination/load/slot_move_planner.cc
@@ -169,19 +169,19 @@
     m_budget -= 1;
   }
 
-  // Counts how far the higher of the two members' loads falls, in mean loads.
+  // The gain is what the sum of squared loads falls by, half of it, in mean
+  // loads: to take from a member far above the mean is worth more than from one
+  // just above it, and to overload the receiver instead is worth nothing.
   bool Pays(const Round& round, std::size_t receiver, double load) const {
-    const MemberLoad& member = round.members[receiver];
-    const double receiver_after = (member.load + load) / member.capacity;
-    const double own_after = (round.own().load - load) / round.own().capacity;
-    const double worst_after = std::max(receiver_after, own_after);
-    const double relieved =
-        (ShareOf(round.own()) - worst_after) / round.mean_share;
-    const double gain = relieved * ToSeconds(m_parameters.payback) *
-                        m_parameters.unavailability_weight;
+    const double moved = load / round.MeanLoad();
+    const double receiver_ratio =
+        ShareOf(round.members[receiver]) / round.mean_share;
+    const double gain = moved * (round.OwnRatio() - receiver_ratio - moved);
+    const double worth = gain * ToSeconds(m_parameters.payback) *
+                         m_parameters.unavailability_weight;
     const double cost =
         ToSeconds(m_parameters.gap_per_move) * m_parameters.churn_weight;
-    return gain > cost;
+    return worth > cost;
   }
 
   static std::optional<std::size_t> LeastLoaded(const Round& round) {
--- a/modules/coordination/load/slot_move_planner.h
+++ b/modules/coordination/load/slot_move_planner.h
@@ -24,7 +24,8 @@
 // Runs at every owner, for its own slots only, as transfers are its own to
 // write. Begins when the owner's load is over `begin_above` times the mean by
 // capacity, stops at `stop_below` (hysteresis): in between, nothing moves.
-// A move must pay: the overload that it takes away, times `payback`, times
+// A move must pay: the share of a mean load that it takes away, times how much
+// more loaded the giver is than the receiver, times `payback`, times
 // `unavailability_weight`, must exceed `gap_per_move` times `churn_weight`.
 // At most `moves_per_minute`. Receivers are the better of two random members
 // below the mean, so that several owners don't all choose the same one; an
@@ -46,7 +47,7 @@
     double churn_weight = 1;
     double unavailability_weight = 1;
     std::chrono::milliseconds gap_per_move{300};
-    std::chrono::seconds payback{120};
+    std::chrono::seconds payback{300};
     double isolate_above = 0.25;
     std::size_t max_isolated_keys = 8;
 
--- a/modules/coordination/load/target_ejection.cc
+++ b/modules/coordination/load/target_ejection.cc
@@ -59,6 +59,7 @@
   TargetEjection::State state = TargetEjection::State::kServing;
   bool leaving = false;
   Clock::TimePoint announced_at;
+  Clock::TimePoint cold_until;
   Window window;
   std::size_t failures_in_row = 0;
   std::size_t outstanding = 0;
@@ -87,6 +88,10 @@
 
   void RemoveTarget(const TargetId& id) { m_entries.erase(id); }
 
+  void MarkCold(const TargetId& id) {
+    EntryOf(id).cold_until = m_clock.Now() + m_parameters.warm_up;
+  }
+
   void OnSent(const TargetId& id) {
     Entry& entry = EntryOf(id);
     if (entry.outstanding == 0) {
@@ -193,7 +198,8 @@
                        RunOutcome outcome,
                        Clock::Duration latency) {
     entry.probe_under_way = false;
-    if (outcome != RunOutcome::kDone || IsSlow(ToSeconds(latency))) {
+    const bool is_slow = !IsCold(entry) && IsSlow(ToSeconds(latency));
+    if (outcome != RunOutcome::kDone || is_slow) {
       Eject(entry);
       return;
     }
@@ -203,6 +209,10 @@
     }
   }
 
+  bool IsCold(const Entry& entry) const {
+    return m_clock.Now() < entry.cold_until;
+  }
+
   bool IsSlow(double seconds) const {
     return m_median && seconds > m_parameters.latency_factor * *m_median;
   }
@@ -299,7 +309,8 @@
     if (entry.window.samples() < m_parameters.min_samples) {
       return false;
     }
-    const bool is_slow = entry.window.runs() >= m_parameters.min_samples &&
+    const bool is_slow = !IsCold(entry) &&
+                         entry.window.runs() >= m_parameters.min_samples &&
                          IsSlow(acc::mean(entry.window.latency));
     return is_slow || entry.window.UselessShare() > kBadShare;
   }
@@ -370,6 +381,10 @@
   m_impl->RemoveTarget(id);
 }
 
+void TargetEjection::MarkCold(const TargetId& id) {
+  m_impl->MarkCold(id);
+}
+
 void TargetEjection::OnSent(const TargetId& id) {
   m_impl->OnSent(id);
 }
--- a/modules/coordination/load/target_ejection.h
+++ b/modules/coordination/load/target_ejection.h
@@ -43,6 +43,7 @@
     std::chrono::milliseconds first_pause{2000};
     std::chrono::milliseconds longest_pause{30'000};
     std::chrono::milliseconds announcement_timeout{2000};
+    std::chrono::milliseconds warm_up{30'000};
 
     friend auto operator<=>(const Parameters&, const Parameters&) = default;
   };
@@ -63,6 +64,10 @@
   // true stays true until RemoveTarget(): a late announcement can't revert it.
   void OnAnnounced(const TargetId& id, bool leaving);
   void RemoveTarget(const TargetId& id);
+  // It has just started: for `warm_up` it is not judged by its latency. Ejected
+  // for being cold, it would get nothing to warm up by, and stay out for good.
+  // Throws UnknownTargetError, as do the calls below that take a target.
+  void MarkCold(const TargetId& id);
 
   // For each request sent; it marks a probe as under way.
   void OnSent(const TargetId& id);
@@ -74,9 +79,9 @@
   // Closes windows and ends pauses; call every 100 ms or so.
   void Poll();
 
-  // A probing target may get one when none is under way.
+  // A probing target may get one when none is under way. False, without a
+  // throw, for a target that was never announced.
   bool MayReceive(const TargetId& id) const;
-  // Throws UnknownTargetError.
   State StateOf(const TargetId& id) const;
 
  private:
