--- /dev/null
+++ b/tests/support/processes.py
@@ -0,0 +1,165 @@
+"""Starts, reaches and ends the programs that a test or the demo needs.
+
+Every process is ended by the pid it was started with. Addresses are loopback.
+"""
+
+import http.client
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+START_TIMEOUT_SECONDS = 20
+STOP_TIMEOUT_SECONDS = 30
+CALL_TIMEOUT_SECONDS = 30
+POLL_SECONDS = 0.02
+
+
+def free_addresses(count):
+    """Addresses that nobody listens on; all picked before any is let go."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    addresses = ["127.0.0.1:%d" % each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return addresses
+
+
+def wait_until(condition, what, timeout_seconds=START_TIMEOUT_SECONDS):
+    """Polls until `condition()` is true; raises TimeoutError with `what`."""
+    end = time.monotonic() + timeout_seconds
+    while time.monotonic() < end:
+        result = condition()
+        if result:
+            return result
+        time.sleep(POLL_SECONDS)
+    raise TimeoutError("not in %d s: %s" % (timeout_seconds, what))
+
+
+class Answer:
+    """Status, headers (by lower-case name) and body of an HTTP answer."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        return json.loads(self.body)
+
+
+def call(address, method, target, body=None, headers=None,
+         timeout_seconds=CALL_TIMEOUT_SECONDS):
+    """One request on a connection of its own."""
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port),
+                                            timeout=timeout_seconds)
+    try:
+        if isinstance(body, dict):
+            body = json.dumps(body)
+        connection.request(method, target, body, headers or {})
+        response = connection.getresponse()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, names, response.read())
+    finally:
+        connection.close()
+
+
+class Program:
+    """One running program, its log kept in a file of its own."""
+
+    def __init__(self, path, arguments, environment=None):
+        self.name = os.path.basename(path)
+        self._log = tempfile.NamedTemporaryFile(
+            mode="w+", prefix=self.name + "-", suffix=".log")
+        self.process = subprocess.Popen(
+            [path] + [str(argument) for argument in arguments],
+            stdout=subprocess.PIPE, stderr=self._log,
+            env=dict(os.environ, **(environment or {})))
+
+    @property
+    def pid(self):
+        return self.process.pid
+
+    def log_text(self):
+        with open(self._log.name, encoding="utf-8", errors="replace") as log:
+            return log.read()
+
+    def listening_address(self):
+        """The address in its `event=listening` line, once it is there."""
+        def find():
+            if self.process.poll() is not None:
+                raise RuntimeError("%s ended at its start: %s" %
+                                   (self.name, self.log_text()))
+            return re.search(r"event=listening address=(\S+)", self.log_text())
+        return wait_until(find, self.name + " listens").group(1)
+
+    def is_running(self):
+        return self.process.poll() is None
+
+    def signal(self, number):
+        if self.is_running():
+            self.process.send_signal(number)
+
+    def kill(self):
+        """Ends it at once, as a lost host would."""
+        self.signal(signal.SIGKILL)
+        self.process.wait(STOP_TIMEOUT_SECONDS)
+
+    def pause(self):
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.signal(signal.SIGCONT)
+
+    def stop(self):
+        """Graceful stop; returns the exit status. Kills what doesn't stop."""
+        self.signal(signal.SIGTERM)
+        return self.wait()
+
+    def wait(self, timeout_seconds=STOP_TIMEOUT_SECONDS):
+        try:
+            return self.process.wait(timeout_seconds)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise
+
+    def output(self, timeout_seconds):
+        """Standard output of a program that ends by itself."""
+        try:
+            return self.process.communicate(timeout=timeout_seconds)[0].decode()
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise
+
+    def close(self):
+        self.kill()
+        self.process.stdout.close()
+        self._log.close()
+
+
+class ProgramGroup:
+    """Starts programs of one build and ends all of them on exit."""
+
+    def __init__(self, build_dir):
+        self._build_dir = build_dir
+        self._programs = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for program in self._programs:
+            program.signal(signal.SIGCONT)
+            program.close()
+
+    def start(self, name, *arguments, environment=None):
+        program = Program(os.path.join(self._build_dir, name), arguments,
+                          environment)
+        self._programs.append(program)
+        return program
