--- /dev/null
+++ b/modules/protocol/yaml_reader.cc
@@ -0,0 +1,203 @@
+#include "modules/protocol/yaml_reader.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "modules/protocol/problem_list.h"
+
+namespace citrongrade {
+
+using nlohmann::json;
+
+namespace {
+
+int LineOf(const YAML::Mark& mark) {
+  return mark.is_null() ? 0 : mark.line + 1;
+}
+
+bool IsWholeNumber(std::string_view text) {
+  if (!text.empty() && text.front() == '-') {
+    text.remove_prefix(1);
+  }
+  const bool digits =
+      !text.empty() && std::all_of(text.begin(), text.end(), [](char byte) {
+        return byte >= '0' && byte <= '9';
+      });
+  // Other readers take 010 for 8; it is left as text, which no number accepts.
+  const bool leading_zero = text.size() > 1 && text.front() == '0';
+  return digits && !leading_zero;
+}
+
+json ReadPlain(const std::string& text) {
+  if (text == "true" || text == "false") {
+    return text == "true";
+  }
+  if (text == "null" || text == "~" || text.empty()) {
+    return nullptr;
+  }
+  if (IsWholeNumber(text)) {
+    std::int64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec == std::errc()) {
+      return number < 0 ? json(number)
+                        : json(static_cast<std::uint64_t>(number));
+    }
+  }
+  return text;
+}
+
+std::string JoinPath(const std::string& path, const std::string& name) {
+  std::string joined = path;
+  if (!joined.empty()) {
+    joined += ".";
+  }
+  joined += name;
+  return joined;
+}
+
+class Converter {
+ public:
+  explicit Converter(ProblemList& problems) : m_problems(problems) {}
+
+  json Convert(const YAML::Node& node,
+               const std::string& path,
+               std::size_t depth) {
+    if (IsTooMuch(node, depth)) {
+      return nullptr;
+    }
+    switch (node.Type()) {
+      case YAML::NodeType::Scalar:
+        return ConvertScalar(node);
+      case YAML::NodeType::Sequence:
+        return ConvertList(node, path, depth);
+      case YAML::NodeType::Map:
+        return ConvertMap(node, path, depth);
+      default:
+        return nullptr;
+    }
+  }
+
+ private:
+  // A few lines of aliases that name each other stand for billions of values,
+  // and an alias inside its own anchor for endlessly many: both are cut off by
+  // counting what is read, not what is written.
+  bool IsTooMuch(const YAML::Node& node, std::size_t depth) {
+    ++m_count;
+    if (m_count <= YamlReader::kMaxValues && depth <= YamlReader::kMaxDepth) {
+      return false;
+    }
+    if (!m_told) {
+      m_problems.AddAtLine(LineOf(node.Mark()),
+                           "holds too many values or is too deep");
+      m_told = true;
+    }
+    return true;
+  }
+
+  json ConvertScalar(const YAML::Node& node) {
+    // yaml-cpp gives quoted scalars the tag "!" and plain ones "?" or none.
+    const std::string& tag = node.Tag();
+    if (tag == "!") {
+      return node.Scalar();
+    }
+    if (tag != "?" && !tag.empty()) {
+      m_problems.AddAtLine(LineOf(node.Mark()), "tags are not supported");
+    }
+    return ReadPlain(node.Scalar());
+  }
+
+  json ConvertList(const YAML::Node& node,
+                   const std::string& path,
+                   std::size_t depth) {
+    json list = json::array();
+    for (const YAML::Node& item : node) {
+      if (m_told) {
+        break;
+      }
+      list.push_back(Convert(item, path, depth + 1));
+    }
+    return list;
+  }
+
+  json ConvertMap(const YAML::Node& node,
+                  const std::string& path,
+                  std::size_t depth) {
+    json object = json::object();
+    for (const auto& field : node) {
+      if (m_told) {
+        break;
+      }
+      const int line = LineOf(field.first.Mark());
+      if (!field.first.IsScalar()) {
+        m_problems.AddAtLine(line, "a field's name has to be a text");
+        continue;
+      }
+      const std::string& name = field.first.Scalar();
+      const std::string field_path = JoinPath(path, name);
+      if (object.contains(name)) {
+        m_problems.AddAtLine(line, field_path + ": is given twice");
+        continue;
+      }
+      m_problems.SetLine(field_path, line);
+      object[name] = Convert(field.second, field_path, depth + 1);
+    }
+    return object;
+  }
+
+  ProblemList& m_problems;
+  std::size_t m_count = 0;
+  bool m_told = false;
+};
+
+bool IsUtf8(std::string_view text) {
+  try {
+    json(text).dump();
+    return true;
+  } catch (const json::exception&) {
+    return false;
+  }
+}
+
+bool CheckText(std::string_view text, ProblemList& problems) {
+  if (text.size() > YamlReader::kMaxFileBytes) {
+    problems.AddAtLine(0, "is longer than " +
+                              std::to_string(YamlReader::kMaxFileBytes) +
+                              " bytes");
+    return false;
+  }
+  if (!IsUtf8(text)) {
+    problems.AddAtLine(0, "is not UTF-8 text");
+    return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+json YamlReader::Read(std::string_view text, ProblemList& problems) {
+  if (!CheckText(text, problems)) {
+    return nullptr;
+  }
+  try {
+    const std::vector<YAML::Node> documents = YAML::LoadAll(std::string(text));
+    if (documents.size() != 1) {
+      problems.AddAtLine(0, "has to hold exactly one YAML document");
+      return nullptr;
+    }
+    problems.SetLine("", 1);
+    return Converter(problems).Convert(documents.front(), "", 0);
+  } catch (const YAML::Exception& error) {
+    problems.AddAtLine(LineOf(error.mark), "is not YAML: " + error.msg);
+    return nullptr;
+  }
+}
+
+}  // namespace citrongrade
--- a/modules/state/service_settings.h
+++ b/modules/state/service_settings.h
@@ -29,12 +29,13 @@
   // A non-idempotent request without an Idempotency-Key is refused.
   bool require_request_id = false;
   std::chrono::milliseconds default_deadline{10'000};
-  std::chrono::milliseconds max_deadline{120'000};
-  // How long an id is remembered; callers don't resend after it.
+  std::chrono::milliseconds max_deadline{60'000};
+  // How long an id is remembered; callers don't resend after it. No shorter
+  // than max_deadline, or an id would be forgotten while its request runs.
   std::chrono::milliseconds resend_horizon{60'000};
   std::uint64_t max_body_bytes = 64ULL * 1024 * 1024;
   // Bodies from here on count as long work.
-  std::uint64_t long_work_body_bytes = 1024 * 1024;
+  std::uint64_t long_work_body_bytes = 1024ULL * 1024;
   // Work that waits for this service at one node, in requests.
   std::uint32_t max_queued = 256;
   // Planned moves a minute that a node may start; 0: none.
