--- a/modules/protocol/config_rules.cc
+++ b/modules/protocol/config_rules.cc
@@ -7,7 +7,7 @@
 #include "modules/protocol/nearest_name.h"
 #include "modules/protocol/problem_list.h"
 #include "modules/protocol/service_declaration_parser.h"
-#include "modules/protocol/service_settings_resolver.h"
+#include "modules/protocol/declaration_resolver.h"
 #include "modules/protocol/template_parser.h"
 #include "modules/state/mesh_state.h"
 #include "modules/state/service_settings.h"
@@ -63,7 +63,7 @@
   const ServiceTemplate parsed = TemplateParser::Parse(
       ParseBody(service_template->body, problems), problems);
   ServiceSettings settings =
-      ServiceSettingsResolver::Resolve(parsed, declaration, problems);
+      DeclarationResolver::Resolve(parsed, declaration, problems);
   if (!problems.empty()) {
     return std::nullopt;
   }
@@ -101,7 +101,7 @@
                   const ServiceDeclaration& declaration,
                   ProblemList& problems) {
   const ServiceSettings settings =
-      ServiceSettingsResolver::Resolve(service_template, declaration, problems);
+      DeclarationResolver::Resolve(service_template, declaration, problems);
   if (problems.empty()) {
     CheckPlacementUnchanged(state, settings, problems);
   }
--- a/modules/protocol/service_settings_resolver.cc
+++ b/modules/protocol/declaration_resolver.cc
@@ -1,4 +1,4 @@
-#include "modules/protocol/service_settings_resolver.h"
+#include "modules/protocol/declaration_resolver.h"
 
 #include <algorithm>
 #include <map>
@@ -148,7 +148,7 @@
 
 }  // namespace
 
-ServiceSettings ServiceSettingsResolver::Resolve(
+ServiceSettings DeclarationResolver::Resolve(
     const ServiceTemplate& service_template,
     const ServiceDeclaration& declaration,
     ProblemList& problems) {
--- a/modules/protocol/service_settings_resolver.h
+++ b/modules/protocol/declaration_resolver.h
@@ -10,7 +10,7 @@
 
 // Fills a service's parameters into its template and checks the result as a
 // whole. Versions are left at 0.
-class ServiceSettingsResolver {
+class DeclarationResolver {
  public:
   // The result is of use only if no problem was added.
   static ServiceSettings Resolve(const ServiceTemplate& service_template,
--- a/modules/protocol/service_declaration_parser.h
+++ b/modules/protocol/service_declaration_parser.h
@@ -10,7 +10,7 @@
 
 // Checks the outer form of a service's declaration and makes it a value. The
 // parameters' values are checked against the template by
-// ServiceSettingsResolver. Kin: TemplateParser.
+// DeclarationResolver. Kin: TemplateParser.
 class ServiceDeclarationParser {
  public:
   // The result is of use only if no problem was added.
--- a/modules/protocol/service_settings_codec.cc
+++ b/modules/protocol/service_settings_codec.cc
@@ -6,7 +6,7 @@
 #include "modules/protocol/invalid_declaration_error.h"
 #include "modules/protocol/problem_list.h"
 #include "modules/protocol/service_declaration_parser.h"
-#include "modules/protocol/service_settings_resolver.h"
+#include "modules/protocol/declaration_resolver.h"
 #include "modules/protocol/template_parser.h"
 #include "modules/state/mesh_state.h"
 
@@ -45,7 +45,7 @@
       ServiceDeclarationParser::Parse(ParseBody(service, problems), problems);
   ThrowIfAny(service, problems);
   ServiceSettings settings =
-      ServiceSettingsResolver::Resolve(parsed_template, declaration, problems);
+      DeclarationResolver::Resolve(parsed_template, declaration, problems);
   ThrowIfAny(service, problems);
   settings.template_version = service_template.version;
   settings.parameters_version = service.version;
