--- a/modules/protocol/config_rules.cc
+++ b/modules/protocol/config_rules.cc
@@ -4,10 +4,10 @@
 #include <utility>
 #include <vector>
 
+#include "modules/protocol/declaration_resolver.h"
 #include "modules/protocol/nearest_name.h"
 #include "modules/protocol/problem_list.h"
 #include "modules/protocol/service_declaration_parser.h"
-#include "modules/protocol/declaration_resolver.h"
 #include "modules/protocol/template_parser.h"
 #include "modules/state/mesh_state.h"
 #include "modules/state/service_settings.h"
--- a/modules/protocol/declaration_set.cc
+++ b/modules/protocol/declaration_set.cc
@@ -6,11 +6,11 @@
 #include <string>
 #include <utility>
 
+#include "modules/protocol/declaration_resolver.h"
 #include "modules/protocol/invalid_declaration_error.h"
 #include "modules/protocol/nearest_name.h"
 #include "modules/protocol/problem_list.h"
 #include "modules/protocol/service_declaration_parser.h"
-#include "modules/protocol/declaration_resolver.h"
 #include "modules/protocol/template_parser.h"
 #include "modules/protocol/yaml_reader.h"
 #include "modules/state/size_limits.h"
@@ -99,8 +99,7 @@
     const std::string& name = declaration.template_name.value();
     const auto found = m_templates.find(name);
     if (found != m_templates.end()) {
-      DeclarationResolver::Resolve(found->second, declaration,
-                                       file.problems);
+      DeclarationResolver::Resolve(found->second, declaration, file.problems);
     } else if (!name.empty() && !IsInFiles(name)) {
       file.problems.Add("template", "no template " + name + " is known",
                         NearestName::Find(name, TemplateNames()));
--- a/modules/protocol/mesh_image_codec.h
+++ b/modules/protocol/mesh_image_codec.h
@@ -11,7 +11,8 @@
 // any byte. Slots stand by owner and epoch as gaps and counts: what most of the
 // text would be otherwise.
 //
-// Kin: RecordCodec, for log records; SnapshotAssembler, which joins the pieces.
+// Kin: RecordCodec, for log records; SnapshotAssembler (coordination), which
+// joins the pieces.
 class MeshImageCodec {
  public:
   // Throws RecordNotEncodableError when a text in the image is not UTF-8.
--- a/modules/protocol/service_settings_codec.cc
+++ b/modules/protocol/service_settings_codec.cc
@@ -3,10 +3,10 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "modules/protocol/declaration_resolver.h"
 #include "modules/protocol/invalid_declaration_error.h"
 #include "modules/protocol/problem_list.h"
 #include "modules/protocol/service_declaration_parser.h"
-#include "modules/protocol/declaration_resolver.h"
 #include "modules/protocol/template_parser.h"
 #include "modules/state/mesh_state.h"
 
--- a/modules/state/size_limits.h
+++ b/modules/state/size_limits.h
@@ -11,7 +11,7 @@
   // What the platform's log takes in one append.
   static constexpr std::size_t kMaxRecordBytes = std::size_t{1024} * 1024;
   static constexpr std::size_t kMaxNameBytes = 128;
-  static constexpr std::size_t kMaxRecordIdBytes = 64;
+  static constexpr std::size_t kMaxRecordIdBytes = 256;
   static constexpr std::size_t kMaxAddressBytes = 64;
   static constexpr std::size_t kMaxReasonBytes = 1024;
   // One template, or one service's parameters.
