--- a/modules/coordination/request_guard.h
+++ b/modules/coordination/request_guard.h
@@ -14,7 +14,8 @@
 //
 // Order for a protected request: Register, then any wait, then CheckGrant as
 // the very last step before the target's connection is written to, then either
-// Finish or Withdraw. Other requests: CheckGrant alone.
+// Finish or Withdraw, then EndWork if CheckGrant granted. Other requests:
+// CheckGrant, then EndWork.
 class RequestGuard {
  public:
   // Called once, on any thread, without locks held.
@@ -25,6 +26,10 @@
   virtual GrantDecision CheckGrant(const ServiceId& service,
                                    SlotIndex slot) const = 0;
 
+  // Follows each granted CheckGrant once, protected or not, when the target has
+  // answered or was given up: a planned move waits for the work in its slot.
+  virtual void EndWork(const ServiceId& service, SlotIndex slot) = 0;
+
   virtual void Register(const ProtectedRequest& request,
                         RegistrationCallback on_registered) = 0;
 
--- a/modules/state/mesh_state.cc
+++ b/modules/state/mesh_state.cc
@@ -193,8 +193,13 @@
     return Reject(RejectReason::kSupersededMember);
   }
   // A pending set may be replaced: the member still counts on its confirmed set
-  // then, which every takeover needs as well.
-  if (record.based_on != member.witnesses.version) {
+  // then, which every takeover needs as well. The proposal names the set that it
+  // replaces, so that one that lands late can't replace a set that the member
+  // has come to count on.
+  const WitnessSetVersion latest = member.pending_witnesses.has_value()
+                                       ? member.pending_witnesses->version
+                                       : member.witnesses.version;
+  if (record.based_on != latest) {
     return Reject(RejectReason::kStaleVersion);
   }
   WitnessSet proposed{WitnessSetVersion(offset.value()), {}};
@@ -302,6 +307,9 @@
     if (!table.IsOwnedBy(run, record.from)) {
       return Reject(RejectReason::kNotOwner);
     }
+    if (table.LatestEpoch(run) >= Epoch(record.as_of.value())) {
+      return Reject(RejectReason::kStaleVersion);
+    }
     const ApplyResult owner = CheckNewOwner(record.service, run);
     if (!owner.accepted()) {
       return owner;
--- a/modules/state/records/transfer_record.h
+++ b/modules/state/records/transfer_record.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <vector>
 
+#include "modules/state/identifiers.h"
 #include "modules/state/member_id.h"
 #include "modules/state/service_id.h"
 #include "modules/state/slot_run.h"
@@ -14,6 +15,10 @@
 struct TransferRecord {
   MemberId from;
   ServiceId service;
+  // The writer had applied all records before this one. A slot that came back
+  // to it since has a later epoch, and the record is stale: else an append that
+  // lands late would take a slot from an owner that serves it.
+  LogOffset as_of;
   std::vector<SlotRun> runs;
 
   friend auto operator<=>(const TransferRecord&,
--- a/modules/state/records/witness_set_record.h
+++ b/modules/state/records/witness_set_record.h
@@ -13,6 +13,8 @@
 // takeover meanwhile needs a majority of the old set and of the new one.
 struct WitnessSetRecord {
   MemberId member;
+  // The pending set if there is one, else the confirmed one: of several
+  // proposals whose outcome the member does not know, one alone is accepted.
   WitnessSetVersion based_on;
   std::vector<MemberId> witnesses;
 
--- a/modules/state/slot_table.cc
+++ b/modules/state/slot_table.cc
@@ -75,6 +75,11 @@
   });
 }
 
+Epoch SlotTable::LatestEpoch(const SlotRun& run) const {
+  const auto begin = m_epoch_of_slot.begin() + run.first.value();
+  return *std::max_element(begin, begin + run.count);
+}
+
 void SlotTable::Give(const SlotRun& run, Epoch epoch) {
   const OwnerIndex owner = FindOrAddOwner(run.owner);
   const std::uint32_t end = run.first.value() + run.count;
--- a/modules/state/slot_table.h
+++ b/modules/state/slot_table.h
@@ -40,6 +40,9 @@
   bool IsOwnedBy(const SlotRun& run,
                  const std::optional<MemberId>& owner) const;
 
+  // The latest epoch among the run's slots.
+  Epoch LatestEpoch(const SlotRun& run) const;
+
   void Give(const SlotRun& run, Epoch epoch);
   void Release(const MemberId& member);
 
