--- a/modules/protocol/record_codec_test.cc
+++ b/modules/protocol/record_codec_test.cc
@@ -29,7 +29,7 @@
           WitnessSetRecord{kFirst, WitnessSetVersion(3), {kSecond}},
           WitnessSetConfirmedRecord{kFirst, WitnessSetVersion(12)},
           AssignRecord{kSorteio, 1024, 0xffff'ffff'ffff'ffffULL, runs},
-          TransferRecord{kFirst, kSorteio, runs},
+          TransferRecord{kFirst, kSorteio, LogOffset(8), runs},
           TakeoverRecord{
               kFirst, kSorteio, {{kSecond, WitnessSetVersion(3), true}}, runs},
           ForgetRecord{kFirst, "ana"},
@@ -85,9 +85,11 @@
 }
 
 TEST_CASE("a run that names an owner beyond the list is unreadable") {
-  CHECK(Reason(R"({"id":"a","type":"transfer","from":["n",1],)"
-               R"("service":"w/s","owners":[["m",2]],"runs":[0,1,1]})") ==
-        "runs: names an owner that is not listed");
+  CHECK(
+      Reason(
+          R"({"id":"a","type":"transfer","from":["n",1],)"
+          R"("service":"w/s","as_of":1,"owners":[["m",2]],"runs":[0,1,1]})") ==
+      "runs: names an owner that is not listed");
 }
 
 TEST_CASE("what the log would not take is refused before it is sent") {
