--- a/modules/state/mesh_state.cc
+++ b/modules/state/mesh_state.cc
@@ -193,9 +193,9 @@
     return Reject(RejectReason::kSupersededMember);
   }
   // A pending set may be replaced: the member still counts on its confirmed set
-  // then, which every takeover needs as well. The proposal names the set that it
-  // replaces, so that one that lands late can't replace a set that the member
-  // has come to count on.
+  // then, which every takeover needs as well. The proposal names the set that
+  // it replaces, so that one that lands late can't replace a set that the
+  // member has come to count on.
   const WitnessSetVersion latest = member.pending_witnesses.has_value()
                                        ? member.pending_witnesses->version
                                        : member.witnesses.version;
