--- a/modules/coordination/coordinator_settings.h
+++ b/modules/coordination/coordinator_settings.h
@@ -49,6 +49,8 @@
   std::size_t ids_per_message = 2'000;
   // A snapshot is due after so many records; well inside the log's retention.
   std::uint64_t records_per_snapshot = 2'000;
+  // And after so long without one, since the log keeps records only for a time.
+  Milliseconds snapshot_interval{300'000};
   std::size_t snapshot_chunk_bytes = 512UL * 1024;
 
   friend auto operator<=>(const CoordinatorSettings&,
--- a/modules/coordination/lease_holder.cc
+++ b/modules/coordination/lease_holder.cc
@@ -81,14 +81,12 @@
   }
   Grant& grant = found->second;
   grant.asked_since.reset();
-  if (reply.answer == LeaseReply::Answer::kClosed) {
-    grant.closed = true;
+  if (reply.answer != LeaseReply::Answer::kGranted) {
+    grant.closed = reply.answer == LeaseReply::Answer::kClosed;
     return;
   }
-  if (reply.answer == LeaseReply::Answer::kGranted) {
-    grant.end = std::max(grant.end, sent_at + m_settings.lease_duration);
-    grant.received = now;
-  }
+  grant.end = std::max(grant.end, sent_at + m_settings.lease_duration);
+  grant.received = now;
 }
 
 LeaseHolder::TimePoint LeaseHolder::End() const {
@@ -123,17 +121,20 @@
   m_next_renewal = now;
 }
 
-bool LeaseHolder::IsUseless(const MemberId& witness,
-                            WitnessSetVersion version,
-                            TimePoint now) const {
+bool LeaseHolder::IsSilent(const MemberId& witness,
+                           WitnessSetVersion version,
+                           TimePoint now) const {
   const auto found = m_grants.find(GrantKey(version, witness));
-  if (found == m_grants.end()) {
+  if (found == m_grants.end() || !found->second.asked_since.has_value()) {
     return false;
   }
-  const Grant& grant = found->second;
-  const bool silent = grant.asked_since.has_value() &&
-                      now - *grant.asked_since >= m_settings.witness_silence;
-  return grant.closed || silent;
+  return now - *found->second.asked_since >= m_settings.witness_silence;
+}
+
+bool LeaseHolder::IsClosed(const MemberId& witness,
+                           WitnessSetVersion version) const {
+  const auto found = m_grants.find(GrantKey(version, witness));
+  return found != m_grants.end() && found->second.closed;
 }
 
 std::optional<LeaseHolder::TimePoint> LeaseHolder::LastGrant(
--- a/modules/coordination/lease_holder.h
+++ b/modules/coordination/lease_holder.h
@@ -53,10 +53,12 @@
   // knows how much of them is left.
   void GiveUp(TimePoint now);
 
-  // It was asked for `silence` and did not answer, or refuses for good.
-  bool IsUseless(const MemberId& witness,
-                 WitnessSetVersion version,
-                 TimePoint now) const;
+  // It was asked for `witness_silence` and did not answer.
+  bool IsSilent(const MemberId& witness,
+                WitnessSetVersion version,
+                TimePoint now) const;
+  // It will never grant this version again.
+  bool IsClosed(const MemberId& witness, WitnessSetVersion version) const;
   std::optional<TimePoint> LastGrant(const MemberId& witness) const;
 
   // For tests of Safeguards::pending_set_majority: grants of earlier sets go on
--- a/modules/coordination/request_id_memory.cc
+++ b/modules/coordination/request_id_memory.cc
@@ -77,7 +77,11 @@
 void RequestIdMemory::Learn(const RegisteredId& id,
                             std::shared_ptr<const StoredAnswer> answer,
                             TimePoint now) {
-  if (Find(id.slot, id.id) != nullptr) {
+  Entry* known = Find(id.slot, id.id);
+  if (known != nullptr) {
+    if (known->status == Status::kFinished && known->answer == nullptr) {
+      KeepAnswer(id.slot, id.id, *known, std::move(answer));
+    }
     return;
   }
   Entry& entry = FindOrAdd(id.slot, id.id);
--- a/modules/coordination/witness_ledger.cc
+++ b/modules/coordination/witness_ledger.cc
@@ -75,6 +75,7 @@
 }
 
 void WitnessLedger::OnClockJump(TimePoint now) {
+  m_started = now;
   for (auto& [key, lease] : m_leases) {
     if (!lease.closed) {
       lease.grant_end = std::max(lease.grant_end, now + WholeLease());
--- a/modules/coordination/witness_ledger.h
+++ b/modules/coordination/witness_ledger.h
@@ -73,7 +73,7 @@
 
   const CoordinatorSettings m_settings;
   const Safeguards m_safeguards;
-  const TimePoint m_started;
+  TimePoint m_started;
   std::map<LeaseKey, Lease> m_leases;
   bool m_stopped = false;
 };
--- a/modules/coordination/witnessed_ids.cc
+++ b/modules/coordination/witnessed_ids.cc
@@ -1,6 +1,7 @@
 #include "modules/coordination/witnessed_ids.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <iterator>
 
 namespace citrongrade {
@@ -84,7 +85,7 @@
     const Expiry expiry = m_expiries.begin()->second;
     m_expiries.erase(m_expiries.begin());
     const auto owner = m_owners.find(expiry.owner);
-    if (owner == m_owners.end()) {
+    if (owner == m_owners.end() || m_gone_until.contains(expiry.owner)) {
       continue;
     }
     const auto id = owner->second.ids.find(expiry.key);
@@ -94,13 +95,15 @@
     }
   }
   std::erase_if(m_gone_until, [this, now](const auto& gone) {
+    if (gone.second > now) {
+      return false;
+    }
     const auto owner = m_owners.find(gone.first);
-    const bool over = gone.second <= now &&
-                      (owner == m_owners.end() || owner->second.ids.empty());
-    if (over) {
-      m_owners.erase(gone.first);
+    if (owner != m_owners.end()) {
+      m_size -= owner->second.ids.size();
+      m_owners.erase(owner);
     }
-    return over;
+    return true;
   });
 }
 
--- a/modules/coordination/witnessed_ids.h
+++ b/modules/coordination/witnessed_ids.h
@@ -31,12 +31,14 @@
              const RegisterIdsRequest& request,
              TimePoint now);
 
-  // One chunk; the chunks' order holds as long as nothing is stored between.
+  // One chunk. Call NoteGone() first: an id that expired between two chunks
+  // would shift the later ones, and one of them would be missed.
   CollectIdsReply Collect(const MemberId& owner,
                           std::uint32_t chunk_index,
                           TimePoint now) const;
 
-  // The owner is gone from the log: its markers are kept for a while yet.
+  // The owner is gone from the log: all of it is kept for a while and then
+  // forgotten.
   void NoteGone(const MemberId& owner, TimePoint now);
   void ForgetExpired(TimePoint now);
 
