--- a/modules/coordination/append_tracker.cc
+++ b/modules/coordination/append_tracker.cc
@@ -65,6 +65,12 @@
   return found == m_entries.end() ? Outcome::kUnknown : found->second.outcome;
 }
 
+Clock::TimePoint AppendTracker::AppendedAt(const RecordId& id) const {
+  const auto found = m_entries.find(id);
+  return found == m_entries.end() ? Clock::TimePoint::min()
+                                  : found->second.appended_at;
+}
+
 bool AppendTracker::IsOverdue(const RecordId& id,
                               Clock::TimePoint now,
                               Clock::Duration patience) const {
--- a/modules/coordination/append_tracker.h
+++ b/modules/coordination/append_tracker.h
@@ -37,6 +37,8 @@
   void OnFailed(const RecordId& id);
 
   Outcome OutcomeOf(const RecordId& id) const;
+  // TimePoint::min() for an id that this tracker did not make, or forgot.
+  Clock::TimePoint AppendedAt(const RecordId& id) const;
   // It was appended longer than `patience` ago, and its outcome is unknown.
   bool IsOverdue(const RecordId& id,
                  Clock::TimePoint now,
--- a/modules/coordination/mesh_context.cc
+++ b/modules/coordination/mesh_context.cc
@@ -52,9 +52,17 @@
 }
 
 bool MeshContext::IsAwaited(const std::optional<RecordId>& append) const {
-  return append.has_value() &&
-         m_appends.OutcomeOf(*append) == AppendTracker::Outcome::kUnknown &&
-         !m_appends.IsOverdue(*append, m_now, m_settings.append_patience);
+  if (!append.has_value()) {
+    return false;
+  }
+  const AppendTracker::Outcome outcome = m_appends.OutcomeOf(*append);
+  if (outcome == AppendTracker::Outcome::kUnknown) {
+    return !m_appends.IsOverdue(*append, m_now, m_settings.append_patience);
+  }
+  // One that failed at once is not tried again at once.
+  const Clock::TimePoint appended_at = m_appends.AppendedAt(*append);
+  return outcome != AppendTracker::Outcome::kAccepted &&
+         m_now < appended_at + m_settings.retry_interval;
 }
 
 }  // namespace citrongrade
--- a/modules/coordination/mesh_context.h
+++ b/modules/coordination/mesh_context.h
@@ -76,8 +76,8 @@
   std::uint64_t messages_sent() const { return m_messages_sent; }
 
   RecordId Append(const Record& record);
-  // The append is still to be waited for: its outcome is unknown, and its
-  // patience has not run out.
+  // The append is still to be waited for: its outcome is unknown and its
+  // patience has not run out, or it failed a moment ago.
   bool IsAwaited(const std::optional<RecordId>& append) const;
 
  private:
--- a/modules/coordination/recovery_collector.cc
+++ b/modules/coordination/recovery_collector.cc
@@ -6,14 +6,19 @@
 #include "modules/coordination/id_registrar.h"
 #include "modules/coordination/mesh_context.h"
 #include "modules/coordination/request_id_memory.h"
+#include "modules/coordination/witnessed_ids.h"
 #include "modules/state/mesh_state.h"
 
 namespace citrongrade {
 
 RecoveryCollector::RecoveryCollector(MeshContext& context,
                                      RequestIdMemory& memory,
-                                     IdRegistrar& registrar)
-    : m_context(&context), m_memory(&memory), m_registrar(&registrar) {}
+                                     IdRegistrar& registrar,
+                                     const WitnessedIds& witnessed)
+    : m_context(&context),
+      m_memory(&memory),
+      m_registrar(&registrar),
+      m_witnessed(&witnessed) {}
 
 void RecoveryCollector::OnFirstAssignment(const std::vector<SlotIndex>& slots,
                                           Epoch epoch) {
@@ -52,9 +57,30 @@
       collection.answers.try_emplace(witness.member);
     }
   }
+  TakeOwnAnswer(collection);
+  if (IsComplete(collection)) {
+    Finish(collection);
+    return;
+  }
   m_collections.emplace(m_next_collection++, std::move(collection));
 }
 
+void RecoveryCollector::TakeOwnAnswer(Collection& collection) {
+  const auto own = collection.answers.find(*m_context->self());
+  if (own == collection.answers.end()) {
+    return;
+  }
+  while (!own->second.complete) {
+    const CollectIdsReply reply = m_witnessed->Collect(
+        collection.history.lost, own->second.next_chunk, m_context->now());
+    collection.ids.insert(collection.ids.end(), reply.ids.begin(),
+                          reply.ids.end());
+    collection.markers.insert(reply.markers.begin(), reply.markers.end());
+    ++own->second.next_chunk;
+    own->second.complete = reply.is_last;
+  }
+}
+
 void RecoveryCollector::OnReadyTransfer(SlotIndex slot, Epoch epoch) {
   SlotHistory& history = m_histories[slot];
   history.epoch = epoch;
@@ -101,6 +127,19 @@
   }
 }
 
+MemberId RecoveryCollector::NamedWitness(const CollectIdsReply& reply,
+                                         const MemberId& sender) const {
+  const auto found = m_collections.find(reply.collection);
+  if (found != m_collections.end()) {
+    for (const auto& [witness, answer] : found->second.answers) {
+      if (witness.node == sender.node) {
+        return witness;
+      }
+    }
+  }
+  return sender;
+}
+
 void RecoveryCollector::Tick() {
   const Clock::TimePoint now = m_context->now();
   EndLostHistories();
--- a/modules/coordination/recovery_collector.h
+++ b/modules/coordination/recovery_collector.h
@@ -21,6 +21,7 @@
 class IdRegistrar;
 class MeshContext;
 class RequestIdMemory;
+class WitnessedIds;
 
 // Knows for each own slot whether its memory of request ids is whole, and makes
 // it whole after a takeover: collects the lost owner's ids from a majority of
@@ -34,7 +35,8 @@
   // All outlive the collector.
   RecoveryCollector(MeshContext& context,
                     RequestIdMemory& memory,
-                    IdRegistrar& registrar);
+                    IdRegistrar& registrar,
+                    const WitnessedIds& witnessed);
 
   // This member came to own the slots by a record of this epoch.
   // Slots of a service that had no owners before: nothing can have run.
@@ -47,6 +49,10 @@
   void OnSlotLost(SlotIndex slot);
 
   void OnReply(const MemberId& witness, const CollectIdsReply& reply);
+  // For tests of Safeguards::witness_incarnation: the member whose answer the
+  // sender's is taken for.
+  MemberId NamedWitness(const CollectIdsReply& reply,
+                        const MemberId& sender) const;
   void Tick();
 
   // Null for a slot that this member does not own.
@@ -70,6 +76,7 @@
     Clock::TimePoint next_ask = Clock::TimePoint::min();
   };
 
+  void TakeOwnAnswer(Collection& collection);
   bool IsComplete(const Collection& collection) const;
   void Ask(std::uint64_t id, Collection& collection);
   void AskWitness(std::uint64_t id,
@@ -86,6 +93,8 @@
   MeshContext* m_context;
   RequestIdMemory* m_memory;
   IdRegistrar* m_registrar;
+  // What this member itself knows as a witness of lost owners.
+  const WitnessedIds* m_witnessed;
   std::map<SlotIndex, SlotHistory> m_histories;
   std::map<std::uint64_t, Collection> m_collections;
   std::uint64_t m_next_collection = 1;
--- a/modules/coordination/takeover_coordinator.cc
+++ b/modules/coordination/takeover_coordinator.cc
@@ -14,6 +14,10 @@
 // way; it is removed at leisure.
 constexpr std::chrono::seconds kPatienceWithoutWitnesses{30};
 
+// The holder may be alive and merely out of this witness's reach: the others
+// are asked less and less often, up to 800 ms apart.
+constexpr std::uint32_t kMaxDoublings = 3;
+
 std::vector<const WitnessSet*> SetsOf(const Member& member) {
   std::vector<const WitnessSet*> sets = {&member.witnesses};
   if (member.pending_witnesses.has_value()) {
@@ -68,12 +72,27 @@
       }
       continue;
     }
+    if (IsLeftBehind(*member, lease.second)) {
+      m_ledger->Forget(lease);
+      continue;
+    }
     if (!m_attempts.contains(holder) && HasLapsed(*member)) {
       m_attempts.emplace(holder, Attempt());
     }
   }
 }
 
+bool TakeoverCoordinator::IsLeftBehind(const Member& holder,
+                                       WitnessSetVersion version) const {
+  const bool was_read =
+      version.value() < m_context->state().next_offset().value();
+  const std::vector<const WitnessSet*> sets = SetsOf(holder);
+  return was_read && std::none_of(sets.begin(), sets.end(),
+                                  [version](const WitnessSet* set) {
+                                    return set->version == version;
+                                  });
+}
+
 bool TakeoverCoordinator::HasLapsed(const Member& holder) const {
   const MemberId& self = *m_context->self();
   for (const WitnessSet* set : SetsOf(holder)) {
@@ -114,7 +133,10 @@
     return true;
   }
   if (m_context->now() >= attempt.next_ask) {
-    attempt.next_ask = m_context->now() + m_context->settings().retry_interval;
+    const std::uint32_t doublings = std::min(attempt.asked, kMaxDoublings);
+    attempt.next_ask = m_context->now() +
+                       m_context->settings().retry_interval * (1U << doublings);
+    ++attempt.asked;
     AskWitnesses(*member, attempt);
   }
   return true;
--- a/modules/coordination/takeover_coordinator.h
+++ b/modules/coordination/takeover_coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -50,10 +51,13 @@
     std::map<TestimonyKey, Testimony> testimonies;
     Clock::TimePoint next_ask = Clock::TimePoint::min();
     std::optional<RecordId> append;
+    std::uint32_t asked = 0;
     bool announced = false;
   };
 
   void FindLapsedHolders();
+  // Neither the holder's confirmed set nor its pending one.
+  bool IsLeftBehind(const Member& holder, WitnessSetVersion version) const;
   bool HasLapsed(const Member& holder) const;
   void StepAttempts();
   // False when the attempt is over.
--- a/modules/coordination/witness_ledger.cc
+++ b/modules/coordination/witness_ledger.cc
@@ -97,6 +97,10 @@
   });
 }
 
+void WitnessLedger::Forget(const LeaseKey& lease) {
+  m_leases.erase(lease);
+}
+
 std::vector<WitnessLedger::LeaseKey> WitnessLedger::Leases() const {
   std::vector<LeaseKey> keys;
   keys.reserve(m_leases.size());
--- a/modules/coordination/witness_ledger.h
+++ b/modules/coordination/witness_ledger.h
@@ -59,6 +59,8 @@
   TimePoint LatestGrantEnd() const;
 
   void Forget(const MemberId& holder);
+  // A version that the log has left behind never comes back.
+  void Forget(const LeaseKey& lease);
   std::vector<LeaseKey> Leases() const;
   std::size_t size() const { return m_leases.size(); }
 
--- a/modules/coordination/witness_set_keeper.cc
+++ b/modules/coordination/witness_set_keeper.cc
@@ -14,6 +14,9 @@
 // must not fill the log with proposals.
 constexpr std::chrono::milliseconds kTimeBetweenProposals{1000};
 
+// Planning looks at every member; a change of a few ms more is soon enough.
+constexpr std::chrono::milliseconds kTimeBetweenPlans{50};
+
 std::vector<MemberId> MembersOf(const WitnessSet& set) {
   std::vector<MemberId> members;
   for (const Witness& witness : set.witnesses) {
@@ -111,8 +114,9 @@
   const auto useless =
       std::count_if(pending.witnesses.begin(), pending.witnesses.end(),
                     [this, &pending](const Witness& witness) {
-                      return m_lease->IsUseless(witness.member, pending.version,
-                                                m_context->now());
+                      return m_lease->IsSilent(witness.member, pending.version,
+                                               m_context->now()) ||
+                             m_lease->IsClosed(witness.member, pending.version);
                     });
   return pending.witnesses.size() - static_cast<std::size_t>(useless) <
          pending.MajoritySize();
@@ -138,11 +142,14 @@
   const bool waits = !m_proposals.empty() &&
                      m_proposals.back().based_on == latest.version &&
                      m_context->IsAwaited(m_proposals.back().append);
-  const bool may_propose =
-      m_context->log_available() && !waits && now >= m_next_proposal;
+  const bool may_propose = m_context->log_available() && !waits &&
+                           now >= std::max(m_next_proposal, m_next_plan);
   if (!may_propose) {
     return;
   }
+  if (!latest.witnesses.empty()) {
+    m_next_plan = now + kTimeBetweenPlans;
+  }
   const std::vector<MemberId> plan = PlanFor(self, latest);
   // A witness that closed this version grants again under another one.
   const bool is_forced =
--- a/modules/coordination/witness_set_keeper.h
+++ b/modules/coordination/witness_set_keeper.h
@@ -57,6 +57,7 @@
   std::vector<Proposal> m_proposals;
   std::optional<RecordId> m_confirmation;
   std::optional<WitnessSetVersion> m_pending_seen;
+  Clock::TimePoint m_next_plan = Clock::TimePoint::min();
   Clock::TimePoint m_next_proposal = Clock::TimePoint::min();
   IdRegistrar::Position m_acted_on = 0;
 };
