--- a/modules/coordination/load/admission_controller.cc
+++ b/modules/coordination/load/admission_controller.cc
@@ -46,6 +46,8 @@
 // frozen; one that is merely ten times slower goes on ending runs.
 constexpr int kStallRuns = 10;
 
+constexpr int kMostAfterStall = 2;
+
 // Mean of how much short work runs or waits, fading over kDemandMemory.
 class DemandAverage {
  public:
@@ -143,12 +145,8 @@
       throw UnknownTicketError(ticket);
     }
     const WorkClass work_class = found->second.work_class;
-    NoteEndOfStall();
-    const bool spans_stall = found->second.started < m_stall_ended;
-    // A refusal by the target is quick and says nothing about work that runs.
-    if (outcome != RunOutcome::kNotRun && !spans_stall) {
-      m_limit.OnFinished(work_class, latency, m_running.size());
-      m_times[IndexOf(work_class)].OnSample(latency);
+    if (TellsRunTime(work_class, outcome, latency)) {
+      Learn(found->second, latency);
     }
     --m_running_of[IndexOf(work_class)];
     m_running.erase(found);
@@ -353,13 +351,37 @@
     return still > LongestExpectedRun() ? still : Clock::Duration(0);
   }
 
+  // A refusal by the target is quick and says nothing about work that runs. A
+  // run without an answer took at least this long; with a lost connection, that
+  // may be nothing: a crashing target would look like the fastest one.
+  bool TellsRunTime(WorkClass work_class,
+                    RunOutcome outcome,
+                    Clock::Duration latency) const {
+    if (outcome == RunOutcome::kUnknown) {
+      return latency > TimeOf(work_class).mean();
+    }
+    return outcome == RunOutcome::kDone;
+  }
+
   // What ran through a freeze all ends together when it is over, each with the
   // freeze in its latency. Taken as run times, these would have every request
-  // refused as too late just when the target is well again.
-  void NoteEndOfStall() {
-    if (m_clock.Now() - m_last_progress > kStallRuns * LongestExpectedRun()) {
-      m_stall_ended = m_clock.Now();
+  // refused as too late just when the target is well again. The first of them
+  // counts, but as no more than kMostAfterStall times what was expected: if run
+  // times have really grown so much, the next ones lead there in a few steps.
+  void Learn(const RunningRequest& ended, Clock::Duration latency) {
+    const Clock::TimePoint now = m_clock.Now();
+    if (now - m_last_progress > kStallRuns * LongestExpectedRun()) {
+      m_stall_ended = now;
+      ServiceTimeEstimator& time = m_times[IndexOf(ended.work_class)];
+      time.OnSample(std::min<Clock::Duration>(
+          latency, kMostAfterStall * time.cautious()));
+      return;
+    }
+    if (ended.started < m_stall_ended) {
+      return;
     }
+    m_limit.OnFinished(ended.work_class, latency, m_running.size());
+    m_times[IndexOf(ended.work_class)].OnSample(latency);
   }
 
   Clock::Duration LongestExpectedRun() const {
--- /dev/null
+++ b/modules/coordination/load/admission_controller_test.cc
@@ -0,0 +1,222 @@
+#include "modules/coordination/load/admission_controller.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "modules/coordination/load/load_errors.h"
+#include "modules/coordination/manual_clock.h"
+
+namespace citrongrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Verdict = AdmissionDecision::Verdict;
+
+// A controller for a target with four slots, and the requests given to it.
+class Fixture {
+ public:
+  Fixture() : Fixture(Declared()) {}
+  explicit Fixture(const AdmissionController::Parameters& parameters)
+      : m_admission(m_clock, m_random, parameters) {}
+
+  static AdmissionController::Parameters Declared() {
+    AdmissionController::Parameters parameters;
+    parameters.slots = 4;
+    parameters.connections = 40;
+    parameters.starts_cold = false;
+    return parameters;
+  }
+
+  AdmissionDecision Offer(milliseconds patience,
+                          WorkClass work_class = WorkClass::kShort) {
+    RequestFacts facts;
+    facts.ticket = RequestTicket(++m_last_ticket);
+    facts.caller = CallerHash(m_last_ticket);
+    facts.key = KeyHash(m_last_ticket);
+    facts.work_class = work_class;
+    facts.deadline = m_clock.Now() + patience;
+    return m_admission.Offer(facts);
+  }
+
+  // Offers and ends one run of `latency`, so that run times are known.
+  void Measure(milliseconds latency) {
+    REQUIRE(Offer(milliseconds(60'000)).verdict == Verdict::kAdmitted);
+    m_clock.Advance(latency);
+    Finish(m_last_ticket, latency);
+  }
+
+  void Finish(std::uint64_t ticket, milliseconds latency) {
+    m_admission.OnFinished(RequestTicket(ticket), RunOutcome::kDone, latency);
+  }
+
+  void FillSlots() {
+    for (int slot = 0; slot < 4; ++slot) {
+      REQUIRE(Offer(milliseconds(60'000)).verdict == Verdict::kAdmitted);
+    }
+  }
+
+  ManualClock& clock() { return m_clock; }
+  AdmissionController& admission() { return m_admission; }
+  std::uint64_t last_ticket() const { return m_last_ticket; }
+
+ private:
+  ManualClock m_clock;
+  std::mt19937_64 m_random{1};
+  AdmissionController m_admission;
+  std::uint64_t m_last_ticket = 0;
+};
+
+}  // namespace
+
+// All slots are busy and the queue is longer than the caller's patience. It
+// must hear so now: told at its deadline, it has lost the time to go elsewhere.
+TEST_CASE("who can't be served in time is refused at once") {
+  Fixture fixture;
+  fixture.Measure(milliseconds(100));
+  fixture.FillSlots();
+  for (int i = 0; i < 20; ++i) {
+    fixture.Offer(milliseconds(60'000));
+  }
+  const AdmissionDecision decision = fixture.Offer(milliseconds(300));
+  CHECK(decision.verdict == Verdict::kRefused);
+  CHECK(decision.refusal->reason == RefusalReason::kDeadlineTooClose);
+  CHECK(decision.refusal->retry_after >= milliseconds(100));
+}
+
+// The target freezes with a request waiting that has two seconds. Nothing ends,
+// so run times still look fine. It is given up once the freeze has lasted for
+// half of them, and never reaches the target.
+TEST_CASE("a freeze gives up what waits well before its deadline") {
+  Fixture fixture;
+  fixture.Measure(milliseconds(20));
+  fixture.FillSlots();
+  REQUIRE(fixture.Offer(milliseconds(2000)).verdict == Verdict::kQueued);
+  milliseconds waited{0};
+  std::vector<RefusedRequest> refused;
+  while (refused.empty() && waited < milliseconds(2000)) {
+    fixture.clock().Advance(AdmissionController::kPollInterval);
+    waited += AdmissionController::kPollInterval;
+    const AdmissionChanges changes = fixture.admission().Poll();
+    CHECK(changes.admitted.empty());
+    refused = changes.refused;
+  }
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].ticket == RequestTicket(fixture.last_ticket()));
+  CHECK(waited <= milliseconds(1100));
+}
+
+// A freeze of ten seconds ends, and all that ran through it ends at once. Its
+// latency is the freeze's, not the target's: the next caller must be served.
+TEST_CASE("the end of a freeze does not refuse those who come after it") {
+  Fixture fixture;
+  fixture.Measure(milliseconds(20));
+  fixture.FillSlots();
+  fixture.clock().Advance(milliseconds(10'000));
+  for (std::uint64_t ticket = 2; ticket <= 5; ++ticket) {
+    fixture.Finish(ticket, milliseconds(10'000));
+  }
+  fixture.FillSlots();
+  CHECK(fixture.Offer(milliseconds(500)).verdict == Verdict::kQueued);
+}
+
+// Each run took longer than any caller's patience. If all were refused for
+// that, nothing would run, and nothing could show that the target is fast
+// again.
+TEST_CASE("an idle target is tried although its last runs were too long") {
+  Fixture fixture;
+  for (int run = 0; run < 20; ++run) {
+    fixture.Measure(milliseconds(5000));
+  }
+  CHECK(fixture.Offer(milliseconds(1000)).verdict == Verdict::kAdmitted);
+  CHECK(fixture.Offer(milliseconds(1000)).verdict == Verdict::kRefused);
+}
+
+// Runs take fifteen times as long as was assumed before any was measured, one
+// at a time. Each looks like a freeze; skipped for that, none would be learned.
+TEST_CASE("run times far above the first guess are learned") {
+  Fixture fixture;
+  for (int run = 0; run < 40; ++run) {
+    fixture.Measure(milliseconds(300));
+  }
+  fixture.FillSlots();
+  CHECK(fixture.Offer(milliseconds(250)).verdict == Verdict::kRefused);
+}
+
+TEST_CASE("uploads leave places for short work and short work for uploads") {
+  Fixture fixture;
+  fixture.FillSlots();
+  fixture.clock().Advance(milliseconds(5000));
+  for (std::uint64_t ticket = 1; ticket <= 4; ++ticket) {
+    fixture.Finish(ticket, milliseconds(20));
+  }
+  for (int i = 0; i < 4; ++i) {
+    fixture.Offer(milliseconds(60'000), WorkClass::kLong);
+  }
+  CHECK(fixture.admission().Status().running_long < 4);
+  CHECK(fixture.admission().Status().running_long >= 1);
+  CHECK(fixture.Offer(milliseconds(1000)).verdict == Verdict::kAdmitted);
+}
+
+// Overload lasts. Once the credit for a rush is spent, a wait longer than the
+// standing one is refused; otherwise every answer would come at the deadline.
+TEST_CASE("without credit nobody waits longer than the standing wait") {
+  AdmissionController::Parameters parameters = Fixture::Declared();
+  parameters.burst = std::chrono::seconds(0);
+  Fixture fixture(parameters);
+  fixture.FillSlots();
+  AdmissionDecision decision;
+  int queued = 0;
+  while ((decision = fixture.Offer(milliseconds(60'000))).verdict ==
+         Verdict::kQueued) {
+    ++queued;
+    REQUIRE(queued < 1000);
+  }
+  CHECK(decision.refusal->reason == RefusalReason::kOverloaded);
+  CHECK(queued == 40);
+}
+
+TEST_CASE("cancellation reaches what waits and names what runs") {
+  using Result = AdmissionController::CancelResult;
+  Fixture fixture;
+  fixture.FillSlots();
+  REQUIRE(fixture.Offer(milliseconds(1000)).verdict == Verdict::kQueued);
+  CHECK(fixture.admission().Cancel(RequestTicket(5)) == Result::kWasWaiting);
+  CHECK(fixture.admission().Cancel(RequestTicket(5)) == Result::kUnknown);
+  CHECK(fixture.admission().Cancel(RequestTicket(1)) == Result::kRuns);
+  CHECK(fixture.admission().Status().running == 4);
+}
+
+// A run passes its deadline. Its place stays taken until the target says it has
+// ended: given away before, the target would run more than its limit.
+TEST_CASE("an overdue run is named once and keeps its place") {
+  Fixture fixture;
+  REQUIRE(fixture.Offer(milliseconds(100)).verdict == Verdict::kAdmitted);
+  fixture.clock().Advance(milliseconds(120));
+  CHECK(fixture.admission().Poll().overdue ==
+        std::vector<RequestTicket>{RequestTicket(1)});
+  fixture.clock().Advance(milliseconds(120));
+  CHECK(fixture.admission().Poll().overdue.empty());
+  CHECK(fixture.admission().Status().running == 1);
+}
+
+TEST_CASE("a leaving target refuses what waits and keeps what runs") {
+  Fixture fixture;
+  fixture.FillSlots();
+  fixture.Offer(milliseconds(1000));
+  fixture.admission().StopAdmitting();
+  const AdmissionChanges changes = fixture.admission().Poll();
+  REQUIRE(changes.refused.size() == 1);
+  CHECK(changes.refused[0].refusal.reason == RefusalReason::kTargetLeaving);
+  CHECK(fixture.Offer(milliseconds(1000)).verdict == Verdict::kRefused);
+  CHECK(fixture.admission().Status().running == 4);
+}
+
+TEST_CASE("an end that is reported twice is an error") {
+  Fixture fixture;
+  fixture.Measure(milliseconds(20));
+  CHECK_THROWS_AS(fixture.Finish(1, milliseconds(20)), UnknownTicketError);
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/load/burst_credit_test.cc
@@ -0,0 +1,33 @@
+#include "modules/coordination/load/burst_credit.h"
+
+#include <doctest/doctest.h>
+
+#include "modules/coordination/manual_clock.h"
+
+namespace citrongrade {
+
+// A target is saturated for an hour. Had its credit come back by the clock, a
+// queue up to everybody's deadline would come back with it each minute.
+TEST_CASE("a target that is never idle earns no credit") {
+  ManualClock clock;
+  BurstCredit credit(clock, {10, 1});
+  credit.SetIdleShare(0);
+  CHECK(credit.TryTake(10));
+  clock.Advance(std::chrono::hours(1));
+  CHECK_FALSE(credit.TryTake(1));
+}
+
+TEST_CASE("idle time earns by its share, up to the capacity") {
+  ManualClock clock;
+  BurstCredit credit(clock, {10, 1});
+  CHECK(credit.TryTake(10));
+  credit.SetIdleShare(0.5);
+  clock.Advance(std::chrono::seconds(4));
+  CHECK_FALSE(credit.TryTake(2.5));
+  CHECK(credit.TryTake(2));
+  clock.Advance(std::chrono::hours(1));
+  CHECK(credit.TryTake(10));
+  CHECK_FALSE(credit.TryTake(0.1));
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/load/concurrency_limit_test.cc
@@ -0,0 +1,97 @@
+#include "modules/coordination/load/concurrency_limit.h"
+
+#include <doctest/doctest.h>
+
+#include "modules/coordination/manual_clock.h"
+
+namespace citrongrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kSlots = 12;
+
+// A target that does `places` runs of 20 ms at once and queues the rest.
+class QueueingTarget {
+ public:
+  explicit QueueingTarget(std::size_t places) : m_places(places) {}
+
+  void SetRunTime(milliseconds run_time) { m_run_time = run_time; }
+
+  // Keeps the limit in full use for `seconds`.
+  void Saturate(ManualClock& clock, ConcurrencyLimit& limit, int seconds) {
+    for (int step = 0; step < 50 * seconds; ++step) {
+      const std::size_t running = limit.limit();
+      const auto queued = std::max(
+          1.0, static_cast<double>(running) / static_cast<double>(m_places));
+      clock.Advance(milliseconds(20));
+      limit.OnFinished(
+          WorkClass::kShort,
+          std::chrono::duration_cast<Clock::Duration>(m_run_time * queued),
+          running);
+    }
+  }
+
+ private:
+  std::size_t m_places;
+  milliseconds m_run_time{20};
+};
+
+ConcurrencyLimit::Parameters Declared() {
+  ConcurrencyLimit::Parameters parameters;
+  parameters.declared_slots = kSlots;
+  parameters.declared_connections = 40;
+  return parameters;
+}
+
+}  // namespace
+
+TEST_CASE("a target that can do more than it declares gets more") {
+  ManualClock clock;
+  ConcurrencyLimit limit(clock, Declared());
+  QueueingTarget target(30);
+  target.Saturate(clock, limit, 60);
+  CHECK(limit.limit() >= 28);
+  CHECK(limit.limit() <= 34);
+}
+
+// Callers see every answer late: the target declares twelve slots and has ten.
+// Latency rises with each place, so the limit has no reason to grow; it must
+// not follow the target's own queue upwards, minute after minute.
+TEST_CASE("hours of saturation don't raise the limit of a full target") {
+  ManualClock clock;
+  ConcurrencyLimit limit(clock, Declared());
+  QueueingTarget target(10);
+  target.Saturate(clock, limit, 1800);
+  CHECK(limit.limit() <= kSlots);
+}
+
+// A store behind the target slows every run down fourfold. Fewer places don't
+// make it faster, so a limit that shrinks with latency alone refuses callers
+// that the target could serve. The cut is tried, does less work, and goes.
+TEST_CASE("a slowdown that is not the target's queue takes no places away") {
+  ManualClock clock;
+  ConcurrencyLimit limit(clock, Declared());
+  QueueingTarget target(kSlots);
+  target.Saturate(clock, limit, 20);
+  target.SetRunTime(milliseconds(80));
+  std::size_t places = 0;
+  for (int second = 0; second < 20; ++second) {
+    target.Saturate(clock, limit, 1);
+    places += limit.limit();
+  }
+  CHECK(places >= 20 * (kSlots - 1));
+}
+
+TEST_CASE("a quiet target keeps its declared slots") {
+  ManualClock clock;
+  ConcurrencyLimit limit(clock, Declared());
+  for (int run = 0; run < 1000; ++run) {
+    clock.Advance(milliseconds(20));
+    limit.OnFinished(WorkClass::kShort, milliseconds(run % 7 * 10), 1);
+  }
+  CHECK(limit.limit() == kSlots);
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/load/poison_detector_test.cc
@@ -0,0 +1,71 @@
+#include "modules/coordination/load/poison_detector.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "modules/coordination/manual_clock.h"
+
+namespace citrongrade {
+
+namespace {
+
+using Marks = std::vector<RequestFingerprint>;
+
+constexpr RequestFingerprint kPoison(666);
+
+}  // namespace
+
+// A request crashes each target that runs it and is sent again each time. After
+// three targets it is stopped; a request that ran beside it ends elsewhere in
+// between and goes free.
+TEST_CASE("three crashes quarantine a request, not those that ran beside it") {
+  ManualClock clock;
+  PoisonDetector detector(clock, PoisonDetector::Parameters{});
+  const RequestFingerprint innocent(1);
+  for (int crash = 0; crash < 3; ++crash) {
+    CHECK_FALSE(detector.IsQuarantined(kPoison));
+    detector.OnCrash(Marks{innocent, kPoison});
+    detector.OnEnded(innocent);
+  }
+  CHECK(detector.IsQuarantined(kPoison));
+  CHECK_FALSE(detector.IsQuarantined(innocent));
+  detector.OnEnded(kPoison);
+  CHECK(detector.IsQuarantined(kPoison));
+  clock.Advance(std::chrono::seconds(601));
+  CHECK_FALSE(detector.IsQuarantined(kPoison));
+}
+
+TEST_CASE("crashes seen by different nodes add up, each once") {
+  ManualClock clock;
+  PoisonDetector here(clock, PoisonDetector::Parameters{});
+  PoisonDetector there(clock, PoisonDetector::Parameters{});
+  here.OnCrash(Marks{kPoison});
+  here.OnCrash(Marks{kPoison});
+  there.Merge(here.TakeReports());
+  there.Merge(here.TakeReports());
+  CHECK_FALSE(there.IsQuarantined(kPoison));
+  there.OnCrash(Marks{kPoison});
+  CHECK(there.IsQuarantined(kPoison));
+}
+
+// A storm of crashes names thousands of suspects. Memory stays bounded, and the
+// one known to be bad is not pushed out by those that may be.
+TEST_CASE("memory is bounded and keeps what is in quarantine") {
+  ManualClock clock;
+  PoisonDetector::Parameters parameters;
+  parameters.max_suspects = 10;
+  PoisonDetector detector(clock, parameters);
+  for (int crash = 0; crash < 3; ++crash) {
+    detector.OnCrash(Marks{kPoison});
+  }
+  for (std::uint64_t suspect = 0; suspect < 1000; ++suspect) {
+    clock.Advance(std::chrono::milliseconds(1));
+    detector.OnCrash(Marks{RequestFingerprint(suspect)});
+  }
+  CHECK(detector.suspect_count() == 10);
+  CHECK(detector.IsQuarantined(kPoison));
+  CHECK(detector.TakeReports().size() <= 10);
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/load/retry_after_pacer_test.cc
@@ -0,0 +1,49 @@
+#include "modules/coordination/load/retry_after_pacer.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "modules/coordination/manual_clock.h"
+
+namespace citrongrade {
+
+using std::chrono::milliseconds;
+
+// Two thousand callers are refused in one moment by a target that does a
+// hundred a second. Told the same pause, all would come back in one moment.
+TEST_CASE("refused callers come back no faster than they can be served") {
+  ManualClock clock;
+  std::mt19937_64 random(1);
+  RetryAfterPacer pacer(clock, random, RetryAfterPacer::Parameters{});
+  std::map<std::int64_t, int> returns_by_second;
+  for (int caller = 0; caller < 500; ++caller) {
+    ++returns_by_second[pacer.Next(100, milliseconds(0)) /
+                        std::chrono::seconds(1)];
+  }
+  for (const auto& [second, returns] : returns_by_second) {
+    CHECK(returns <= 51);
+  }
+}
+
+TEST_CASE("past the longest pause callers are spread, never put off for more") {
+  ManualClock clock;
+  std::mt19937_64 random(1);
+  RetryAfterPacer pacer(clock, random, RetryAfterPacer::Parameters{});
+  std::map<std::int64_t, int> returns_by_second;
+  for (int caller = 0; caller < 20'000; ++caller) {
+    const milliseconds pause = pacer.Next(100, milliseconds(0));
+    CHECK(pause <= milliseconds(20'001));
+    ++returns_by_second[pause / std::chrono::seconds(1)];
+  }
+  CHECK(returns_by_second[15] < 3000);
+}
+
+TEST_CASE("nobody is asked back before the wait that was expected") {
+  ManualClock clock;
+  std::mt19937_64 random(1);
+  RetryAfterPacer pacer(clock, random, RetryAfterPacer::Parameters{});
+  CHECK(pacer.Next(100, milliseconds(700)) >= milliseconds(700));
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/load/retry_budget_test.cc
@@ -0,0 +1,29 @@
+#include "modules/coordination/load/retry_budget.h"
+
+#include <doctest/doctest.h>
+
+namespace citrongrade {
+
+// Every request fails and would be tried again. Without the budget the failing
+// mesh gets twice its load; with it, a tenth more.
+TEST_CASE("when all fail, retries stay a tenth of first tries") {
+  RetryBudget budget(RetryBudget::Parameters{});
+  int retries = 0;
+  for (int request = 0; request < 10'000; ++request) {
+    budget.OnFirstTry();
+    retries += budget.TryRetry(RetryAllowance{2}) ? 1 : 0;
+  }
+  CHECK(retries <= 1010);
+  CHECK(retries >= 990);
+}
+
+TEST_CASE("attempts spent on the way before count as well") {
+  RetryBudget budget(RetryBudget::Parameters{});
+  RetryAllowance allowance{2};
+  allowance = allowance.AfterRetry().AfterRetry();
+  CHECK_FALSE(budget.TryRetry(allowance));
+  CHECK(allowance.AfterRetry() == allowance);
+  CHECK(budget.TryRetry(RetryAllowance{1}));
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/load/target_picker_test.cc
@@ -0,0 +1,99 @@
+#include "modules/coordination/load/target_picker.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string>
+
+#include "modules/coordination/load/load_errors.h"
+#include "modules/coordination/manual_clock.h"
+
+namespace citrongrade {
+
+namespace {
+
+TargetId Target(int index) {
+  return TargetId("target-" + std::to_string(index));
+}
+
+// Three targets of ten slots; the first is in this node's zone.
+class Fixture {
+ public:
+  Fixture() : m_picker(m_clock, m_random, AvailabilityZone("suape")) {
+    m_picker.SetTarget({Target(0), AvailabilityZone("suape"), 10});
+    m_picker.SetTarget({Target(1), AvailabilityZone("derby"), 10});
+    m_picker.SetTarget({Target(2), AvailabilityZone("derby"), 10});
+  }
+
+  // Picks and sends `count` requests that don't end; how many each got.
+  std::array<int, 3> Send(int count) {
+    std::array<int, 3> sent{};
+    for (int i = 0; i < count; ++i) {
+      const TargetId picked = *m_picker.Pick();
+      m_picker.OnSent(picked);
+      ++sent.at(static_cast<std::size_t>(picked.value().back() - '0'));
+    }
+    return sent;
+  }
+
+  TargetPicker& picker() { return m_picker; }
+  ManualClock& clock() { return m_clock; }
+
+ private:
+  ManualClock m_clock;
+  std::mt19937_64 m_random{1};
+  TargetPicker m_picker;
+};
+
+}  // namespace
+
+TEST_CASE("the own zone goes first while it has room, not longer") {
+  Fixture fixture;
+  CHECK(fixture.Send(4)[0] == 4);
+  const auto sent = fixture.Send(20);
+  CHECK(sent[0] <= 6);
+  CHECK(sent[1] + sent[2] >= 14);
+}
+
+// Two targets stay idle by their own word while their requests pile up here.
+// Picked by reports they would get everything.
+TEST_CASE("a target that reports nothing to do gets no more than it ends") {
+  Fixture fixture;
+  fixture.picker().OnReport(Target(0), 10, std::chrono::milliseconds(0));
+  fixture.picker().OnReport(Target(1), 0, std::chrono::milliseconds(0));
+  fixture.picker().OnReport(Target(2), 10, std::chrono::milliseconds(0));
+  const auto sent = fixture.Send(30);
+  CHECK(sent[1] <= 14);
+}
+
+TEST_CASE("other nodes' work sends work out of a full zone, until it is old") {
+  Fixture fixture;
+  fixture.picker().OnReport(Target(0), 10, std::chrono::milliseconds(0));
+  CHECK(fixture.Send(1)[0] == 0);
+  fixture.clock().Advance(std::chrono::seconds(10));
+  CHECK(fixture.Send(1)[0] == 1);
+}
+
+TEST_CASE("a cold target's share counts, and outstanding work survives news") {
+  Fixture fixture;
+  fixture.Send(4);
+  fixture.picker().SetTarget({Target(0), AvailabilityZone("suape"), 10});
+  fixture.picker().SetCapacityShare(Target(1), 0.1);
+  const auto sent = fixture.Send(20);
+  CHECK(sent[1] <= 2);
+  CHECK(sent[0] <= 10);
+}
+
+TEST_CASE("neither the excluded nor the ineligible one is picked") {
+  Fixture fixture;
+  fixture.picker().SetEligible(Target(1), false);
+  for (int i = 0; i < 100; ++i) {
+    CHECK(fixture.picker().Pick(Target(0)) == Target(2));
+  }
+  fixture.picker().RemoveTarget(Target(2));
+  CHECK_FALSE(fixture.picker().Pick(Target(0)));
+  CHECK_THROWS_AS(fixture.picker().OnSent(Target(2)), UnknownTargetError);
+  CHECK_NOTHROW(fixture.picker().OnFinished(Target(2)));
+}
+
+}  // namespace citrongrade
