--- a/benchmarks/decision_cost_benchmark.cc
+++ b/benchmarks/decision_cost_benchmark.cc
@@ -125,11 +125,18 @@
 }
 BENCHMARK(AdmitToFreeSlot);
 
+// Long enough a wait for the queue to keep its length without credit.
+AdmissionController::Parameters PatientTarget() {
+  AdmissionController::Parameters parameters = WarmTarget();
+  parameters.standing_wait = std::chrono::seconds(10);
+  return parameters;
+}
+
 // A full target with `waiting` requests: one comes, one ends, one starts.
 void AdmitThroughQueue(benchmark::State& state) {
   ManualClock clock;
   std::mt19937_64 random(kSeed);
-  AdmissionController admission(clock, random, WarmTarget());
+  AdmissionController admission(clock, random, PatientTarget());
   std::uint64_t next = 1;
   std::vector<RequestTicket> running;
   while (admission.Status().waiting <
@@ -145,7 +152,11 @@
     }
   }
   for (auto step : state) {
-    admission.Offer(Request(next++, clock));
+    const AdmissionDecision decision = admission.Offer(Request(next++, clock));
+    if (decision.verdict != AdmissionDecision::Verdict::kQueued) {
+      state.SkipWithError("the queue did not keep its length");
+      return;
+    }
     clock.Advance(std::chrono::microseconds(10));
     admission.OnFinished(running.back(), RunOutcome::kDone,
                          std::chrono::milliseconds(20));
