Close no lease whose slots nobody could take

The only node of a service was paused and cut off; its witnesses closed each new set that it proposed when it was back, at once and for ever, since no other member could take its slots. Change: a takeover asks for testimonies only while somebody could take over. The comparison of states at the end waits until all have read the log.

--- a/modules/coordination/takeover_coordinator.cc
+++ b/modules/coordination/takeover_coordinator.cc
@@ -128,6 +128,11 @@
     m_context->health().Suspect(lost, m_context->now());
     m_context->Broadcast(LapseNotice{lost});
   }
+  // A lease that is closed while nobody can take the slots would only keep its
+  // holder from serving them when it is back.
+  if (!CanBeSpread(*member)) {
+    return true;
+  }
   if (HasMajorities(*member, attempt)) {
     AppendTakeover(*member, attempt);
     return true;
@@ -233,17 +238,23 @@
   }
   const ServiceId& service = lost.announcement.service;
   const std::vector<SlotIndex> slots = SlotsOf(m_context->state(), lost);
+  const TakeoverRecord record{lost.id, service, TakeTestimonies(lost, attempt),
+                              SlotSpreader::Spread(slots, ReceiversOf(lost))};
+  attempt.append = m_context->Append(record);
+}
+
+std::vector<SlotSpreader::Receiver> TakeoverCoordinator::ReceiversOf(
+    const Member& lost) {
   std::vector<SlotSpreader::Receiver> receivers =
-      SlotSpreader::ReceiversFor(*m_context, service);
+      SlotSpreader::ReceiversFor(*m_context, lost.announcement.service);
   std::erase_if(receivers, [&lost](const SlotSpreader::Receiver& receiver) {
     return receiver.member == lost.id;
   });
-  if (!slots.empty() && receivers.empty()) {
-    return;
-  }
-  TakeoverRecord record{lost.id, service, TakeTestimonies(lost, attempt),
-                        SlotSpreader::Spread(slots, std::move(receivers))};
-  attempt.append = m_context->Append(record);
+  return receivers;
+}
+
+bool TakeoverCoordinator::CanBeSpread(const Member& lost) {
+  return !m_context->state().OwnsSlots(lost.id) || !ReceiversOf(lost).empty();
 }
 
 void TakeoverCoordinator::TakeBackEarlierIncarnations() {
--- a/modules/coordination/takeover_coordinator.h
+++ b/modules/coordination/takeover_coordinator.h
@@ -12,6 +12,7 @@
 #include "modules/coordination/coordinator_dump.h"
 #include "modules/coordination/messages/close_reply.h"
 #include "modules/coordination/messages/close_request.h"
+#include "modules/coordination/slot_spreader.h"
 #include "modules/coordination/witness_ledger.h"
 #include "modules/state/identifiers.h"
 #include "modules/state/member_id.h"
@@ -74,6 +75,9 @@
   bool CanCloseItself(const Member& lost, const WitnessSet& set) const;
   std::vector<Testimony> TakeTestimonies(const Member& lost,
                                          const Attempt& attempt);
+  std::vector<SlotSpreader::Receiver> ReceiversOf(const Member& lost);
+  // Its slots, if it has any, could go to somebody.
+  bool CanBeSpread(const Member& lost);
   void AppendTakeover(const Member& lost, Attempt& attempt);
   void TakeBackEarlierIncarnations();
   void RemoveMembersWithoutWitnesses();
--- a/modules/coordination/testing/simulated_mesh.cc
+++ b/modules/coordination/testing/simulated_mesh.cc
@@ -18,6 +18,7 @@
 // An operator looks after so long.
 constexpr seconds kForgetAfter{4};
 constexpr seconds kHealPatience{20};
+constexpr int kMaxCatchUps = 40;
 
 ServiceId MakeService(const char* name) {
   return {WorkspaceName("mesh"), ServiceName(name)};
@@ -146,6 +147,10 @@
   }
   m_callers.Stop();
   RunFor(seconds(1));
+  // Records may still land; nobody is compared in the middle of reading.
+  for (int i = 0; i < kMaxCatchUps && !HaveAllCaughtUp(); ++i) {
+    RunFor(kCheckInterval);
+  }
   CheckStates();
 }
 
@@ -259,6 +264,13 @@
   seen = std::max(seen, version);
 }
 
+bool SimulatedMesh::HaveAllCaughtUp() const {
+  return std::all_of(m_nodes.begin(), m_nodes.end(), [this](const auto& node) {
+    return !node->IsRunning() || node->coordinator().state().next_offset() ==
+                                     m_reference.next_offset();
+  });
+}
+
 void SimulatedMesh::CheckStates() {
   const MeshImage expected = m_reference.Image();
   for (const auto& node : m_nodes) {
--- a/modules/coordination/testing/simulated_mesh.h
+++ b/modules/coordination/testing/simulated_mesh.h
@@ -81,6 +81,7 @@
   void OnEntry(const LogEntry& entry);
   void CheckOwners(SimulatedNode& node);
   void CheckConfig(SimulatedNode& node);
+  bool HaveAllCaughtUp() const;
   void CheckStates();
   void ForgetLostMembers();
   bool IsAlive(const MemberId& member);
