--- a/modules/protocol/forwarding_codec.cc
+++ b/modules/protocol/forwarding_codec.cc
@@ -39,7 +39,8 @@
   std::vector<HeaderField> headers;
   headers.reserve(reader.size());
   for (const auto header : reader)
-    headers.push_back({ToString(header.getName()), ToString(header.getValue())});
+    headers.push_back(
+        {ToString(header.getName()), ToString(header.getValue())});
   return headers;
 }
 
@@ -87,7 +88,8 @@
   if (reader.getIsProtected())
     request.protected_id = RequestIdHash{reader.getIdHigh(), reader.getIdLow()};
   request.is_first_attempt = reader.getIsFirstAttempt();
-  request.resend_horizon = std::chrono::milliseconds(reader.getResendHorizonMs());
+  request.resend_horizon =
+      std::chrono::milliseconds(reader.getResendHorizonMs());
   request.deadline = std::chrono::milliseconds(reader.getDeadlineMs());
   request.body_length = LengthFromWire(reader.getBodyLength());
   request.is_long_work = reader.getIsLongWork();
--- a/modules/protocol/forwarding_codec.h
+++ b/modules/protocol/forwarding_codec.h
@@ -22,7 +22,8 @@
                      rpc::RequestHead::Builder builder);
   static ForwardedRequest Decode(rpc::RequestHead::Reader reader);
 
-  static void Encode(const AnswerHead& answer, rpc::AnswerHead::Builder builder);
+  static void Encode(const AnswerHead& answer,
+                     rpc::AnswerHead::Builder builder);
   static AnswerHead Decode(rpc::AnswerHead::Reader reader);
 };
 
--- a/modules/protocol/forwarding_codec_test.cc
+++ b/modules/protocol/forwarding_codec_test.cc
@@ -33,7 +33,7 @@
 TEST_CASE("a request comes back as it was encoded") {
   const ForwardedRequest request = MakeRequest();
   capnp::MallocMessageBuilder message;
-  const auto builder = message.initRoot<rpc::RequestHead>();
+  auto builder = message.initRoot<rpc::RequestHead>();
   ForwardingCodec::Encode(request, builder);
   CHECK(ForwardingCodec::Decode(builder.asReader()) == request);
 }
@@ -50,7 +50,7 @@
   refusal.retry_after = std::chrono::milliseconds(250);
   for (const AnswerHead& head : {answer, refusal}) {
     capnp::MallocMessageBuilder message;
-    const auto builder = message.initRoot<rpc::AnswerHead>();
+    auto builder = message.initRoot<rpc::AnswerHead>();
     ForwardingCodec::Encode(head, builder);
     CHECK(ForwardingCodec::Decode(builder.asReader()) == head);
   }
@@ -59,7 +59,7 @@
 TEST_CASE("an outcome that this version does not know is refused") {
   // The caller would be told "done" or "not-run" for something else.
   capnp::MallocMessageBuilder message;
-  const auto builder = message.initRoot<rpc::AnswerHead>();
+  auto builder = message.initRoot<rpc::AnswerHead>();
   builder.setOutcome(9);
   CHECK_THROWS_AS(ForwardingCodec::Decode(builder.asReader()),
                   UnknownWireValueError);
