--- a/modules/transport/byte_source_server.cc
+++ b/modules/transport/byte_source_server.cc
@@ -1,6 +1,6 @@
 #include "modules/transport/byte_source_server.h"
 
-#include <kj/exception.h>
+#include <kj/debug.h>
 
 #include <algorithm>
 #include <cstddef>
@@ -19,7 +19,7 @@
   m_pipe.SetReadableCallback(m_readable.Notifier());
 }
 
-ByteSourceServer::~ByteSourceServer() noexcept(false) {
+ByteSourceServer::~ByteSourceServer() {
   if (m_ended)
     return;
   if (&m_pipe == &m_transfer->upload()) {
--- a/modules/transport/byte_source_server.h
+++ b/modules/transport/byte_source_server.h
@@ -11,6 +11,11 @@
 class RequestTransfer;
 class RpcLoop;
 
+// Cap'n Proto deletes its servers and handlers as what they are, never through
+// the base, so its bases have no virtual destructor.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wnon-virtual-dtor"
+
 // Gives a body to another node, as that node asks for it. When the other side
 // drops it before the end, the whole transfer is cancelled. Kin: BodyPump.
 class ByteSourceServer final : public rpc::ByteSource::Server {
@@ -19,7 +24,7 @@
   ByteSourceServer(RpcLoop& loop,
                    std::shared_ptr<RequestTransfer> transfer,
                    BodyPipe& pipe);
-  ~ByteSourceServer() noexcept(false) override;
+  ~ByteSourceServer();
 
  protected:
   kj::Promise<void> read(ReadContext context) override;
@@ -31,4 +36,6 @@
   bool m_ended = false;
 };
 
+#pragma GCC diagnostic pop
+
 }  // namespace citrongrade
--- a/modules/transport/data_rpc_client.cc
+++ b/modules/transport/data_rpc_client.cc
@@ -20,6 +20,7 @@
 #include "modules/transport/refusals.h"
 #include "modules/transport/request_transfer.h"
 #include "modules/transport/rpc_loop.h"
+#include "modules/transport/task_error_log.h"
 
 namespace citrongrade {
 
@@ -31,10 +32,13 @@
 
 }  // namespace
 
-class DataRpcClient::Implementation final : public kj::TaskSet::ErrorHandler {
+class DataRpcClient::Implementation {
  public:
   Implementation(RpcLoop& loop, const Clock& clock, const Settings& settings)
-      : m_loop(loop), m_clock(clock), m_settings(settings), m_cleanup(*this) {}
+      : m_loop(loop),
+        m_clock(clock),
+        m_settings(settings),
+        m_cleanup(m_error_log) {}
 
   void Start(const std::string& address,
              const std::shared_ptr<RequestTransfer>& transfer);
@@ -58,7 +62,6 @@
   kj::Promise<void> Receive(Call& call, RunResponse&& response);
   void Fail(Call& call, const kj::Exception& reason);
   void Remove(std::uint64_t id);
-  void taskFailed(kj::Exception&& exception) override;
 
   RpcLoop& m_loop;
   const Clock& m_clock;
@@ -67,6 +70,7 @@
   std::map<std::uint64_t, std::unique_ptr<Call>> m_calls;
   std::uint64_t m_next_id = 1;
   Status m_status;
+  TaskErrorLog m_error_log;
   kj::TaskSet m_cleanup;
 };
 
@@ -203,11 +207,6 @@
   m_calls.erase(id);
 }
 
-void DataRpcClient::Implementation::taskFailed(kj::Exception&& exception) {
-  spdlog::error("event=data-call-cleanup-failed reason=\"{}\"",
-                exception.getDescription().cStr());
-}
-
 DataRpcClient::DataRpcClient(RpcLoop& loop,
                              const Clock& clock,
                              const Settings& settings)
--- a/modules/transport/request_runner_server.h
+++ b/modules/transport/request_runner_server.h
@@ -11,6 +11,11 @@
 class RequestTransfer;
 class RpcLoop;
 
+// Cap'n Proto deletes its servers and handlers as what they are, never through
+// the base, so its bases have no virtual destructor.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wnon-virtual-dtor"
+
 // What one connection of another node may call. Made and used on the loop.
 class RequestRunnerServer final : public rpc::RequestRunner::Server {
  public:
@@ -30,4 +35,6 @@
   RequestCarrier& m_runner;
 };
 
+#pragma GCC diagnostic pop
+
 }  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/route_chooser.cc
@@ -0,0 +1,146 @@
+#include "modules/transport/route_chooser.h"
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "modules/coordination/load/retry_budget.h"
+#include "modules/coordination/load/target_ejection.h"
+#include "modules/coordination/load/target_picker.h"
+#include "modules/coordination/routing_table.h"
+
+namespace citrongrade {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRefreshInterval{100};
+// The log doesn't say more of other members' targets than that they are there.
+constexpr std::size_t kAssumedSlots = 8;
+
+}  // namespace
+
+class RouteChooser::Implementation {
+ public:
+  // Choices for one service. A service that is divided by key uses the budget
+  // alone.
+  struct Service {
+    Service(const Clock& clock,
+            std::mt19937_64& random,
+            const AvailabilityZone& zone)
+        : picker(clock, random, zone),
+          ejection(clock, random, TargetEjection::Parameters()),
+          budget(RetryBudget::Parameters()) {}
+
+    TargetPicker picker;
+    TargetEjection ejection;
+    RetryBudget budget;
+    std::map<TargetId, Route> members;
+    Clock::TimePoint refreshed = Clock::TimePoint::min();
+  };
+
+  Service& Find(const ServiceId& id);
+  void Refresh(const ServiceId& id, Service& service);
+
+  const Clock& clock;
+  const RoutingTable& table;
+  const AvailabilityZone own_zone;
+  std::mutex mutex;
+  std::mt19937_64 random{std::random_device()()};
+  std::map<ServiceId, std::unique_ptr<Service>> services;
+};
+
+RouteChooser::Implementation::Service& RouteChooser::Implementation::Find(
+    const ServiceId& id) {
+  std::unique_ptr<Service>& service = services[id];
+  if (!service)
+    service = std::make_unique<Service>(clock, random, own_zone);
+  return *service;
+}
+
+void RouteChooser::Implementation::Refresh(const ServiceId& id,
+                                           Service& service) {
+  const Clock::TimePoint now = clock.Now();
+  if (service.refreshed != Clock::TimePoint::min() &&
+      now - service.refreshed < kRefreshInterval) {
+    return;
+  }
+  service.refreshed = now;
+  std::map<TargetId, Route> members;
+  for (const Route& route : table.FindMembers(id))
+    members.emplace(TargetId(route.data_address), route);
+  for (const auto& [target, route] : service.members) {
+    if (!members.contains(target)) {
+      service.picker.RemoveTarget(target);
+      service.ejection.RemoveTarget(target);
+    }
+  }
+  for (const auto& [target, route] : members) {
+    service.picker.SetTarget({target, route.availability_zone, kAssumedSlots});
+    service.ejection.OnAnnounced(target, false);
+  }
+  service.ejection.Poll();
+  for (const auto& [target, route] : members)
+    service.picker.SetEligible(target, service.ejection.MayReceive(target));
+  service.members = std::move(members);
+}
+
+RouteChooser::RouteChooser(const Clock& clock,
+                           const RoutingTable& table,
+                           AvailabilityZone own_zone)
+    : m_implementation(
+          new Implementation{clock,
+                             table,
+                             std::move(own_zone),
+                             {},
+                             std::mt19937_64(std::random_device()()),
+                             {}}) {}
+
+RouteChooser::~RouteChooser() = default;
+
+std::optional<Route> RouteChooser::Choose(const ServiceSettings& settings,
+                                          const std::string& slot_key,
+                                          const std::string& failed) {
+  Implementation& self = *m_implementation;
+  if (!slot_key.empty())
+    return self.table.FindOwner(settings.id, slot_key);
+  const std::lock_guard lock(self.mutex);
+  Implementation::Service& service = self.Find(settings.id);
+  self.Refresh(settings.id, service);
+  std::optional<TargetId> excluded;
+  if (!failed.empty() && service.members.contains(TargetId(failed)))
+    excluded = TargetId(failed);
+  const std::optional<TargetId> picked = service.picker.Pick(excluded);
+  if (!picked)
+    return std::nullopt;
+  service.picker.OnSent(*picked);
+  service.ejection.OnSent(*picked);
+  return service.members.at(*picked);
+}
+
+void RouteChooser::OnFinished(const ServiceId& service,
+                              const Route& route,
+                              RunOutcome outcome,
+                              Clock::Duration latency) {
+  Implementation& self = *m_implementation;
+  const std::lock_guard lock(self.mutex);
+  Implementation::Service& found = self.Find(service);
+  const TargetId target(route.data_address);
+  found.picker.OnFinished(target);
+  found.ejection.OnFinished(target, outcome, latency);
+}
+
+void RouteChooser::OnFirstTry(const ServiceId& service) {
+  const std::lock_guard lock(m_implementation->mutex);
+  m_implementation->Find(service).budget.OnFirstTry();
+}
+
+bool RouteChooser::TryRetry(const ServiceId& service,
+                            RetryAllowance allowance) {
+  const std::lock_guard lock(m_implementation->mutex);
+  return m_implementation->Find(service).budget.TryRetry(allowance);
+}
+
+}  // namespace citrongrade
--- a/modules/transport/rpc_loop.cc
+++ b/modules/transport/rpc_loop.cc
@@ -1,7 +1,6 @@
 #include "modules/transport/rpc_loop.h"
 
 #include <kj/async-io.h>
-#include <spdlog/spdlog.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
@@ -14,6 +13,7 @@
 #include <utility>
 
 #include "modules/transport/bounded_ring.h"
+#include "modules/transport/task_error_log.h"
 
 namespace citrongrade {
 
@@ -69,17 +69,10 @@
   kj::AsyncIoContext& io() { return *m_io; }
 
  private:
-  class ErrorLog final : public kj::TaskSet::ErrorHandler {
-    void taskFailed(kj::Exception&& exception) override {
-      spdlog::error("event=rpc-loop-task-failed reason=\"{}\"",
-                    exception.getDescription().cStr());
-    }
-  };
-
   void Main() {
     kj::AsyncIoContext io = kj::setupAsyncIo();
     m_io = &io;
-    ErrorLog error_log;
+    TaskErrorLog error_log;
     kj::TaskSet own_tasks(error_log);
     m_own_tasks = &own_tasks;
     auto wakeup = io.lowLevelProvider->wrapInputFd(
