--- a/modules/protocol/forwarding_codec.cc
+++ b/modules/protocol/forwarding_codec.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "modules/protocol/unknown_wire_value_error.h"
+
 namespace citrongrade {
 
 namespace {
--- a/modules/protocol/forwarding_codec.h
+++ b/modules/protocol/forwarding_codec.h
@@ -1,19 +1,11 @@
 #pragma once
 
-#include <stdexcept>
-
 #include "modules/protocol/answer_head.h"
 #include "modules/protocol/forwarded_request.h"
 #include "modules/protocol/forwarding.capnp.h"
 
 namespace citrongrade {
 
-// A message of another node holds a value that this version does not know.
-class UnknownWireValueError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
-
 // Requests and answers to and from their Cap'n Proto form. Decoding throws
 // UnknownWireValueError.
 class ForwardingCodec {
--- a/modules/protocol/forwarding_codec_test.cc
+++ b/modules/protocol/forwarding_codec_test.cc
@@ -3,6 +3,8 @@
 #include <capnp/message.h>
 #include <doctest/doctest.h>
 
+#include "modules/protocol/unknown_wire_value_error.h"
+
 namespace citrongrade {
 
 namespace {
