--- a/modules/transport/bounded_ring.h
+++ b/modules/transport/bounded_ring.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <cstddef>
 #include <mutex>
@@ -52,6 +53,14 @@
     return Take(lock);
   }
 
+  // As Pop, but nothing also after `timeout`.
+  std::optional<T> PopWithin(std::chrono::milliseconds timeout) {
+    std::unique_lock lock(m_mutex);
+    m_has_items.wait_for(lock, timeout,
+                         [this] { return m_closed || m_count > 0; });
+    return Take(lock);
+  }
+
   // Nothing when there is none.
   std::optional<T> TryPop() {
     std::unique_lock lock(m_mutex);
@@ -68,6 +77,11 @@
     m_has_room.notify_all();
   }
 
+  bool is_closed() const {
+    const std::lock_guard lock(m_mutex);
+    return m_closed;
+  }
+
   std::size_t size() const {
     const std::lock_guard lock(m_mutex);
     return m_count;
--- /dev/null
+++ b/modules/transport/log_reader_thread.cc
@@ -0,0 +1,67 @@
+#include "modules/transport/log_reader_thread.h"
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <cstddef>
+#include <utility>
+
+#include "modules/coordination/log_errors.h"
+#include "modules/coordination/platform_log.h"
+
+namespace citrongrade {
+
+namespace {
+
+constexpr std::size_t kMaxEntries = 512;
+constexpr std::chrono::milliseconds kLongPoll{1000};
+constexpr std::chrono::milliseconds kPauseAfterFailure{100};
+constexpr std::chrono::milliseconds kPauseWithoutFollower{20};
+
+}  // namespace
+
+LogReaderThread::LogReaderThread(std::unique_ptr<PlatformLog> log,
+                                 Listener& listener)
+    : m_log(std::move(log)),
+      m_listener(listener),
+      m_thread([this] { Main(); }) {}
+
+LogReaderThread::~LogReaderThread() {
+  m_stop = true;
+  m_thread.join();
+}
+
+void LogReaderThread::Main() {
+  bool was_available = true;
+  while (!m_stop) {
+    if (!m_listener.IsFollowing()) {
+      std::this_thread::sleep_for(kPauseWithoutFollower);
+      continue;
+    }
+    try {
+      ReadOnce();
+      if (!was_available)
+        spdlog::info("event=log-available");
+      was_available = true;
+    } catch (const LogRetentionPassedError& error) {
+      m_listener.OnLogGap(error.first_kept());
+    } catch (const std::exception& error) {
+      if (was_available)
+        spdlog::warn("event=log-unavailable reason=\"{}\"", error.what());
+      was_available = false;
+      m_listener.OnLogUnavailable();
+      std::this_thread::sleep_for(kPauseAfterFailure);
+    }
+  }
+}
+
+void LogReaderThread::ReadOnce() {
+  if (m_listener.WantsLogEnd())
+    m_listener.OnLogEnd(m_log->NextOffset());
+  std::vector<LogEntry> entries =
+      m_log->Read(m_listener.NextReadOffset(), kMaxEntries, kLongPoll);
+  if (!entries.empty())
+    m_listener.OnLogEntries(std::move(entries));
+}
+
+}  // namespace citrongrade
--- a/modules/transport/rpc_loop.cc
+++ b/modules/transport/rpc_loop.cc
@@ -66,6 +66,14 @@
       m_wakeup.Notify();
   }
 
+  bool TryPost(std::function<void()> task) {
+    if (!m_ring.TryPush(std::move(task)))
+      return false;
+    if (!m_wakeup_pending.exchange(true))
+      m_wakeup.Notify();
+    return true;
+  }
+
   kj::AsyncIoContext& io() { return *m_io; }
 
  private:
@@ -114,6 +122,10 @@
   m_implementation->Post(std::move(task));
 }
 
+bool RpcLoop::TryPost(std::function<void()> task) {
+  return m_implementation->TryPost(std::move(task));
+}
+
 void RpcLoop::RunAndWait(const std::function<void()>& task) {
   std::promise<void> done;
   Post([&task, &done] {
--- a/modules/transport/rpc_loop.h
+++ b/modules/transport/rpc_loop.h
@@ -28,6 +28,9 @@
   // Dropped once the loop has stopped.
   void Post(std::function<void()> task);
 
+  // As Post, but drops the task and returns false when the ring is full.
+  bool TryPost(std::function<void()> task);
+
   // Runs the task on the loop and returns after it. Rethrows what it throws.
   // Not from the loop itself.
   void RunAndWait(const std::function<void()>& task);
