--- a/modules/transport/coordinator_thread.cc
+++ b/modules/transport/coordinator_thread.cc
@@ -170,8 +170,8 @@
       m_dependencies.snapshot_codec,
       m_dependencies.board,
       *m_listener};
-  m_coordinator = std::make_unique<NodeCoordinator>(
-      dependencies, announcement, m_settings, RandomSeed());
+  m_coordinator = std::make_unique<NodeCoordinator>(dependencies, announcement,
+                                                    m_settings, RandomSeed());
   m_next_offset = m_coordinator->NextReadOffset().value();
   m_wants_log_end = true;
   m_is_member = true;
--- a/modules/transport/peer_rpc_sender.cc
+++ b/modules/transport/peer_rpc_sender.cc
@@ -71,9 +71,8 @@
                         [connection](kj::Exception&& reason) {
                           --connection->on_the_way;
                           connection->failed = true;
-                          spdlog::debug(
-                              "event=peer-message-lost reason=\"{}\"",
-                              reason.getDescription().cStr());
+                          spdlog::debug("event=peer-message-lost reason=\"{}\"",
+                                        reason.getDescription().cStr());
                         }));
 }
 
@@ -96,8 +95,7 @@
       .timeoutAfter(kConnectTimeout, connection.address->connect())
       .then([&connection](kj::Own<kj::AsyncIoStream> stream) {
         connection.stream = kj::mv(stream);
-        connection.client =
-            kj::heap<capnp::TwoPartyClient>(*connection.stream);
+        connection.client = kj::heap<capnp::TwoPartyClient>(*connection.stream);
       });
 }
 
