--- a/modules/protocol/record_codec.cc
+++ b/modules/protocol/record_codec.cc
@@ -62,7 +62,8 @@
 json ToJson(const TransferRecord& record) {
   json object = {{"type", "transfer"},
                  {"from", MeshJson::Write(record.from)},
-                 {"service", MeshJson::Write(record.service)}};
+                 {"service", MeshJson::Write(record.service)},
+                 {"as_of", record.as_of.value()}};
   MeshJson::WriteRuns(object, record.runs);
   return object;
 }
@@ -153,6 +154,7 @@
   TransferRecord record;
   record.from = ReadMember(object, "from");
   record.service = ReadService(object);
+  record.as_of = LogOffset(object.Number("as_of"));
   record.runs = MeshJson::ReadRuns(object);
   return record;
 }
--- a/modules/state/mesh_state.cc
+++ b/modules/state/mesh_state.cc
@@ -323,8 +323,9 @@
   if (!runs.accepted()) {
     return runs;
   }
+  const Epoch as_of(record.as_of.value());
   for (const SlotRun& run : record.runs) {
-    if (found->second.LatestEpoch(run) >= Epoch(record.as_of.value())) {
+    if (found->second.LatestEpoch(run) >= as_of) {
       return Reject(RejectReason::kStaleVersion);
     }
   }
--- a/modules/state/mesh_state_test.cc
+++ b/modules/state/mesh_state_test.cc
@@ -277,20 +277,37 @@
 TEST_CASE("a transfer is valid from the owner only, and to a current member") {
   OwnedMesh mesh;
   const SlotRun to_b{SlotIndex(3), 2, mesh.b};
-  CHECK(mesh.log.Append(TransferRecord{mesh.c, kService, {to_b}}).rejected ==
-        RejectReason::kNotOwner);
+  const LogOffset now = mesh.log.state().next_offset();
   CHECK(
-      mesh.log.Append(TransferRecord{mesh.owner, kService, {to_b}}).accepted());
-  CHECK(
-      mesh.log.Append(TransferRecord{mesh.owner, kService, {to_b}}).rejected ==
+      mesh.log.Append(TransferRecord{mesh.c, kService, now, {to_b}}).rejected ==
       RejectReason::kNotOwner);
+  CHECK(mesh.log.Append(TransferRecord{mesh.owner, kService, now, {to_b}})
+            .accepted());
+  CHECK(mesh.log.Append(TransferRecord{mesh.owner, kService, now, {to_b}})
+            .rejected == RejectReason::kNotOwner);
 
   mesh.log.Join("c");
   const SlotRun to_old_c{SlotIndex(0), 1, mesh.c};
-  CHECK(mesh.log.Append(TransferRecord{mesh.owner, kService, {to_old_c}})
+  CHECK(mesh.log.Append(TransferRecord{mesh.owner, kService, now, {to_old_c}})
             .rejected == RejectReason::kUnknownMember);
 }
 
+TEST_CASE("a transfer that lands late takes no slot that came back since") {
+  // The owner hands a slot over, hears no answer from the log, and by and by
+  // gets the slot back. Then its first append lands after all: accepted, it
+  // would take the slot from an owner that serves it.
+  OwnedMesh mesh;
+  const LogOffset before = mesh.log.state().next_offset();
+  const SlotRun to_b{SlotIndex(3), 2, mesh.b};
+  const SlotRun back{SlotIndex(3), 2, mesh.owner};
+  const TransferRecord late{mesh.owner, kService, before, {to_b}};
+  REQUIRE(mesh.log.Append(late).accepted());
+  const LogOffset then = mesh.log.state().next_offset();
+  REQUIRE(mesh.log.Append(TransferRecord{mesh.b, kService, then, {back}})
+              .accepted());
+  CHECK(mesh.log.Append(late).rejected == RejectReason::kStaleVersion);
+}
+
 TEST_CASE("a takeover that leaves out slots of the lost member is rejected") {
   // The lost member's entry goes with the takeover; a slot left out would have
   // an owner that nobody can ever take over from.
@@ -341,7 +358,10 @@
       join, WitnessSetRecord{e, {}, {mesh.b}},
       WitnessSetConfirmedRecord{e,
                                 WitnessSetVersion(e.incarnation.value() + 1)},
-      TransferRecord{mesh.owner, kService, {{SlotIndex(5), 3, e}}}};
+      TransferRecord{mesh.owner,
+                     kService,
+                     mesh.log.state().next_offset(),
+                     {{SlotIndex(5), 3, e}}}};
   for (const Record& record : records) {
     const LogEntry entry{restored.next_offset(), RecordId("any"), record};
     CHECK(restored.Apply(entry).accepted());
