--- a/modules/transport/target_call.cc
+++ b/modules/transport/target_call.cc
@@ -178,6 +178,11 @@
   const HttpResponseHead response = m_connection->ReadHead(
       std::max(TimeLeft(), std::chrono::milliseconds(1)));
   const auto id = response.Header("Citrongrade-Request-Id");
+  // A target that refuses before it reads the request may not know its id. No
+  // other request's refusal can come here: a connection whose last answer was
+  // not read whole is never used again.
+  if (!id && ProvesNotRun(response))
+    return response;
   // The answer to another request, for example after a target lost count on a
   // kept connection: given on, a caller would read somebody else's data.
   if (!id || *id != m_transfer.request().request_id)
