--- a/modules/transport/caller_request_parser.cc
+++ b/modules/transport/caller_request_parser.cc
@@ -36,6 +36,12 @@
   });
 }
 
+bool IsPrintableAscii(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return c >= kFirstPrintable && c < kDelete;
+  });
+}
+
 std::vector<std::string_view> ValuesOf(std::span<const HttpHeader> headers,
                                        std::string_view name) {
   std::vector<std::string_view> values;
@@ -92,7 +98,7 @@
   const std::string_view id = values.front();
   if (values.size() > 1 || id.empty() ||
       id.size() > CallerRequestParser::kMaxRequestIdBytes ||
-      HasControlBytes(id)) {
+      !IsPrintableAscii(id)) {
     Refuse(RequestErrorCode::kBadRequestId,
            "an Idempotency-Key has 1 to 200 printable bytes and comes once");
   }
@@ -132,6 +138,14 @@
       [name](std::string_view known) { return SameHeaderName(name, known); });
 }
 
+std::size_t HeadBytes(const CallerRequest& caller) {
+  std::size_t bytes =
+      caller.method.size() + caller.path.size() + caller.query.size();
+  for (const HttpHeader& header : caller.headers)
+    bytes += header.name.size() + header.value.size();
+  return bytes;
+}
+
 RequestIdHash HashRequestId(const ServiceId& service,
                             std::string_view key,
                             std::string_view id) {
@@ -193,6 +207,10 @@
 
 CallerRequestParser::Parsed CallerRequestParser::Parse(
     const CallerRequest& caller) const {
+  if (HeadBytes(caller) > kMaxHeadBytes) {
+    Refuse(RequestErrorCode::kHeaderTooLarge,
+           "path and headers have at most 16 KiB together");
+  }
   Parsed parsed;
   parsed.settings = FindService(caller);
   ForwardedRequest& request = parsed.request;
--- a/modules/transport/target_call.cc
+++ b/modules/transport/target_call.cc
@@ -90,6 +90,7 @@
     Refuse(RefuseNotRun(RequestErrorCode::kTargetUnavailable, error.what(),
                         kRetryAfterTargetFailure));
   } catch (const ResponseTimeoutError& error) {
+    m_result.timed_out = true;
     Refuse(RefuseUnknown(RequestErrorCode::kTargetTimeout, error.what()));
   } catch (const TruncatedBodyError& error) {
     Refuse(RefuseUnknown(RequestErrorCode::kTruncatedAnswer, error.what()));
--- a/modules/transport/target_call.h
+++ b/modules/transport/target_call.h
@@ -30,6 +30,8 @@
     bool was_granted = false;
     // The target closed the connection, or refused one, without an answer.
     bool connection_lost = false;
+    // No answer came in time; the target may still work on it.
+    bool timed_out = false;
     // The caller was gone when the answer came.
     bool was_late = false;
     // A small whole answer.
--- a/modules/transport/target_dispatcher.cc
+++ b/modules/transport/target_dispatcher.cc
@@ -398,6 +398,10 @@
   {
     const std::lock_guard lock(m_mutex);
     NoteHealth(*run, result);
+    if (result.timed_out) {
+      ++m_counts.cancelled_at_target;
+      m_canceller.Cancel(pool->address(), request.request_id);
+    }
     m_admission->OnFinished(run->ticket, result.outcome,
                             m_clock.Now() - started);
     m_runs.erase(run->ticket);
--- a/tests/support/node_mesh.py
+++ b/tests/support/node_mesh.py
@@ -71,7 +71,7 @@
                       "name": service, "template": template})
 
     def start_node(self, zone="derby", service=KEYED, target_flags=(),
-                   node_flags=()):
+                   node_flags=(), with_target=True):
         name = "node-%d" % (len(self.nodes) + 1)
         caller, control, data, peer, target = free_addresses(5)
         node = Node(name, caller, control)
@@ -81,6 +81,9 @@
             "--data-address", data, "--peer-address", peer,
             "--log-address", self.log_address, "--log-stream", STREAM,
             *node_flags)
+        self.nodes.append(node)
+        if not with_target:
+            return node
         node.target_address = target
         node.target = self.programs.start(
             "citrongrade-target-standin", "--listen-address", target,
@@ -88,7 +91,6 @@
             "--service", service, "--slots", "12", "--connections", "110",
             "--service-time-us", "200", "--announce-interval-ms", "200",
             *target_flags)
-        self.nodes.append(node)
         return node
 
     def wait_until_served(self):
