--- a/tests/support/node_mesh.py
+++ b/tests/support/node_mesh.py
@@ -71,7 +71,7 @@
                       "name": service, "template": template})
 
     def start_node(self, zone="derby", service=KEYED, target_flags=(),
-                   node_flags=(), with_target=True):
+                   node_flags=(), with_target=True, service_time_us=200):
         name = "node-%d" % (len(self.nodes) + 1)
         caller, control, data, peer, target = free_addresses(5)
         node = Node(name, caller, control)
@@ -89,7 +89,7 @@
             "citrongrade-target-standin", "--listen-address", target,
             "--node-address", control, "--workspace", WORKSPACE,
             "--service", service, "--slots", "12", "--connections", "110",
-            "--service-time-us", "200", "--announce-interval-ms", "200",
+            "--service-time-us", service_time_us, "--announce-interval-ms", "200",
             *target_flags)
         return node
 
