--- a/programs/citrongrade-log-standin/settings_reader.h
+++ b/programs/citrongrade-log-standin/settings_reader.h
@@ -68,6 +68,14 @@
             });
   }
 
+  // A setting with a form of its own; `parse` throws SettingsError.
+  void AddParsed(const std::string& flag,
+                 const std::string& default_text,
+                 const char* help,
+                 std::function<void(const std::string&)> parse) {
+    AddText(flag, default_text, help, std::move(parse));
+  }
+
   // --name and --no-name.
   void AddSwitch(const std::string& flag, bool& value, const char* help) {
     m_app.add_flag(flag + ",!--no-" + flag.substr(kDashes.size()), value, help)
@@ -159,6 +167,8 @@
     setting->parse = std::move(parse);
     setting->option =
         m_app.add_option(flag, setting->text, help)->envname(VariableOf(flag));
+    // A flag given twice: the last counts, so that a script's can be overruled.
+    setting->option->multi_option_policy(CLI::MultiOptionPolicy::TakeLast);
     setting->option->default_str(default_text);
     m_settings.push_back(std::move(setting));
   }
--- a/programs/citrongrade-target-standin/run_report.h
+++ b/programs/citrongrade-target-standin/run_report.h
@@ -14,6 +14,7 @@
   std::uint64_t number = 0;
   std::string idempotency_key;
   std::string call_id;
+  std::string key;
 
   friend auto operator<=>(const RunReport&, const RunReport&) = default;
 };
--- a/programs/citrongrade-target-standin/run_reporter.cc
+++ b/programs/citrongrade-target-standin/run_reporter.cc
@@ -35,7 +35,8 @@
          .body = nlohmann::json({{"target", report.target},
                                  {"number", report.number},
                                  {"idempotency_key", report.idempotency_key},
-                                 {"call_id", report.call_id}})
+                                 {"call_id", report.call_id},
+                                 {"key", report.key}})
                      .dump()},
         kTimeout, kMaxResponseBytes);
     if (response.head.status != kNoContent)
--- a/programs/citrongrade-target-standin/work_runner.cc
+++ b/programs/citrongrade-target-standin/work_runner.cc
@@ -185,7 +185,8 @@
   RunReport report{.target = m_name,
                    .number = record.number,
                    .idempotency_key = request.idempotency_key,
-                   .call_id = request.call_id};
+                   .call_id = request.call_id,
+                   .key = request.key};
   // A failure leaves open whether the collector counts this run, so that the
   // request can't be refused as not run: the exception closes its connection.
   if (m_reporter)
