--- a/benchmarks/load_policy_baseline_mesh.h
+++ b/benchmarks/load_policy_baseline_mesh.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 
 #include "benchmarks/load_policy_mesh.h"
 
@@ -22,14 +23,25 @@
   // A static hash over the targets of now: most keys change their target.
   void Join() override {
     AddTargetSlots();
+    const std::size_t targets = target_count();
+    for (std::size_t slot = 0; slot < scenario().key_slots; ++slot) {
+      m_moves += slot % (targets - 1) == slot % targets ? 0 : 1;
+    }
     target(target_count() - 1).MakeCold(kColdFactor, kColdRuns);
   }
 
   // It listens to no reports.
   void MakeLie(std::size_t) override {}
 
+  std::uint64_t moves() const override {
+    return scenario().divided_by_key ? m_moves : 0;
+  }
+
   static constexpr double kColdFactor = 8;
   static constexpr std::size_t kColdRuns = 2000;
+
+ private:
+  std::uint64_t m_moves = 0;
 };
 
 }  // namespace citrongrade
