--- a/modules/coordination/board_publisher.cc
+++ b/modules/coordination/board_publisher.cc
@@ -46,6 +46,15 @@
   for (const auto& [id, table] : m_context->state().services()) {
     m_slots.emplace(id, std::make_shared<const SlotTable>(table));
   }
+  m_own_epochs.clear();
+  const SlotTable* own = m_context->state().FindSlots(m_context->service());
+  if (own == nullptr || !m_context->self().has_value()) {
+    return;
+  }
+  m_own_epochs.resize(own->slot_count());
+  for (const SlotIndex slot : own->SlotsOf(*m_context->self())) {
+    m_own_epochs[slot.value()] = own->OwnerOf(slot)->epoch;
+  }
 }
 
 std::shared_ptr<BoardView> BoardPublisher::MakeView() const {
@@ -53,6 +62,8 @@
   view->ready = m_ready;
   view->draining = m_draining;
   view->self = m_context->self();
+  view->own_service = m_context->service();
+  view->own_epochs = m_own_epochs;
   view->frozen_slots = m_frozen;
   for (const auto& settings : m_settings) {
     view->services[settings->id].settings = settings;
--- a/modules/coordination/board_publisher.h
+++ b/modules/coordination/board_publisher.h
@@ -42,6 +42,7 @@
   OwnershipBoard* m_board;
   Settings m_settings;
   std::map<ServiceId, std::shared_ptr<const SlotTable>> m_slots;
+  std::vector<Epoch> m_own_epochs;
   bool m_changed = true;
   bool m_slots_changed = true;
   bool m_ready = false;
--- a/modules/coordination/board_view.h
+++ b/modules/coordination/board_view.h
@@ -28,6 +28,10 @@
   bool ready = false;
   bool draining = false;
   std::optional<MemberId> self;
+  // This node's service, and for each of its slots the epoch of the own grant;
+  // Epoch() for a slot that it does not own. Read for every request.
+  ServiceId own_service;
+  std::vector<Epoch> own_epochs;
   // Own slots in which nothing new may start, since they are about to move.
   std::set<SlotIndex> frozen_slots;
   std::map<ServiceId, Service> services;
--- a/modules/coordination/id_registrar.cc
+++ b/modules/coordination/id_registrar.cc
@@ -14,6 +14,14 @@
 
 void IdRegistrar::SetWitnessSets(const WitnessSet& confirmed,
                                  const std::optional<WitnessSet>& pending) {
+  const WitnessSetVersion pending_version =
+      pending.has_value() ? pending->version : WitnessSetVersion();
+  if (confirmed.version == m_confirmed_version &&
+      pending_version == m_pending_version) {
+    return;
+  }
+  m_confirmed_version = confirmed.version;
+  m_pending_version = pending_version;
   std::set<MemberId> wanted;
   for (const Witness& witness : confirmed.witnesses) {
     wanted.insert(witness.member);
--- a/modules/coordination/id_registrar.h
+++ b/modules/coordination/id_registrar.h
@@ -107,6 +107,8 @@
   const CoordinatorSettings m_settings;
   const ServiceId m_service;
   const ContentsSource m_contents;
+  WitnessSetVersion m_confirmed_version;
+  WitnessSetVersion m_pending_version;
   std::map<MemberId, Channel> m_channels;
   Position m_last = 0;
   std::uint64_t m_next_sequence = 1;
--- a/modules/coordination/lease_holder.cc
+++ b/modules/coordination/lease_holder.cc
@@ -12,10 +12,15 @@
 void LeaseHolder::SetWitnessSets(const WitnessSet& confirmed,
                                  const std::optional<WitnessSet>& pending,
                                  TimePoint now) {
-  if (confirmed == m_confirmed && pending == m_pending) {
+  const auto version_of = [](const std::optional<WitnessSet>& set) {
+    return set.has_value() ? set->version : WitnessSetVersion();
+  };
+  // A version names one set for ever.
+  if (confirmed.version == m_confirmed.version &&
+      version_of(pending) == version_of(m_pending)) {
     return;
   }
-  if (m_counts_earlier_sets && confirmed != m_confirmed) {
+  if (m_counts_earlier_sets && confirmed.version != m_confirmed.version) {
     m_earlier.push_back(m_confirmed);
   }
   m_confirmed = confirmed;
--- a/modules/coordination/move_coordinator.cc
+++ b/modules/coordination/move_coordinator.cc
@@ -20,6 +20,8 @@
 // A receiver that does not take the ids within this is given up.
 constexpr std::chrono::seconds kHandOffPatience{2};
 constexpr std::chrono::milliseconds kTimeBetweenPlans{200};
+// Slots that freeze again at once would be refused more than they are served.
+constexpr std::chrono::seconds kPauseAfterFailure{2};
 constexpr double kPercent = 100.0;
 constexpr std::chrono::duration<double> kMinute = std::chrono::minutes(1);
 
@@ -201,6 +203,7 @@
   }
   if (!is_over && !m_draining) {
     // Balance is not worth a request that runs while its slot moves.
+    WaitAfterFailure();
     return false;
   }
   MakeChunks(id, move);
@@ -218,6 +221,7 @@
   }
   if (now - move.stage_since >= kHandOffPatience) {
     m_context->health().Suspect(move.receiver, now);
+    WaitAfterFailure();
     return false;
   }
   if (now >= move.next_send) {
@@ -242,12 +246,14 @@
   // Every reason for which one copy is rejected holds for the others, too; and
   // one that was accepted, though the slots are here, has been undone since.
   if (all_failed || any_decided) {
+    WaitAfterFailure();
     return false;
   }
   if (any_awaited) {
     return true;
   }
   if (!move.appends.empty() && !m_context->safeguards().read_back) {
+    WaitAfterFailure();
     return false;
   }
   // An append without an answer may still take effect: were the slots served
@@ -262,6 +268,10 @@
   return true;
 }
 
+void MoveCoordinator::WaitAfterFailure() {
+  m_next_plan = m_context->now() + kPauseAfterFailure;
+}
+
 bool MoveCoordinator::IsWorkOver(const Move& move) const {
   return std::all_of(
       move.slots.begin(), move.slots.end(), [this](SlotIndex slot) {
--- a/modules/coordination/move_coordinator.h
+++ b/modules/coordination/move_coordinator.h
@@ -97,6 +97,8 @@
   bool StepWaiting(std::uint64_t id, Move& move);
   bool StepHandingOff(Move& move);
   bool StepTransferring(Move& move);
+  // The next move for balance has to wait.
+  void WaitAfterFailure();
   bool IsWorkOver(const Move& move) const;
   bool OwnsAll(const Move& move) const;
   void MakeChunks(std::uint64_t id, Move& move) const;
--- a/modules/coordination/ownership_board.cc
+++ b/modules/coordination/ownership_board.cc
@@ -103,19 +103,17 @@
     if (!view->ready || !view->self.has_value()) {
       return Refuse(RequestErrorCode::kNodeNotReady);
     }
-    const auto found = view->services.find(service);
-    if (found == view->services.end() || found->second.slots == nullptr) {
-      return Refuse(RequestErrorCode::kNoOwner);
-    }
-    const auto ownership = found->second.slots->OwnerOf(slot);
-    if (!ownership.has_value() || ownership->owner != *view->self) {
+    const bool is_own = service == view->own_service &&
+                        slot.value() < view->own_epochs.size() &&
+                        view->own_epochs[slot.value()] != Epoch();
+    if (!is_own) {
       return Refuse(RequestErrorCode::kNoOwner);
     }
     if (view->frozen_slots.contains(slot)) {
       return Refuse(view->draining ? RequestErrorCode::kNodeDraining
                                    : RequestErrorCode::kLeaseLost);
     }
-    return CheckLease(ownership->epoch);
+    return CheckLease(view->own_epochs[slot.value()]);
   }
 
   GrantDecision CheckLease(Epoch epoch) const {
--- a/modules/coordination/testing/failure_player.cc
+++ b/modules/coordination/testing/failure_player.cc
@@ -34,7 +34,8 @@
     "rolling-restart",
     "zone-loss",
     "witnesses-lost",
-    "whole-mesh-restart"};
+    "whole-mesh-restart",
+    "holder-half-cut-off"};
 
 }  // namespace
 
@@ -140,6 +141,10 @@
     case Failure::kWholeMeshRestart:
       RestartAll();
       break;
+    case Failure::kHolderHalfCutOff:
+      CutHolderHalfOff();
+      HealNetworkLater();
+      break;
   }
 }
 
@@ -208,7 +213,7 @@
   SimulatedNode* node = PickOwner();
   if (node != nullptr) {
     node->ReplaceHost();
-    KillFor(*node, milliseconds(2500));
+    KillFor(*node, milliseconds(1600));
   }
 }
 
@@ -261,6 +266,28 @@
   }
 }
 
+void FailurePlayer::CutHolderHalfOff() {
+  SimulatedNode* holder = PickOwner();
+  const auto witnesses = holder->coordinator().Dump().witnesses;
+  if (witnesses.size() < 2) {
+    return;
+  }
+  FakePlatformLog& log = m_mesh->log();
+  const std::size_t number = holder->number();
+  log.SetCut(number, true);
+  m_mesh->events().Schedule(milliseconds(3000),
+                            [&log, number] { log.SetCut(number, false); });
+  const SimulatedNode* lost = m_mesh->FindNode(witnesses[0].member.node);
+  m_mesh->network().Cut(number, lost->number());
+  m_mesh->network().Cut(lost->number(), number);
+  SimulatedNode* restarted = m_mesh->FindNode(witnesses[1].member.node);
+  if (m_mesh->random().Chance(50)) {
+    m_mesh->events().Schedule(
+        m_mesh->random().Between(milliseconds(700), milliseconds(1400)),
+        [this, restarted] { KillFor(*restarted, milliseconds(100)); });
+  }
+}
+
 void FailurePlayer::KillFor(SimulatedNode& node, Clock::Duration downtime) {
   node.Kill();
   m_mesh->events().Schedule(downtime, [&node] { node.Start(); });
--- a/modules/coordination/testing/failure_player.h
+++ b/modules/coordination/testing/failure_player.h
@@ -39,8 +39,10 @@
     kZoneLoss,
     kWitnessMajorityLost,
     kWholeMeshRestart,
+    // A holder loses the log and one witness; another witness may restart.
+    kHolderHalfCutOff,
   };
-  static constexpr std::size_t kFailureCount = 24;
+  static constexpr std::size_t kFailureCount = 25;
 
   // The mesh outlives the player.
   explicit FailurePlayer(SimulatedMesh& mesh) : m_mesh(&mesh) {}
@@ -62,6 +64,7 @@
   void LoseZone();
   void LoseWitnesses();
   void RestartAll();
+  void CutHolderHalfOff();
   void KillFor(SimulatedNode& node, Clock::Duration downtime);
   Clock::Duration Downtime();
   void HealNetworkLater();
