--- a/modules/coordination/node_coordinator_test.cc
+++ b/modules/coordination/node_coordinator_test.cc
@@ -203,11 +203,14 @@
   SimulatedMesh mesh(8, shape);
   REQUIRE(mesh.Boot());
   mesh.RunFor(seconds(3));
+  const WitnessSetVersion before =
+      mesh.node(5).coordinator().Dump().counted_witness_set;
   mesh.node(5).Pause();
   mesh.RunFor(seconds(4));
   CHECK_FALSE(mesh.IsEverySlotServed());
   mesh.node(5).Resume();
   CHECK(mesh.RunUntilServed(milliseconds(500)));
+  CHECK(mesh.node(5).coordinator().Dump().counted_witness_set == before);
 }
 
 // A node can't reach the log until the records that it has not read are gone.
