Tell crashes of a target from closed connections, and always when to come back

Cause: a target that closes a connection without an answer counted as crashed, so that an innocent request could be quarantined; some refusals that may pass had no Retry-After. Change: a crash is one only when nobody listens at the target's address; every refusal that may pass carries Retry-After.

--- a/modules/transport/caller_exchange.cc
+++ b/modules/transport/caller_exchange.cc
@@ -33,6 +33,8 @@
 // that is being read from the log needs some tens of milliseconds.
 constexpr std::chrono::milliseconds kFirstRetryPause{20};
 constexpr std::chrono::milliseconds kRetryAfterNoOwner{500};
+// Where nothing better is known than that it may pass.
+constexpr std::chrono::milliseconds kDefaultRetryAfter{1000};
 // The part of the deadline that is left for the answer's way back, so that the
 // owner's own word at its deadline comes in time.
 constexpr int kDeadlineShareForReturn = 10;
@@ -287,6 +289,7 @@
 
 void CallerExchange::SendSmallBody(const AnswerHead& answer) {
   std::string body;
+  body.reserve(*answer.body_length);
   while (true) {
     BodyPipe::ReadResult next = m_transfer->download().Read(m_deadline);
     if (next.state == BodyPipe::ReadState::kEnd)
@@ -328,18 +331,20 @@
 void CallerExchange::SendRefusal(HttpExchange& exchange,
                                  const AnswerHead& refusal,
                                  const std::string& request_id) {
+  std::chrono::milliseconds retry_after = refusal.retry_after;
+  if (retry_after.count() == 0 && MayPass(*refusal.error))
+    retry_after = kDefaultRetryAfter;
   const nlohmann::json body = {
       {"outcome", ToString(refusal.outcome)},
       {"error", ToString(*refusal.error)},
       {"message", refusal.message},
-      {"retry_after_ms", refusal.retry_after.count()},
+      {"retry_after_ms", retry_after.count()},
       {"request_id", request_id},
   };
   std::vector<HttpHeader> headers = AnswerHeaders(refusal, request_id);
   headers.push_back({"Content-Type", "application/json"});
-  if (refusal.retry_after.count() > 0) {
-    const auto seconds =
-        std::chrono::ceil<std::chrono::seconds>(refusal.retry_after);
+  if (retry_after.count() > 0) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
     headers.push_back({"Retry-After", std::to_string(seconds.count())});
   }
   constexpr auto kReplaceBadText = nlohmann::json::error_handler_t::replace;
--- a/modules/transport/refusals.cc
+++ b/modules/transport/refusals.cc
@@ -108,6 +108,23 @@
   return "unknown";
 }
 
+bool MayPass(RequestErrorCode error) {
+  switch (error) {
+    case RequestErrorCode::kUnknownService:
+    case RequestErrorCode::kMissingKey:
+    case RequestErrorCode::kKeyTooLong:
+    case RequestErrorCode::kMalformedRequest:
+    case RequestErrorCode::kHeaderTooLarge:
+    case RequestErrorCode::kMissingRequestId:
+    case RequestErrorCode::kBadRequestId:
+    case RequestErrorCode::kBadDeadline:
+    case RequestErrorCode::kAlreadyRun:
+      return false;
+    default:
+      return true;
+  }
+}
+
 int StatusOf(RequestErrorCode error) {
   constexpr int kBadRequest = 400;
   constexpr int kNotFound = 404;
--- a/modules/transport/refusals.h
+++ b/modules/transport/refusals.h
@@ -24,6 +24,9 @@
 // As in the Citrongrade-Outcome header: "not-run".
 std::string_view ToString(RequestOutcome outcome);
 
+// A resend may do better later, without any change of the request.
+bool MayPass(RequestErrorCode error);
+
 // The HTTP status that goes with a refusal.
 int StatusOf(RequestErrorCode error);
 
--- a/modules/transport/target_connection_pool.cc
+++ b/modules/transport/target_connection_pool.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "modules/transport/http_errors.h"
+
 namespace citrongrade {
 
 TargetConnectionPool::TargetConnectionPool(const Clock& clock,
@@ -24,6 +26,15 @@
   m_idle.push_back({std::move(connection), m_clock.Now()});
 }
 
+bool TargetConnectionPool::IsRefused() const {
+  try {
+    const HttpClientConnection connection(m_address);
+    return false;
+  } catch (const ConnectError&) {
+    return true;
+  }
+}
+
 std::size_t TargetConnectionPool::idle_count() const {
   const std::lock_guard lock(m_mutex);
   return m_idle.size();
--- a/modules/transport/target_connection_pool.h
+++ b/modules/transport/target_connection_pool.h
@@ -31,6 +31,9 @@
   // Keeps the connection if it may serve another request.
   void GiveBack(std::unique_ptr<HttpClientConnection> connection);
 
+  // Nobody listens at the target's address: its process is gone.
+  bool IsRefused() const;
+
   std::size_t idle_count() const;
 
  private:
--- a/modules/transport/target_dispatcher.cc
+++ b/modules/transport/target_dispatcher.cc
@@ -108,7 +108,9 @@
   void TickThread();
   void Execute(const RunPointer& run);
   void Settle(LocalRun& run, const TargetCall::Result& result);
-  void NoteHealth(const LocalRun& run, const TargetCall::Result& result);
+  void NoteHealth(const LocalRun& run,
+                  const TargetCall::Result& result,
+                  bool crashed);
   void Remove(RequestTicket ticket);
 
   const Clock& m_clock;
@@ -394,10 +396,15 @@
                         : GrantDecision();
   });
   Settle(*run, result);
+  // A connection that broke shows a crash only when there is no process to
+  // connect to any more; a target may also close one that it is done with.
+  const bool crashed = result.connection_lost &&
+                       result.outcome == RunOutcome::kUnknown &&
+                       pool->IsRefused();
   Steps steps;
   {
     const std::lock_guard lock(m_mutex);
-    NoteHealth(*run, result);
+    NoteHealth(*run, result, crashed);
     if (result.timed_out) {
       ++m_counts.cancelled_at_target;
       m_canceller.Cancel(pool->address(), request.request_id);
@@ -426,7 +433,8 @@
 
 void TargetDispatcher::Implementation::NoteHealth(
     const LocalRun& run,
-    const TargetCall::Result& result) {
+    const TargetCall::Result& result,
+    bool crashed) {
   switch (result.outcome) {
     case RunOutcome::kDone:
       ++m_counts.done;
@@ -445,7 +453,7 @@
     return;
   }
   // All that ran when the first connection broke are suspects of one crash.
-  if (result.outcome == RunOutcome::kUnknown && !m_crash_noted) {
+  if (crashed && !m_crash_noted) {
     m_crash_noted = true;
     std::vector<RequestFingerprint> suspects;
     for (const auto& [ticket, other] : m_runs)
