--- a/modules/transport/request_runner_server.cc
+++ b/modules/transport/request_runner_server.cc
@@ -52,7 +52,10 @@
     return m_answered.Wait().then([this] { return WaitForAnswer(); });
   }
 
-  void GiveAnswer(rpc::RequestRunner::RunResults::Builder results) {
+  // `self` is this one: it goes on as long as the answer's body does, since the
+  // request's body may still be on its way.
+  void GiveAnswer(rpc::RequestRunner::RunResults::Builder results,
+                  kj::Own<Run> self) {
     ForwardingCodec::Encode(m_transfer->answer(), results.initHead());
     BodyPipe& body = m_transfer->download();
     const BodyPipe::ReadResult first =
@@ -62,7 +65,8 @@
                      first.bytes.size()));
     const bool failed = first.state == BodyPipe::ReadState::kFailed;
     if (failed || !body.is_finished()) {
-      results.setRest(kj::heap<ByteSourceServer>(m_loop, m_transfer, body));
+      results.setRest(kj::heap<ByteSourceServer>(m_loop, m_transfer, body)
+                          .attach(kj::mv(self)));
     }
     m_handed_over = true;
   }
@@ -93,10 +97,10 @@
   self.TakeBody(params);
   context.releaseParams();
   m_runner.Carry(transfer);
-  return self.WaitForAnswer()
-      .then(
-          [&self, context]() mutable { self.GiveAnswer(context.getResults()); })
-      .attach(kj::mv(run));
+  return self.WaitForAnswer().then([run = kj::mv(run), context]() mutable {
+    Run& answered = *run;
+    answered.GiveAnswer(context.getResults(), kj::mv(run));
+  });
 }
 
 kj::Promise<void> RequestRunnerServer::ping(PingContext /*context*/) {
