--- a/modules/protocol/declaration_set_test.cc
+++ b/modules/protocol/declaration_set_test.cc
@@ -161,6 +161,13 @@
   CHECK_FALSE(ProblemsOf("a: &a [*a]\n").empty());
 }
 
+TEST_CASE("text that goes on after a document doesn't fill the memory") {
+  // A comma where no document can start: a reader of all documents finds one
+  // empty document after the other there, without end.
+  CHECK(ProblemsOf(",,a service\nkind: service\n") ==
+        Texts{"f.yaml: has to hold exactly one YAML document"});
+}
+
 TEST_CASE("a template that is in force may be used without its file") {
   const DeclarationSet set =
       DeclarationSet::Read({{"template.yaml", kTemplate}}, {});
--- a/modules/protocol/yaml_reader.cc
+++ b/modules/protocol/yaml_reader.cc
@@ -1,14 +1,15 @@
 #include "modules/protocol/yaml_reader.h"
 
+#include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "modules/protocol/problem_list.h"
 
@@ -18,6 +19,24 @@
 
 namespace {
 
+bool IsUtf8(std::string_view text) {
+  try {
+    json(text).dump();
+    return true;
+  } catch (const json::exception&) {
+    return false;
+  }
+}
+
+// A parser's message quotes what it stumbled over, which may be half a
+// character.
+std::string ReplaceBadUtf8(const std::string& text) {
+  constexpr int kOneLine = -1;
+  const std::string quoted =
+      json(text).dump(kOneLine, ' ', false, json::error_handler_t::replace);
+  return json::parse(quoted).get<std::string>();
+}
+
 int LineOf(const YAML::Mark& mark) {
   return mark.is_null() ? 0 : mark.line + 1;
 }
@@ -63,6 +82,41 @@
   return joined;
 }
 
+// Takes a document's events and keeps nothing.
+class IgnoreEvents final : public YAML::EventHandler {
+ public:
+  void OnDocumentStart(const YAML::Mark& /*mark*/) override {}
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark& /*mark*/, YAML::anchor_t /*anchor*/) override {}
+  void OnAlias(const YAML::Mark& /*mark*/, YAML::anchor_t /*anchor*/) override {
+  }
+  void OnScalar(const YAML::Mark& /*mark*/,
+                const std::string& /*tag*/,
+                YAML::anchor_t /*anchor*/,
+                const std::string& /*value*/) override {}
+  void OnSequenceStart(const YAML::Mark& /*mark*/,
+                       const std::string& /*tag*/,
+                       YAML::anchor_t /*anchor*/,
+                       YAML::EmitterStyle::value /*style*/) override {}
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark& /*mark*/,
+                  const std::string& /*tag*/,
+                  YAML::anchor_t /*anchor*/,
+                  YAML::EmitterStyle::value /*style*/) override {}
+  void OnMapEnd() override {}
+};
+
+// YAML::LoadAll is not used for it: on text that goes on after a document with
+// what starts none, for example a comma, it finds one empty document after the
+// other and fills the memory.
+bool HoldsOneDocument(const std::string& text) {
+  std::istringstream stream(text);
+  YAML::Parser parser(stream);
+  IgnoreEvents ignore;
+  return parser.HandleNextDocument(ignore) &&
+         !parser.HandleNextDocument(ignore);
+}
+
 class Converter {
  public:
   explicit Converter(ProblemList& problems) : m_problems(problems) {}
@@ -105,6 +159,11 @@
   json ConvertScalar(const YAML::Node& node) {
     // yaml-cpp gives quoted scalars the tag "!" and plain ones "?" or none.
     const std::string& tag = node.Tag();
+    // The file is UTF-8, but an escape such as "\ud800" is half a character.
+    if (!IsUtf8(node.Scalar())) {
+      m_problems.AddAtLine(LineOf(node.Mark()), "holds a bad escape");
+      return nullptr;
+    }
     if (tag == "!") {
       return node.Scalar();
     }
@@ -141,6 +200,10 @@
         continue;
       }
       const std::string& name = field.first.Scalar();
+      if (!IsUtf8(name)) {
+        m_problems.AddAtLine(line, "a field's name holds a bad escape");
+        continue;
+      }
       const std::string field_path = JoinPath(path, name);
       if (object.contains(name)) {
         m_problems.AddAtLine(line, field_path + ": is given twice");
@@ -157,15 +220,6 @@
   bool m_told = false;
 };
 
-bool IsUtf8(std::string_view text) {
-  try {
-    json(text).dump();
-    return true;
-  } catch (const json::exception&) {
-    return false;
-  }
-}
-
 bool CheckText(std::string_view text, ProblemList& problems) {
   if (text.size() > YamlReader::kMaxFileBytes) {
     problems.AddAtLine(0, "is longer than " +
@@ -187,15 +241,16 @@
     return nullptr;
   }
   try {
-    const std::vector<YAML::Node> documents = YAML::LoadAll(std::string(text));
-    if (documents.size() != 1) {
+    const std::string owned(text);
+    if (!HoldsOneDocument(owned)) {
       problems.AddAtLine(0, "has to hold exactly one YAML document");
       return nullptr;
     }
     problems.SetLine("", 1);
-    return Converter(problems).Convert(documents.front(), "", 0);
+    return Converter(problems).Convert(YAML::Load(owned), "", 0);
   } catch (const YAML::Exception& error) {
-    problems.AddAtLine(LineOf(error.mark), "is not YAML: " + error.msg);
+    problems.AddAtLine(LineOf(error.mark),
+                       "is not YAML: " + ReplaceBadUtf8(error.msg));
     return nullptr;
   }
 }
--- a/programs/citrongradectl/config_diff.cc
+++ b/programs/citrongradectl/config_diff.cc
@@ -21,7 +21,12 @@
     return;
   }
   for (const auto& [name, item] : value.items()) {
-    Flatten(item, path.empty() ? name : path + "." + name, fields);
+    std::string item_path = path;
+    if (!item_path.empty()) {
+      item_path += ".";
+    }
+    item_path += name;
+    Flatten(item, item_path, fields);
   }
 }
 
--- a/programs/citrongradectl/declaration_loader.cc
+++ b/programs/citrongradectl/declaration_loader.cc
@@ -62,6 +62,7 @@
     throw UnreadableFileError(error.what());
   }
   std::vector<DeclarationFile> files;
+  files.reserve(names.size());
   for (const std::string& name : names) {
     files.push_back({name, ReadText(name)});
   }
--- a/programs/citrongradectl/in_force_waiter_test.cc
+++ b/programs/citrongradectl/in_force_waiter_test.cc
@@ -14,6 +14,7 @@
 
 std::vector<NodeProgress> MakeNodes(int count) {
   std::vector<NodeProgress> nodes;
+  nodes.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     nodes.push_back({NodeId("node-" + std::to_string(i)), "", LogOffset(), ""});
   }
--- a/programs/citrongradectl/json_printer.cc
+++ b/programs/citrongradectl/json_printer.cc
@@ -14,8 +14,18 @@
 
 namespace {
 
+// A node's slots alone may fill many screens.
+constexpr std::size_t kMaxCellBytes = 120;
+
 std::string ToCell(const ordered_json& value) {
-  return value.is_string() ? value.get<std::string>() : value.dump();
+  if (value.is_string()) {
+    return value.get<std::string>();
+  }
+  std::string text = value.dump();
+  if (text.size() > kMaxCellBytes) {
+    return std::to_string(value.size()) + " items, see --json";
+  }
+  return text;
 }
 
 bool IsTable(const ordered_json& value) {
--- a/programs/citrongradectl/node_client.cc
+++ b/programs/citrongradectl/node_client.cc
@@ -39,7 +39,7 @@
 
 LogOffset NodeClient::NextOffset() const {
   const ordered_json dump = Dump();
-  const ordered_json::json_pointer field("/log/next_offset");
+  const ordered_json::json_pointer field("/coordinator/next_offset");
   if (!dump.contains(field) || !dump[field].is_number_unsigned()) {
     throw NodeUnreachableError(m_control_address +
                                " answered with a dump without its position");
