--- a/programs/citrongrade-load/call_record.h
+++ b/programs/citrongrade-load/call_record.h
@@ -17,8 +17,8 @@
   // Each attempt was refused as not run.
   bool every_attempt_not_run = true;
   bool any_wrong_answer = false;
-  // Of the last attempt, or of the wrong one.
-  std::string error;
+  // Outcome and error of each attempt, for whoever has to explain it.
+  std::string history;
   // From when the call was due to its last answer.
   std::chrono::microseconds latency{0};
 
--- a/programs/citrongrade-load/load_run.cc
+++ b/programs/citrongrade-load/load_run.cc
@@ -157,7 +157,9 @@
   const Clock::TimePoint now = m_clock.Now();
   ++record.attempts;
   record.last_outcome = result.outcome;
-  record.error = result.error;
+  const std::string ending =
+      std::string(ToString(result.outcome)) + "/" + result.error;
+  record.history += (record.history.empty() ? "" : ", ") + ending;
   record.every_attempt_not_run =
       record.every_attempt_not_run && result.outcome == AttemptOutcome::kNotRun;
   record.any_wrong_answer =
@@ -169,7 +171,7 @@
   if (succeeded)
     return;
   const std::lock_guard lock(m_mutex);
-  ++m_failures[std::string(ToString(result.outcome)) + "/" + result.error];
+  ++m_failures[ending];
 }
 
 void LoadRun::Implementation::Finish(CallRecord record) {
--- a/programs/citrongrade-load/promise_checker.cc
+++ b/programs/citrongrade-load/promise_checker.cc
@@ -19,7 +19,8 @@
                bool is_whole,
                std::vector<BrokenPromise>& broken) {
   const bool is_protected = record.call.kind == CallKind::kProtected;
-  const std::string count = std::to_string(runs) + " runs";
+  const std::string count =
+      std::to_string(runs) + " runs; attempts: " + record.history;
   if (is_protected && runs > 1)
     broken.push_back({Kind::kDoubleRun, record.call.id, count});
   if (record.every_attempt_not_run && runs > 0)
@@ -37,7 +38,7 @@
   std::vector<BrokenPromise> broken;
   for (const CallRecord& record : calls) {
     if (record.any_wrong_answer)
-      broken.push_back({Kind::kWrongAnswer, record.call.id, record.error});
+      broken.push_back({Kind::kWrongAnswer, record.call.id, record.history});
     CheckRuns(record, ledger.RunsOf(record.call.id), is_whole, broken);
   }
   return broken;
