--- a/modules/coordination/slot_spreader.cc
+++ b/modules/coordination/slot_spreader.cc
@@ -11,6 +11,20 @@
 
 namespace {
 
+// Slots of an earlier incarnation count, too: a node that restarted in place is
+// about to take them back, and what others gave it meanwhile would move twice.
+std::uint32_t CountOfNode(const MeshState& state,
+                          const SlotTable& slots,
+                          const NodeId& node) {
+  std::uint32_t count = 0;
+  const auto first = state.members().lower_bound({node, Incarnation()});
+  for (auto it = first; it != state.members().end() && it->first.node == node;
+       ++it) {
+    count += slots.CountOf(it->first);
+  }
+  return count;
+}
+
 // The load that a receiver would have with one slot more.
 double LoadWithOneMore(const SlotSpreader::Receiver& receiver) {
   return (receiver.owned_slots + 1.0) / receiver.weight;
@@ -32,9 +46,9 @@
         !context.health().IsEligible(member->id, context.now())) {
       continue;
     }
-    receivers.push_back({member->id,
-                         std::max(member->announcement.target_slots, 1U),
-                         slots == nullptr ? 0 : slots->CountOf(member->id)});
+    receivers.push_back(
+        {member->id, std::max(member->announcement.target_slots, 1U),
+         slots == nullptr ? 0 : CountOfNode(state, *slots, member->id.node)});
   }
   return receivers;
 }
--- a/modules/state/late_append_test.cc
+++ b/modules/state/late_append_test.cc
@@ -66,6 +66,26 @@
   CHECK(log.state().FindSlots(kService)->CountOf(log.member(0)) == 4);
 }
 
+// A node restarts; its new process leaves before it took back the slots of the
+// earlier one. A node that replayed this and one that restored it from a
+// snapshot must count the same members as current, or their tables part.
+TEST_CASE("a snapshot has the same current members as the replay") {
+  SmallLog log;
+  JoinRecord join;
+  join.node = NodeId("0");
+  join.service = kService;
+  const MemberId restarted{join.node,
+                           Incarnation(log.state().next_offset().value())};
+  log.Apply(join);
+  REQUIRE(log.Apply(LeaveRecord{restarted}).accepted());
+  const AcceptAllConfig accept_all;
+  const MeshState restored(accept_all, log.state().Image());
+  REQUIRE(restored.FindCurrentMember(join.node) != nullptr);
+  REQUIRE(log.state().FindCurrentMember(join.node) != nullptr);
+  CHECK(*restored.FindCurrentMember(join.node) ==
+        *log.state().FindCurrentMember(join.node));
+}
+
 // A member proposes a set of witnesses twice, since the first proposal got no
 // answer. It has come to count on the second when the first lands: were it
 // accepted, others could take over by witnesses that the member does not ask.
--- a/modules/state/mesh_state.cc
+++ b/modules/state/mesh_state.cc
@@ -496,6 +496,13 @@
   const auto current = m_current.find(id.node);
   if (current != m_current.end() && current->second == id.incarnation) {
     m_current.erase(current);
+    // An earlier incarnation that still owns slots is the latest one again, as
+    // it is for a node that reads this state from a snapshot.
+    for (const auto& [member, entry] : m_members) {
+      if (member.node == id.node) {
+        m_current[id.node] = member.incarnation;
+      }
+    }
   }
   ForgetUnreferencedDeparted();
 }
@@ -513,6 +520,9 @@
 }
 
 void MeshState::ForgetUnreferencedDeparted() {
+  if (m_departed.empty()) {
+    return;
+  }
   std::set<MemberId> referenced;
   const auto add = [&referenced](const WitnessSet& set) {
     for (const Witness& witness : set.witnesses) {
--- a/modules/state/slot_table.cc
+++ b/modules/state/slot_table.cc
@@ -43,11 +43,7 @@
 
 std::uint32_t SlotTable::CountOf(const MemberId& member) const {
   const OwnerIndex owner = FindOwner(member);
-  if (owner == kUnowned) {
-    return 0;
-  }
-  return static_cast<std::uint32_t>(
-      std::count(m_owner_of_slot.begin(), m_owner_of_slot.end(), owner));
+  return owner == kUnowned ? 0 : m_owned_count[owner];
 }
 
 std::uint32_t SlotTable::UnownedCount() const {
@@ -84,9 +80,14 @@
   const OwnerIndex owner = FindOrAddOwner(run.owner);
   const std::uint32_t end = run.first.value() + run.count;
   for (std::uint32_t slot = run.first.value(); slot < end; ++slot) {
+    const OwnerIndex before = m_owner_of_slot[slot];
+    if (before != kUnowned) {
+      --m_owned_count[before];
+    }
     m_owner_of_slot[slot] = owner;
     m_epoch_of_slot[slot] = epoch;
   }
+  m_owned_count[owner] += run.count;
 }
 
 void SlotTable::Release(const MemberId& member) {
@@ -94,6 +95,7 @@
   if (owner != kUnowned) {
     std::replace(m_owner_of_slot.begin(), m_owner_of_slot.end(), owner,
                  kUnowned);
+    m_owned_count[owner] = 0;
   }
 }
 
@@ -135,16 +137,14 @@
   }
   // An entry that owns nothing any more is taken again, so that the list stays
   // as long as the mesh is wide however many members came and went.
-  for (OwnerIndex index = 0; index < m_owners.size(); ++index) {
-    const bool in_use =
-        std::find(m_owner_of_slot.begin(), m_owner_of_slot.end(), index) !=
-        m_owner_of_slot.end();
-    if (!in_use) {
-      m_owners[index] = member;
-      return index;
-    }
+  const auto free = std::find(m_owned_count.begin(), m_owned_count.end(), 0U);
+  if (free != m_owned_count.end()) {
+    const auto index = static_cast<OwnerIndex>(free - m_owned_count.begin());
+    m_owners[index] = member;
+    return index;
   }
   m_owners.push_back(member);
+  m_owned_count.push_back(0);
   return static_cast<OwnerIndex>(m_owners.size() - 1);
 }
 
--- a/modules/state/slot_table.h
+++ b/modules/state/slot_table.h
@@ -67,6 +67,8 @@
   std::vector<OwnerIndex> m_owner_of_slot;
   std::vector<Epoch> m_epoch_of_slot;
   std::vector<MemberId> m_owners;
+  // Slots of each entry of m_owners.
+  std::vector<std::uint32_t> m_owned_count;
 };
 
 }  // namespace citrongrade
