Survive the loss of a peer, and claim not-run only for all attempts together

Cause: asking a closed connection for its interface again made Cap'n Proto write to it, and the whole process ended when another node was killed. A read whose first attempt may have run and whose second was refused was reported not-run. Other kept connections to a target that crashed were still used. Change: each connection's interface is asked for once; the outcome covers all attempts; one broken connection drops the idle ones.

--- a/modules/transport/caller_exchange.cc
+++ b/modules/transport/caller_exchange.cc
@@ -136,12 +136,16 @@
   while (true) {
     const std::optional<Route> route = m_dependencies.chooser.Choose(
         *m_parsed.settings, m_parsed.slot_key, failed);
-    const AnswerHead answer = Attempt(route);
+    AnswerHead answer = Attempt(route);
     if (!MayRetry(answer)) {
+      // What the last attempt proves, it proves of itself alone.
+      if (answer.outcome == RequestOutcome::kNotRun && m_may_have_run)
+        answer.outcome = RequestOutcome::kUnknown;
       SendAnswer(answer);
       m_transfer.reset();
       return;
     }
+    m_may_have_run |= answer.outcome == RequestOutcome::kUnknown;
     m_dependencies.metrics.OnRetried();
     m_allowance = m_allowance.AfterRetry();
     failed = route ? route->data_address : std::string();
--- a/modules/transport/caller_exchange.h
+++ b/modules/transport/caller_exchange.h
@@ -56,6 +56,8 @@
   std::string m_first_bytes;
   bool m_body_is_whole = false;
   RetryAllowance m_allowance;
+  // An earlier attempt may have run.
+  bool m_may_have_run = false;
   std::shared_ptr<RequestTransfer> m_transfer;
 };
 
--- a/modules/transport/data_rpc_connection.cc
+++ b/modules/transport/data_rpc_connection.cc
@@ -1,5 +1,7 @@
 #include "modules/transport/data_rpc_connection.h"
 
+#include <kj/debug.h>
+
 #include <chrono>
 
 #include "modules/transport/rpc_address.h"
@@ -29,8 +31,7 @@
 }
 
 rpc::RequestRunner::Client DataRpcConnection::Runner() {
-  KJ_REQUIRE(!m_failed, "the connection is lost");
-  return m_client->bootstrap().castAs<rpc::RequestRunner>();
+  return KJ_REQUIRE_NONNULL(m_runner, "the connection is not open");
 }
 
 kj::Promise<void> DataRpcConnection::WhenFailed() {
@@ -45,6 +46,7 @@
           [this](kj::Own<kj::AsyncIoStream> stream) {
             m_stream = kj::mv(stream);
             m_client = kj::heap<capnp::TwoPartyClient>(*m_stream);
+            m_runner = m_client->bootstrap().castAs<rpc::RequestRunner>();
             m_watching =
                 m_client->onDisconnect()
                     .then([]() -> kj::Promise<void> {
--- a/modules/transport/data_rpc_connection.h
+++ b/modules/transport/data_rpc_connection.h
@@ -21,7 +21,7 @@
 
   // Resolves once it is open; fails when it can't be opened.
   kj::Promise<void> WhenOpen();
-  // Only after WhenOpen. Throws kj::Exception once failed.
+  // Only after WhenOpen; its calls fail once the connection is lost.
   rpc::RequestRunner::Client Runner();
   // Fails, once, when the connection is lost or silent. Never resolves.
   kj::Promise<void> WhenFailed();
@@ -37,6 +37,9 @@
   kj::Own<kj::NetworkAddress> m_address;
   kj::Own<kj::AsyncIoStream> m_stream;
   kj::Own<capnp::TwoPartyClient> m_client;
+  // Asked for once: to ask a connection that the peer has closed makes the
+  // library write to it, which ends the process.
+  kj::Maybe<rpc::RequestRunner::Client> m_runner;
   bool m_failed = false;
   kj::Own<kj::PromiseFulfiller<void>> m_failure_fulfiller;
   kj::ForkedPromise<void> m_failure;
--- a/modules/transport/peer_rpc_sender.cc
+++ b/modules/transport/peer_rpc_sender.cc
@@ -2,6 +2,7 @@
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
+#include <kj/debug.h>
 #include <spdlog/spdlog.h>
 
 #include <chrono>
@@ -42,6 +43,9 @@
     kj::Own<kj::NetworkAddress> address;
     kj::Own<kj::AsyncIoStream> stream;
     kj::Own<capnp::TwoPartyClient> client;
+    // Asked for once: to ask a connection that the peer has closed makes the
+    // library write to it, which ends the process.
+    kj::Maybe<rpc::Peer::Client> peer;
     kj::ForkedPromise<void> opened = nullptr;
     std::size_t on_the_way = 0;
     bool failed = false;
@@ -96,13 +100,15 @@
       .then([&connection](kj::Own<kj::AsyncIoStream> stream) {
         connection.stream = kj::mv(stream);
         connection.client = kj::heap<capnp::TwoPartyClient>(*connection.stream);
+        connection.peer = connection.client->bootstrap().castAs<rpc::Peer>();
       });
 }
 
 kj::Promise<void> PeerRpcSender::Implementation::Deliver(
     Connection& connection,
     const PeerMessage& message) {
-  auto peer = connection.client->bootstrap().castAs<rpc::Peer>();
+  rpc::Peer::Client peer =
+      KJ_REQUIRE_NONNULL(connection.peer, "the connection is not open");
   auto request = peer.deliverRequest();
   PeerMessageCodec::Encode(message, request.initMessage());
   return m_loop.io().provider->getTimer().timeoutAfter(
--- a/modules/transport/target_call.cc
+++ b/modules/transport/target_call.cc
@@ -102,7 +102,9 @@
     Refuse(RefuseUnknown(RequestErrorCode::kTargetFailed, error.what(),
                          kRetryAfterTargetFailure));
   }
-  if (m_connection && m_connection->is_reusable())
+  if (m_result.connection_lost)
+    m_pool.DropIdle();
+  else if (m_connection && m_connection->is_reusable())
     m_pool.GiveBack(std::move(m_connection));
   return m_result;
 }
--- a/modules/transport/target_connection_pool.cc
+++ b/modules/transport/target_connection_pool.cc
@@ -26,6 +26,12 @@
   m_idle.push_back({std::move(connection), m_clock.Now()});
 }
 
+void TargetConnectionPool::DropIdle() {
+  std::vector<Idle> dropped;
+  const std::lock_guard lock(m_mutex);
+  dropped.swap(m_idle);
+}
+
 bool TargetConnectionPool::IsRefused() const {
   try {
     const HttpClientConnection connection(m_address);
--- a/modules/transport/target_connection_pool.h
+++ b/modules/transport/target_connection_pool.h
@@ -31,6 +31,10 @@
   // Keeps the connection if it may serve another request.
   void GiveBack(std::unique_ptr<HttpClientConnection> connection);
 
+  // One connection broke, so the others are likely to be gone as well: what
+  // goes out on one of them next could not be proved not to have run.
+  void DropIdle();
+
   // Nobody listens at the target's address: its process is gone.
   bool IsRefused() const;
 
