--- a/modules/transport/caller_request_parser.h
+++ b/modules/transport/caller_request_parser.h
@@ -19,7 +19,7 @@
   static constexpr std::size_t kMaxKeyBytes = 512;
   static constexpr std::size_t kMaxRequestIdBytes = 200;
   // Method, path, query and headers together.
-  static constexpr std::size_t kMaxHeadBytes = 16 * 1024;
+  static constexpr std::size_t kMaxHeadBytes = std::size_t{16} * 1024;
 
   struct Parsed {
     ForwardedRequest request;
--- a/modules/transport/control_handler.cc
+++ b/modules/transport/control_handler.cc
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxAnnouncementBytes = 16 * 1024;
+constexpr std::size_t kMaxAnnouncementBytes = std::size_t{16} * 1024;
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 constexpr int kBadRequest = 400;
--- a/modules/transport/data_rpc_test.cc
+++ b/modules/transport/data_rpc_test.cc
@@ -42,7 +42,7 @@
     return transfer;
   }
 
-  const SteadyClock clock;
+  const SteadyClock clock{};
   SilentListener listener;
   const std::string address = listener.TakeAddress();
   RpcLoop entry_loop{64};
@@ -76,7 +76,7 @@
 
 TEST_CASE_FIXTURE(TwoNodes, "bodies longer than all pipes pass both ways") {
   constexpr std::size_t kChunks = 200;
-  const std::string chunk(64 * 1024, 'x');
+  const std::string chunk(std::size_t{64} * 1024, 'x');
   std::thread owner;
   runner.run = [&](std::shared_ptr<RequestTransfer> transfer) {
     owner = std::thread([transfer = std::move(transfer), this] {
--- a/modules/transport/node_metrics.cc
+++ b/modules/transport/node_metrics.cc
@@ -103,10 +103,12 @@
                         acc::mean(entry.milliseconds));
     text += fmt::format("answer_ms_max{{outcome=\"{}\"}} {:.3f}\n", name,
                         acc::max(entry.milliseconds));
-    for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
-      text += fmt::format(
-          "answer_ms{{outcome=\"{}\",quantile=\"{}\"}} {:.3f}\n", name,
-          kQuantiles[i], acc::extended_p_square(entry.milliseconds)[i]);
+    const auto values = acc::extended_p_square(entry.milliseconds);
+    auto value = values.begin();
+    for (const double quantile : kQuantiles) {
+      text +=
+          fmt::format("answer_ms{{outcome=\"{}\",quantile=\"{}\"}} {:.3f}\n",
+                      name, quantile, *value++);
     }
   }
   for (const auto& [error, count] : m_implementation->refusals) {
--- a/modules/transport/request_transfer.h
+++ b/modules/transport/request_transfer.h
@@ -26,9 +26,9 @@
 class RequestTransfer {
  public:
   // Of each body, the part that is held here.
-  static constexpr std::size_t kPipeBytes = 256 * 1024;
+  static constexpr std::size_t kPipeBytes = std::size_t{256} * 1024;
   // A body up to this size travels with its head.
-  static constexpr std::size_t kInlineBytes = 64 * 1024;
+  static constexpr std::size_t kInlineBytes = std::size_t{64} * 1024;
 
   RequestTransfer(ForwardedRequest request, Clock::TimePoint deadline);
   ~RequestTransfer();
--- a/modules/transport/target_call.cc
+++ b/modules/transport/target_call.cc
@@ -178,7 +178,7 @@
 }
 
 HttpResponseHead TargetCall::ReadHead() {
-  const HttpResponseHead response = m_connection->ReadHead(
+  HttpResponseHead response = m_connection->ReadHead(
       std::max(TimeLeft(), std::chrono::milliseconds(1)));
   const auto id = response.Header("Citrongrade-Request-Id");
   // A target that refuses before it reads the request may not know its id. No
--- a/modules/transport/testing/silent_listener.h
+++ b/modules/transport/testing/silent_listener.h
@@ -19,7 +19,7 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
     auto* generic = reinterpret_cast<sockaddr*>(&address);
-    bind(m_socket, generic, size);
+    [[maybe_unused]] const int bound = bind(m_socket, generic, size);
     listen(m_socket, 16);
     getsockname(m_socket, generic, &size);
     m_address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
--- a/programs/citrongrade-node/node.cc
+++ b/programs/citrongrade-node/node.cc
@@ -96,10 +96,10 @@
 
   const NodeSettings m_settings;
   const std::string m_boot_id = ReadBootId();
-  const SteadyClock m_clock;
-  const ConfigRules m_config_rules;
-  const ConfigSettingsResolver m_settings_resolver;
-  const JsonSnapshotCodec m_snapshot_codec;
+  const SteadyClock m_clock{};
+  const ConfigRules m_config_rules{};
+  const ConfigSettingsResolver m_settings_resolver{};
+  const JsonSnapshotCodec m_snapshot_codec{};
   NodeMetrics m_metrics;
   RpcLoop m_data_loop{kLoopRing};
   RpcLoop m_control_loop{kLoopRing};
