--- a/modules/coordination/load/admission_controller.cc
+++ b/modules/coordination/load/admission_controller.cc
@@ -42,6 +42,12 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+// Without progress for this many of the longest run expected, a target is
+// frozen; one that is merely ten times slower goes on ending runs.
+constexpr int kStallRuns = 10;
+
+constexpr int kMostAfterStall = 2;
+
 // Mean of how much short work runs or waits, fading over kDemandMemory.
 class DemandAverage {
  public:
@@ -70,6 +76,7 @@
 
 struct RunningRequest {
   WorkClass work_class = WorkClass::kShort;
+  Clock::TimePoint started;
   Clock::TimePoint deadline;
   bool reported_overdue = false;
 };
@@ -138,10 +145,8 @@
       throw UnknownTicketError(ticket);
     }
     const WorkClass work_class = found->second.work_class;
-    // A refusal by the target is quick and says nothing about work that runs.
-    if (outcome != RunOutcome::kNotRun) {
-      m_limit.OnFinished(work_class, latency, m_running.size());
-      m_times[IndexOf(work_class)].OnSample(latency);
+    if (TellsRunTime(work_class, outcome, latency)) {
+      Learn(found->second, latency);
     }
     --m_running_of[IndexOf(work_class)];
     m_running.erase(found);
@@ -280,7 +285,8 @@
     if (end > facts.deadline) {
       return Refuse(facts.work_class, RefusalReason::kDeadlineTooClose, wait);
     }
-    if (wait > StandingWait(facts.work_class) && !TakeCredit(facts)) {
+    const bool is_long_wait = wait > StandingWait(facts.work_class);
+    if (is_long_wait && !TakeCredit(facts)) {
       return Refuse(facts.work_class, RefusalReason::kOverloaded, wait);
     }
     return Enqueue(facts, wait);
@@ -295,7 +301,12 @@
         kLongRunsToWait * TimeOf(work_class).mean());
   }
 
+  // Not for a caller that is over its share: it alone would spend the credit
+  // that all need, and then they would be refused for its rush.
   bool TakeCredit(const RequestFacts& facts) {
+    if (QueueOf(facts.work_class).IsOverShare(facts)) {
+      return false;
+    }
     return m_credit.TryTake(ToSeconds(TimeOf(facts.work_class).mean()));
   }
 
@@ -340,6 +351,39 @@
     return still > LongestExpectedRun() ? still : Clock::Duration(0);
   }
 
+  // A refusal by the target is quick and says nothing about work that runs. A
+  // run without an answer took at least this long; with a lost connection, that
+  // may be nothing: a crashing target would look like the fastest one.
+  bool TellsRunTime(WorkClass work_class,
+                    RunOutcome outcome,
+                    Clock::Duration latency) const {
+    if (outcome == RunOutcome::kUnknown) {
+      return latency > TimeOf(work_class).mean();
+    }
+    return outcome == RunOutcome::kDone;
+  }
+
+  // What ran through a freeze all ends together when it is over, each with the
+  // freeze in its latency. Taken as run times, these would have every request
+  // refused as too late just when the target is well again. The first of them
+  // counts, but as no more than kMostAfterStall times what was expected: if run
+  // times have really grown so much, the next ones lead there in a few steps.
+  void Learn(const RunningRequest& ended, Clock::Duration latency) {
+    const Clock::TimePoint now = m_clock.Now();
+    if (now - m_last_progress > kStallRuns * LongestExpectedRun()) {
+      m_stall_ended = now;
+      ServiceTimeEstimator& time = m_times[IndexOf(ended.work_class)];
+      time.OnSample(std::min<Clock::Duration>(
+          latency, kMostAfterStall * time.cautious()));
+      return;
+    }
+    if (ended.started < m_stall_ended) {
+      return;
+    }
+    m_limit.OnFinished(ended.work_class, latency, m_running.size());
+    m_times[IndexOf(ended.work_class)].OnSample(latency);
+  }
+
   Clock::Duration LongestExpectedRun() const {
     const bool runs_long = RunningOf(WorkClass::kLong) > 0;
     const Clock::Duration of_short = TimeOf(WorkClass::kShort).cautious();
@@ -354,7 +398,8 @@
     const bool is_new =
         m_running
             .emplace(facts.ticket,
-                     RunningRequest{facts.work_class, facts.deadline, false})
+                     RunningRequest{facts.work_class, m_clock.Now(),
+                                    facts.deadline, false})
             .second;
     // The caller used one ticket for two requests.
     assert(is_new);
@@ -485,6 +530,7 @@
   // Refused since the last Poll().
   std::vector<RefusedRequest> m_refused;
   Clock::TimePoint m_last_progress;
+  Clock::TimePoint m_stall_ended;
   Clock::TimePoint m_last_sweep;
   bool m_stopped = false;
   std::uint64_t m_admitted_total = 0;
