Play publications with several nodes, and a log that is slow, lossy or down

The tests found that publish said that nothing had changed where the log had taken the record and gone down: it read the log once more for its message. It uses what it has read now.

--- a/programs/citrongradectl/command_context.cc
+++ b/programs/citrongradectl/command_context.cc
@@ -116,6 +116,10 @@
   }
 }
 
+const MeshState& CommandContext::LastState() {
+  return Open().reader().state();
+}
+
 const std::string& CommandContext::OperatorName() const {
   if (m_settings.operator_name.empty()) {
     throw UsageError(
--- a/programs/citrongradectl/command_context.h
+++ b/programs/citrongradectl/command_context.h
@@ -13,6 +13,7 @@
 namespace citrongrade {
 
 class MeshReader;
+class MeshState;
 
 // What commands work with: settings, output, the log and the nodes' addresses.
 // The log is opened when it is first asked for, since not all commands need it.
@@ -30,6 +31,10 @@
   // LogPastLostError.
   MeshReader& ReadLog();
 
+  // As it was read last, by ReadLog or Write; does not touch the log. Throws
+  // UsageError without an address.
+  const MeshState& LastState();
+
   // Throws UsageError without an operator's name.
   const std::string& OperatorName() const;
 
--- a/programs/citrongradectl/publish_command.cc
+++ b/programs/citrongradectl/publish_command.cc
@@ -151,7 +151,7 @@
   for (const ConfigRecord& record : records) {
     const WriteResult result = context.Write(record);
     const WriteReport report =
-        WriteReport::OfConfig(result, record, context.ReadLog().state());
+        WriteReport::OfConfig(result, record, context.LastState());
     list.push_back(ToJson(record, result, report));
     if (!context.settings().json) {
       context.out() << report.message << '\n';
--- /dev/null
+++ b/tests/ctl_publish_process_test.py
@@ -0,0 +1,181 @@
+"""Publications: in force everywhere, never reverting, with definite answers."""
+
+import json
+import sys
+import threading
+import time
+import unittest
+
+from support.node_mesh import Mesh
+from support.processes import ProgramGroup
+from support.publications import (Publisher, allows, percentiles,
+                                  print_percentiles)
+
+BUILD_DIR = sys.argv.pop(1)
+OK, CONFLICT, UNKNOWN, LAGGING, UNREACHABLE = 0, 4, 5, 6, 7
+PUBLICATIONS = 100
+SECONDS_WITH_LOG_WELL = 2
+SECONDS_WITH_LOG_SLOW = 11
+
+
+class Watch:
+    """Asks nodes all the time for the newest version that is in force."""
+
+    def __init__(self, nodes):
+        self.version = 0
+        self.reverted = []
+        self.asked = 0
+        self._nodes = nodes
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def stop(self):
+        self._stopping = True
+        self._thread.join()
+
+    def _run(self):
+        while not self._stopping:
+            for node in self._nodes:
+                version = self.version
+                if not allows(node, version):
+                    self.reverted.append((node.name, version))
+                self.asked += 1
+            time.sleep(0.02)
+
+
+class PublishTest(unittest.TestCase):
+
+    def setUp(self):
+        programs = ProgramGroup(BUILD_DIR)
+        self.addCleanup(programs.__exit__)
+        self.mesh = Mesh(programs)
+        self.publisher = Publisher(BUILD_DIR, self.mesh)
+        self.addCleanup(self.publisher.close)
+        self.assertEqual(self.publisher.publish_template()[0], OK)
+        self.assertEqual(self.publisher.publish_version(0)[0][0], OK)
+
+    def start_nodes(self, count):
+        zones = ("boa-viagem", "derby", "suape")
+        for i in range(count):
+            self.mesh.start_node(zones[i % len(zones)])
+        self.mesh.wait_until_served()
+
+    # An operator publishes a hundred times in a row. Each version is in force
+    # on all nodes within the time, and a caller who met a version never meets
+    # an earlier one again, on any node.
+    def test_a_hundred_publications_are_in_force_and_never_revert(self):
+        self.start_nodes(4)
+        watch = Watch(self.mesh.nodes)
+        self.addCleanup(watch.stop)
+        taken = []
+        for version in range(1, PUBLICATIONS + 1):
+            (code, output, errors), seconds = self.publisher.publish_version(
+                version, "--wait")
+            self.assertEqual(code, OK, output + errors)
+            self.assertTrue(all(allows(node, version)
+                                for node in self.mesh.nodes))
+            self.assertFalse(allows(self.mesh.nodes[0], version + 1))
+            watch.version = version
+            taken.append(seconds)
+        watch.stop()
+        print_percentiles("publication-to-in-force-log-well", taken)
+        self.assertEqual(watch.reverted, [])
+        self.assertGreater(watch.asked, PUBLICATIONS)
+        self.assertLess(percentiles(taken)["p99_ms"],
+                        1000 * SECONDS_WITH_LOG_WELL)
+
+    # The log answers each call late. Publishing needs several calls and nodes
+    # long-poll, so it takes longer, and still no longer than agreed.
+    def test_a_slow_log_delays_a_publication_within_bounds(self):
+        self.start_nodes(3)
+        self.mesh.log.set_faults(delay_ms=200)
+        taken = []
+        for version in range(1, 6):
+            (code, output, errors), seconds = self.publisher.publish_version(
+                version, "--wait")
+            self.assertEqual(code, OK, output + errors)
+            taken.append(seconds)
+        print_percentiles("publication-to-in-force-log-slow", taken)
+        self.assertLess(max(taken), SECONDS_WITH_LOG_SLOW)
+
+    # The log loses the answers of the next appends after taking the records.
+    # The operator still gets a yes, and the record is in force once.
+    def test_a_lost_answer_ends_in_a_definite_yes(self):
+        for version in range(1, 11):
+            self.mesh.log.set_faults(lose_answers=1)
+            code, output, _ = self.publisher.publish_version(version)[0]
+            self.assertEqual(code, OK, output)
+            self.assertIn("accepted", output)
+        history = json.loads(self.publisher.run("history", "--json")[1])
+        accepted = [change for change in history if change["accepted"]]
+        self.assertEqual(len(accepted), 12)
+
+    # The log is down from the start, then goes down after it took the record
+    # and lost the answer: the first is a definite no, the second is said to be
+    # not known, with the command that finds out later.
+    def test_what_is_not_known_is_said_and_can_be_found_out(self):
+        self.mesh.log.set_faults(outage=True)
+        code, _, _ = self.publisher.publish_version(1, "--timeout-ms", 500)[0]
+        self.assertEqual(code, UNREACHABLE)
+        self.mesh.log.set_faults(outage=False, lose_answers=1, delay_ms=150)
+        path = self.publisher.service_file(2)
+        process = self.publisher.start("publish", path, "--timeout-ms", 900,
+                                       "--json")
+        self.wait_for_append()
+        self.mesh.log.set_faults(outage=True, delay_ms=0)
+        output, errors = process.communicate(timeout=60)
+        self.assertEqual(process.returncode, UNKNOWN, output + errors)
+        record = json.loads(output)["records"][0]
+        self.assertIn("history --record " + record["record"],
+                      record["message"])
+        self.mesh.log.set_faults(outage=False)
+        code, output, _ = self.publisher.run(
+            "history", "--record", record["record"], "--json")
+        self.assertEqual(code, OK)
+        self.assertTrue(json.loads(output)[0]["accepted"])
+
+    def wait_for_append(self):
+        first = 3
+        end = time.monotonic() + 20
+        while self.mesh.log.bounds().json()["next"] <= first:
+            self.assertLess(time.monotonic(), end)
+
+    # Two operators publish at the same moment. One wins; the other learns which
+    # version beat it and by whom, and nothing of its own is in force.
+    def test_of_two_publishers_one_wins_and_one_is_told(self):
+        other = Publisher(BUILD_DIR, self.mesh, "rui")
+        self.addCleanup(other.close)
+        self.mesh.log.set_faults(delay_ms=40)
+        conflicts = 0
+        for version in range(1, 31, 2):
+            mine = self.publisher.start(
+                "publish", self.publisher.service_file(version))
+            theirs = other.start("publish", other.service_file(version + 1))
+            outputs = [process.communicate(timeout=60)[0]
+                       for process in (mine, theirs)]
+            codes = (mine.returncode, theirs.returncode)
+            self.assertIn(OK, codes)
+            self.assertTrue(set(codes) <= {OK, CONFLICT}, outputs)
+            if CONFLICT in codes:
+                conflicts += 1
+                loser = codes.index(CONFLICT)
+                self.assertIn("by %s was first" % ("rui", "ana")[loser],
+                              outputs[loser])
+        self.assertGreater(conflicts, 5)
+
+    # A node is frozen. The others are in force; the operator is told which one
+    # lags instead of waiting without an end.
+    def test_wait_names_the_node_that_lags(self):
+        self.start_nodes(3)
+        frozen = self.mesh.nodes[1]
+        frozen.process.pause()
+        code, output, _ = self.publisher.publish_version(
+            1, "--wait", "--timeout-ms", 3000)[0]
+        self.assertEqual(code, LAGGING, output)
+        self.assertIn(frozen.name, output)
+        self.assertNotIn(self.mesh.nodes[0].name, output)
+
+
+if __name__ == "__main__":
+    unittest.main()
