--- a/benchmarks/capacity_benchmark.cc
+++ b/benchmarks/capacity_benchmark.cc
@@ -4,17 +4,27 @@
 
 #include <benchmark/benchmark.h>
 
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <malloc.h>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "benchmarks/capacity_mesh.h"
+#include "modules/coordination/coordinator_settings.h"
+#include "modules/coordination/messages/peer_message.h"
+#include "modules/coordination/request_id_memory.h"
+#include "modules/coordination/witnessed_ids.h"
 #include "modules/protocol/config_rules.h"
 #include "modules/protocol/mesh_image_codec.h"
+#include "modules/protocol/peer.capnp.h"
+#include "modules/protocol/peer_message_codec.h"
 #include "modules/protocol/record_codec.h"
 #include "modules/protocol/service_settings_codec.h"
 
@@ -266,6 +276,102 @@
     ->Arg(100)
     ->Unit(benchmark::kMicrosecond);
 
+ProtectedRequest MakeRequest(std::uint64_t number) {
+  constexpr std::uint32_t kSlotsOfOneNode = 109;
+  ProtectedRequest request;
+  request.service = CapacityMesh::service();
+  request.slot =
+      SlotIndex(static_cast<std::uint32_t>(number) % kSlotsOfOneNode);
+  request.id = {number * 0x9e37'79b9'7f4a'7c15ULL, number};
+  request.resend_horizon = std::chrono::minutes(10);
+  return request;
+}
+
+// Time and memory of one request id at its owner.
+void RememberIdAtOwner(benchmark::State& run) {
+  const auto count = static_cast<std::uint64_t>(run.range(0));
+  const CoordinatorSettings settings;
+  std::size_t bytes = 0;
+  for (auto step : run) {
+    const std::size_t before = BytesInUse();
+    RequestIdMemory memory(count, settings.max_answer_bytes);
+    for (std::uint64_t i = 0; i < count; ++i) {
+      const ProtectedRequest request = MakeRequest(i);
+      memory.Add(request, Clock::TimePoint());
+      memory.SetRunning(request.slot, request.id);
+      memory.Finish(request, nullptr, Clock::TimePoint());
+    }
+    bytes = BytesInUse() - before;
+  }
+  run.SetItemsProcessed(run.iterations() * run.range(0));
+  run.counters["bytes_per_id"] =
+      static_cast<double>(bytes) / static_cast<double>(count);
+}
+BENCHMARK(RememberIdAtOwner)->Arg(100'000)->Unit(benchmark::kMillisecond);
+
+// The same at one of its witnesses.
+void RememberIdAtWitness(benchmark::State& run) {
+  const auto count = static_cast<std::uint64_t>(run.range(0));
+  constexpr std::uint64_t kBatch = 20;
+  const MemberId owner{NodeId("recife-derby-host-1"), Incarnation(7)};
+  std::size_t bytes = 0;
+  for (auto step : run) {
+    const std::size_t before = BytesInUse();
+    WitnessedIds memory{CoordinatorSettings()};
+    for (std::uint64_t i = 0; i < count; i += kBatch) {
+      RegisterIdsRequest batch;
+      batch.service = CapacityMesh::service();
+      for (std::uint64_t j = i; j < i + kBatch; ++j) {
+        const ProtectedRequest request = MakeRequest(j);
+        batch.ids.push_back(
+            {request.slot, request.id, {}, request.resend_horizon});
+      }
+      memory.Store(owner, batch, Clock::TimePoint());
+    }
+    bytes = BytesInUse() - before;
+  }
+  run.SetItemsProcessed(run.iterations() * run.range(0));
+  run.counters["bytes_per_id"] =
+      static_cast<double>(bytes) / static_cast<double>(count);
+}
+BENCHMARK(RememberIdAtWitness)->Arg(100'000)->Unit(benchmark::kMillisecond);
+
+// Encoding and decoding of one message between nodes, and its size, without
+// what the RPC layer and TCP add.
+void CodePeerMessage(benchmark::State& run, const PeerMessage& message) {
+  std::size_t bytes = 0;
+  for (auto step : run) {
+    capnp::MallocMessageBuilder builder;
+    auto root = builder.initRoot<rpc::PeerMessage>();
+    PeerMessageCodec::Encode(message, root);
+    bytes = capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
+    benchmark::DoNotOptimize(PeerMessageCodec::Decode(root.asReader()));
+  }
+  run.counters["message_bytes"] = static_cast<double>(bytes);
+}
+
+PeerMessage MakeMessage(PeerMessage::Content content) {
+  return {{NodeId("recife-derby-host-1"), Incarnation(7)},
+          {NodeId("recife-derby-host-2"), Incarnation(9)},
+          std::move(content)};
+}
+
+RegisterIdsRequest MakeIds(std::uint64_t count) {
+  RegisterIdsRequest batch;
+  batch.service = CapacityMesh::service();
+  for (std::uint64_t i = 0; i < count; ++i) {
+    const ProtectedRequest request = MakeRequest(i);
+    batch.ids.push_back({request.slot, request.id, {}, request.resend_horizon});
+  }
+  return batch;
+}
+
+BENCHMARK_CAPTURE(CodePeerMessage, lease_request, MakeMessage(LeaseRequest()));
+BENCHMARK_CAPTURE(CodePeerMessage, lease_reply, MakeMessage(LeaseReply()));
+BENCHMARK_CAPTURE(CodePeerMessage, one_id, MakeMessage(MakeIds(1)));
+BENCHMARK_CAPTURE(CodePeerMessage, twenty_ids, MakeMessage(MakeIds(20)));
+BENCHMARK_CAPTURE(CodePeerMessage, ids_reply, MakeMessage(RegisterIdsReply()));
+
 }  // namespace
 
 }  // namespace citrongrade
--- a/modules/protocol/record_codec_test.cc
+++ b/modules/protocol/record_codec_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "modules/coordination/coordinator_settings.h"
 #include "modules/protocol/record_not_encodable_error.h"
 #include "modules/state/size_limits.h"
 
@@ -92,6 +93,21 @@
       "runs: names an owner that is not listed");
 }
 
+TEST_CASE("a snapshot's chunk as large as nodes write it is readable") {
+  // Nodes cut snapshots into chunks of a size of their own choice. Were a chunk
+  // beyond the codec's bound, each snapshot would be unreadable, and a node
+  // that joins after the log's first records are gone could never start.
+  const SnapshotRecord record{
+      RecordId("a"),
+      LogOffset(1),
+      0,
+      1,
+      0,
+      std::string(CoordinatorSettings().snapshot_chunk_bytes, 'x')};
+  const std::string text = RecordCodec::Encode(RecordId("id"), record);
+  CHECK(RecordCodec::Decode(LogOffset(1), text).record == Record(record));
+}
+
 TEST_CASE("what the log would not take is refused before it is sent") {
   const SnapshotRecord large{RecordId("a"),
                              LogOffset(1),
--- a/modules/state/size_limits.h
+++ b/modules/state/size_limits.h
@@ -23,10 +23,10 @@
   static constexpr std::size_t kMaxWitnesses = 16;
   static constexpr std::size_t kMaxServices = 4'096;
   static constexpr std::size_t kMaxConfigEntries = 8'192;
-  // Escaped as JSON text a chunk stays below half of a record.
-  static constexpr std::size_t kMaxSnapshotChunkBytes = std::size_t{256} * 1024;
+  // As JSON text a chunk grows by its quotes, about an eighth of a snapshot.
+  static constexpr std::size_t kMaxSnapshotChunkBytes = std::size_t{512} * 1024;
   // 16 MiB; a snapshot at target size takes some hundred KiB.
-  static constexpr std::uint32_t kMaxSnapshotChunks = 64;
+  static constexpr std::uint32_t kMaxSnapshotChunks = 32;
 };
 
 }  // namespace citrongrade
