Say which kind of call a broken promise was, and test kept connections

Cause: a promise that broke named the call's id alone, which doesn't tell a read from a protected call.

Change: the detail names kind, runs and what each attempt was told. New tests: a pool of kept connections; a collector that is replaced fails no call.

--- a/programs/citrongrade-load/call_kind.h
+++ b/programs/citrongrade-load/call_kind.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 namespace citrongrade {
 
@@ -14,4 +15,20 @@
   kDirectRead,
 };
 
+constexpr std::string_view ToString(CallKind kind) {
+  switch (kind) {
+    case CallKind::kRead:
+      return "read";
+    case CallKind::kProtected:
+      return "protected call";
+    case CallKind::kUpload:
+      return "upload";
+    case CallKind::kDownload:
+      return "download";
+    case CallKind::kDirectRead:
+      return "direct read";
+  }
+  return "unknown";
+}
+
 }  // namespace citrongrade
--- a/programs/citrongrade-load/promise_checker.cc
+++ b/programs/citrongrade-load/promise_checker.cc
@@ -19,8 +19,9 @@
                bool is_whole,
                std::vector<BrokenPromise>& broken) {
   const bool is_protected = record.call.kind == CallKind::kProtected;
-  const std::string count =
-      std::to_string(runs) + " runs; attempts: " + record.history;
+  const std::string count = std::string(ToString(record.call.kind)) + ", " +
+                            std::to_string(runs) +
+                            " runs; attempts: " + record.history;
   if (is_protected && runs > 1)
     broken.push_back({Kind::kDoubleRun, record.call.id, count});
   if (record.every_attempt_not_run && runs > 0)
--- a/tests/load_process_test.py
+++ b/tests/load_process_test.py
@@ -121,6 +121,16 @@
                          {"double-run"})
         self.assertGreater(report["unavailable_ms"]["count"], 0)
 
+    # The collector is replaced between two runs; the target's kept connections
+    # to the old one are dead. Its reports go out again on new ones, so that no
+    # call of the second run fails.
+    def test_a_replaced_collector_fails_no_call(self):
+        address = self.start_target().listening_address()
+        for seed in (1, 2):
+            status, report = self.play([address], "--seed", seed)
+            self.assertEqual((status, report["failures"]), (0, {}))
+            self.assertEqual(report["done"], report["calls"])
+
     def test_direct_reads_are_compared_in_the_same_run(self):
         address = self.start_target().listening_address()
         status, report = self.play([address], "--direct", address,
