--- /dev/null
+++ b/tests/failures_kill_process_test.py
@@ -0,0 +1,82 @@
+"""Hosts that are lost under load, node and target together."""
+
+import sys
+import time
+import unittest
+
+from support.failure_case import FailureCase, print_figures
+
+FailureCase.build_dir = sys.argv.pop(1)
+
+KILLS = 20
+LOAD_SECONDS = 5
+SECONDS_BEFORE_KILL = 1
+CALLS_PER_SECOND = 150
+
+
+def quantile(values, share):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+class KillTest(FailureCase):
+
+    def test_owners_are_killed_one_after_the_other(self):
+        # Callers see a few refusals and unknown outcomes, resend, and get every
+        # answer; no lock runs twice. Each kill ends a node and its target in the
+        # middle of their work; the witnesses close its lease, the others take
+        # its slots over and collect the ids that it ran, before they run any
+        # lock there. Then the host comes back and the next one goes.
+        gaps = []
+        for kill in range(KILLS):
+            host = self.mesh.hosts_of(self.service)[kill % 2]
+            load = self.start_load(LOAD_SECONDS, CALLS_PER_SECOND,
+                                   "--protected-share", 0.5)
+            time.sleep(SECONDS_BEFORE_KILL)
+            host.kill()
+            report = self.check_promises(load, LOAD_SECONDS)
+            gaps.append(report["unavailable_ms"])
+            self.mesh.restart_host(host)
+            self.mesh.wait_until_served()
+            self.wait_until_members_own(self.mesh.hosts)
+        print_figures(
+            "unavailable time of keys that failed, ms, over %d kills" % KILLS,
+            keys=sum(each["count"] for each in gaps),
+            median_of_p50=quantile([each["p50"] for each in gaps], 0.5),
+            median_of_p99=quantile([each["p99"] for each in gaps], 0.5),
+            worst_p99=max(each["p99"] for each in gaps),
+            worst=max(each["max"] for each in gaps))
+
+    def test_an_availability_zone_is_killed(self):
+        # Three of seven hosts go at once. At most two of an owner's five
+        # witnesses stood in that zone, so every lost owner still has a majority
+        # that can close its lease, and all keys are served again.
+        zone = self.mesh.plan.zones[0]
+        lost = [host for host in self.mesh.hosts if host.zone == zone]
+        load = self.start_load(2 * LOAD_SECONDS, CALLS_PER_SECOND)
+        time.sleep(SECONDS_BEFORE_KILL)
+        for host in lost:
+            host.kill()
+        report = self.check_promises(load, 2 * LOAD_SECONDS)
+        left = [host for host in self.mesh.hosts if host not in lost]
+        self.wait_until_members_own(left)
+        print_figures("unavailable time after the loss of a zone, ms",
+                      **report["unavailable_ms"])
+
+    def test_every_host_is_restarted_in_turn(self):
+        # A rolling restart: each host hands its slots over, finishes what is in
+        # flight and ends with status 0; its target stops after it. Callers that
+        # use other entry nodes see no failure that outlasts their resends.
+        load = self.start_load(8 * LOAD_SECONDS, CALLS_PER_SECOND)
+        for host in list(self.mesh.hosts):
+            self.assertEqual(host.stop(), (0, 0))
+            self.mesh.restart_host(host)
+            self.mesh.wait_until_served()
+            self.wait_until_members_own(self.mesh.hosts)
+        report = self.check_promises(load, 8 * LOAD_SECONDS)
+        print_figures("rolling restart", failures=report["failures"],
+                      done=report["done"], **report["unavailable_ms"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/support/failure_case.py
@@ -0,0 +1,72 @@
+"""One divided service under load while its hosts fail: what the failure tests
+share."""
+
+import json
+import os
+import unittest
+
+from support.mesh import RECIFE, RegionMesh, load_report
+from support.processes import ProgramGroup, call, wait_until
+
+EXAMPLES = os.path.join(os.path.dirname(os.path.dirname(os.path.dirname(
+    os.path.abspath(__file__)))), "examples")
+REPORT_MARGIN_SECONDS = 90
+SETTLED_TIMEOUT_SECONDS = 60
+
+
+class FailureCase(unittest.TestCase):
+    """Starts the service with `workers` hosts and checks every load's report."""
+
+    build_dir = None
+    workers = 7
+
+    def setUp(self):
+        programs = ProgramGroup(self.build_dir)
+        self.addCleanup(programs.__exit__)
+        self.log_address = programs.start(
+            "citrongrade-log-standin",
+            "--listen-address", "127.0.0.1:0").listening_address()
+        plan = RECIFE.capped(self.workers)
+        plan.services = plan.services[:1]
+        self.service = plan.services[0]
+        self.mesh = RegionMesh(programs, plan, self.log_address)
+        self.mesh.start()
+        self.mesh.publish(EXAMPLES)
+        self.mesh.wait_until_served()
+
+    def set_log_faults(self, **faults):
+        answer = call(self.log_address, "POST", "/v1/faults", faults)
+        self.assertEqual(answer.status, 200)
+
+    def start_load(self, seconds, calls_per_second, *flags):
+        return self.mesh.start_load(
+            self.service, "--seed", 1, "--duration-ms", seconds * 1000,
+            "--calls-per-second", calls_per_second, "--senders", 64,
+            "--resends", "--max-attempts", 12, *flags)
+
+    def check_promises(self, load, seconds):
+        """The report, once no promise is broken in it and no key still fails."""
+        report = load_report(load, seconds + REPORT_MARGIN_SECONDS)
+        self.assertEqual(report["broken"], [])
+        self.assertEqual(report["keys_still_failing"], 0)
+        self.assertGreater(report["done"], 0)
+        return report
+
+    def wait_until_members_own(self, hosts):
+        """Until the log's owners are just these hosts, each with some slots."""
+        names = {host.name for host in hosts}
+
+        def settled():
+            coordinator = hosts[0].dump()["coordinator"]
+            if not coordinator:
+                return False
+            services = coordinator["services"]
+            owners = {run["owner"] for service in services
+                      for run in service["runs"]}
+            return owners == names
+        wait_until(settled, "slots are owned by " + ", ".join(sorted(names)),
+                   SETTLED_TIMEOUT_SECONDS)
+
+
+def print_figures(name, **figures):
+    print("%s: %s" % (name, json.dumps(figures, sort_keys=True)), flush=True)
--- a/tests/support/mesh.py
+++ b/tests/support/mesh.py
@@ -29,6 +29,9 @@
     def name(self):
         return self.workspace + "/" + self.service
 
+    def host_name(self, number):
+        return "%s-%d" % (self.service, number + 1)
+
     def capped(self, most_workers):
         return ServicePlan(self.workspace, self.service,
                            min(self.workers, most_workers), self.slots,
@@ -75,16 +78,20 @@
 class Host:
     """A node and its target, which are lost together."""
 
-    def __init__(self, name, zone, plan, node, target, caller, control):
-        self.name = name
+    def __init__(self, number, zone, plan, node, target, addresses):
+        self.number = number
         self.zone = zone
         self.plan = plan
         self.node = node
         self.target = target
-        self.caller = caller
-        self.control = control
+        self.addresses = addresses
+        self.caller, self.control = addresses[:2]
         self.is_lost = False
 
+    @property
+    def name(self):
+        return self.plan.host_name(self.number)
+
     def dump(self):
         return call(self.control, "GET", "/v1/dump").json()
 
@@ -130,10 +137,11 @@
             for number in range(plan.workers):
                 self.start_host(plan, number)
 
-    def start_host(self, plan, number):
-        name = "%s-%d" % (plan.service, number + 1)
+    def start_host(self, plan, number, addresses=None):
+        name = plan.host_name(number)
         zone = self.plan.zones[number % len(self.plan.zones)]
-        caller, control, data, peer, target = free_addresses(5)
+        addresses = addresses or free_addresses(5)
+        caller, control, data, peer, target = addresses
         node = self._programs.start(
             "citrongrade-node", "--node-id", name, "--zone", zone,
             "--caller-address", caller, "--control-address", control,
@@ -148,10 +156,15 @@
             "--slots", plan.slots, "--connections", plan.connections,
             "--report-runs-to", self.collectors[plan.name],
             "--seed", number + 1, *plan.target_flags)
-        host = Host(name, zone, plan, node, target_process, caller, control)
+        host = Host(number, zone, plan, node, target_process, addresses)
         self.hosts.append(host)
         return host
 
+    def restart_host(self, host):
+        """A lost host comes back under its old addresses."""
+        self.hosts.remove(host)
+        return self.start_host(host.plan, host.number, host.addresses)
+
     def publish(self, examples_dir):
         """Puts the region's declarations in force on all nodes."""
         publisher = self._programs.start(
@@ -176,7 +189,8 @@
                    SERVED_TIMEOUT_SECONDS)
 
     def _all_slots_owned(self):
-        coordinator = self.hosts[0].dump()["coordinator"]
+        running = next(host for host in self.hosts if host.is_running())
+        coordinator = running.dump()["coordinator"]
         services = coordinator["services"] if coordinator else []
         return (len(services) == len(self.plan.services) and
                 all(each["unowned_slots"] == 0 for each in services))
