--- a/tests/failures_kill_process_test.py
+++ b/tests/failures_kill_process_test.py
@@ -39,6 +39,7 @@
             self.mesh.restart_host(host)
             self.mesh.wait_until_served()
             self.wait_until_members_own(self.mesh.hosts)
+        self.check_healed()
         print_figures(
             "unavailable time of keys that failed, ms, over %d kills" % KILLS,
             keys=sum(each["count"] for each in gaps),
@@ -60,6 +61,7 @@
         report = self.check_promises(load, 2 * LOAD_SECONDS)
         left = [host for host in self.mesh.hosts if host not in lost]
         self.wait_until_members_own(left)
+        self.check_healed()
         print_figures("unavailable time after the loss of a zone, ms",
                       **report["unavailable_ms"])
 
--- a/tests/failures_log_process_test.py
+++ b/tests/failures_log_process_test.py
@@ -42,6 +42,7 @@
         self.set_log_faults(outage=False)
         report = self.check_promises(load, 14)
         self.wait_until_members_own(self.mesh.hosts[1:])
+        self.check_healed()
         print_figures("owner lost during an outage of the log",
                       failures=report["failures"], **report["unavailable_ms"])
 
@@ -54,6 +55,7 @@
         self.mesh.hosts[0].kill()
         report = self.check_promises(load, 10)
         self.wait_until_members_own(self.mesh.hosts[1:])
+        self.check_healed()
         print_figures("lost answers and a slow log",
                       failures=report["failures"], **report["unavailable_ms"])
 
--- a/tests/failures_pause_process_test.py
+++ b/tests/failures_pause_process_test.py
@@ -37,6 +37,7 @@
                           failures=report["failures"],
                           **report["unavailable_ms"])
             self.wait_until_members_own(self.mesh.hosts)
+        self.check_healed()
 
     def test_a_frozen_target_wakes_up(self):
         # The target is stopped while its node lives on. Its requests end as
@@ -50,6 +51,7 @@
         time.sleep(PAUSE_SECONDS)
         host.target.resume()
         report = self.check_promises(load, LOAD_SECONDS)
+        self.check_healed()
         print_figures("frozen target", failures=report["failures"],
                       **report["unavailable_ms"])
 
