Satisfy the linter in the board and the append tracker

Cause: clang-tidy found a use after a move and a move that never happened. Change: AddCall moves its argument only when it takes it.

--- a/modules/coordination/append_tracker.cc
+++ b/modules/coordination/append_tracker.cc
@@ -34,7 +34,7 @@
   if (m_entries.size() >= kMaxEntries) {
     ForgetOldest();
   }
-  const RecordId id = MakeId();
+  RecordId id = MakeId();
   m_entries.emplace(id, Entry{now, Outcome::kUnknown});
   ++m_appended;
   m_writer->Append(id, record);
--- a/modules/coordination/ownership_board.cc
+++ b/modules/coordination/ownership_board.cc
@@ -71,8 +71,9 @@
     return work == nullptr ? 0 : work->load();
   }
 
-  // False when the queue is full and `may_refuse`; the call is left as it was.
-  bool AddCall(GuardCall&& call, bool may_refuse) {
+  // Moves the call into the queue. False when the queue is full and
+  // `may_refuse`; the call is left as it was.
+  bool AddCall(GuardCall& call, bool may_refuse) {
     bool was_empty = false;
     {
       const std::lock_guard lock(m_calls_mutex);
@@ -230,7 +231,7 @@
 void OwnershipBoard::Register(const ProtectedRequest& request,
                               RegistrationCallback on_registered) {
   GuardCall call{request, GuardCall::Register{std::move(on_registered)}};
-  if (!m_impl->AddCall(std::move(call), true)) {
+  if (!m_impl->AddCall(call, true)) {
     const Registration refusal{RequestErrorCode::kRequestMemoryFull, nullptr};
     std::get<GuardCall::Register>(call.action).on_registered(refusal);
   }
@@ -239,11 +240,13 @@
 void OwnershipBoard::Finish(const ProtectedRequest& request,
                             std::shared_ptr<const StoredAnswer> answer) {
   // Never refused: each belongs to a registration, and those are bounded.
-  m_impl->AddCall({request, GuardCall::Finish{std::move(answer)}}, false);
+  GuardCall call{request, GuardCall::Finish{std::move(answer)}};
+  m_impl->AddCall(call, false);
 }
 
 void OwnershipBoard::Withdraw(const ProtectedRequest& request) {
-  m_impl->AddCall({request, GuardCall::Withdraw{}}, false);
+  GuardCall call{request, GuardCall::Withdraw{}};
+  m_impl->AddCall(call, false);
 }
 
 void OwnershipBoard::SetWakeUp(std::function<void()> wake_up) {
