--- a/modules/transport/target_call.cc
+++ b/modules/transport/target_call.cc
@@ -90,6 +90,7 @@
     Refuse(RefuseNotRun(RequestErrorCode::kTargetUnavailable, error.what(),
                         kRetryAfterTargetFailure));
   } catch (const ResponseTimeoutError& error) {
+    m_result.timed_out = true;
     Refuse(RefuseUnknown(RequestErrorCode::kTargetTimeout, error.what()));
   } catch (const TruncatedBodyError& error) {
     Refuse(RefuseUnknown(RequestErrorCode::kTruncatedAnswer, error.what()));
@@ -101,7 +102,9 @@
     Refuse(RefuseUnknown(RequestErrorCode::kTargetFailed, error.what(),
                          kRetryAfterTargetFailure));
   }
-  if (m_connection && m_connection->is_reusable())
+  if (m_result.connection_lost)
+    m_pool.DropIdle();
+  else if (m_connection && m_connection->is_reusable())
     m_pool.GiveBack(std::move(m_connection));
   return m_result;
 }
@@ -175,7 +178,7 @@
 }
 
 HttpResponseHead TargetCall::ReadHead() {
-  const HttpResponseHead response = m_connection->ReadHead(
+  HttpResponseHead response = m_connection->ReadHead(
       std::max(TimeLeft(), std::chrono::milliseconds(1)));
   const auto id = response.Header("Citrongrade-Request-Id");
   // A target that refuses before it reads the request may not know its id. No
--- a/programs/citrongrade-node/node.cc
+++ b/programs/citrongrade-node/node.cc
@@ -13,8 +13,9 @@
 #include "modules/coordination/ownership_board.h"
 #include "modules/coordination/steady_clock.h"
 #include "modules/protocol/config_rules.h"
-#include "modules/transport/caller_handler.h"
 #include "modules/protocol/config_settings_resolver.h"
+#include "modules/protocol/json_snapshot_codec.h"
+#include "modules/transport/caller_handler.h"
 #include "modules/transport/control_handler.h"
 #include "modules/transport/coordinator_thread.h"
 #include "modules/transport/data_rpc_client.h"
@@ -23,7 +24,6 @@
 #include "modules/transport/http_server.h"
 #include "modules/transport/http_server_settings.h"
 #include "modules/transport/json_log_record_codec.h"
-#include "modules/protocol/json_snapshot_codec.h"
 #include "modules/transport/log_reader_thread.h"
 #include "modules/transport/log_writer_thread.h"
 #include "modules/transport/node_dump.h"
@@ -96,10 +96,10 @@
 
   const NodeSettings m_settings;
   const std::string m_boot_id = ReadBootId();
-  const SteadyClock m_clock;
-  const ConfigRules m_config_rules;
-  const ConfigSettingsResolver m_settings_resolver;
-  const JsonSnapshotCodec m_snapshot_codec;
+  const SteadyClock m_clock{};
+  const ConfigRules m_config_rules{};
+  const ConfigSettingsResolver m_settings_resolver{};
+  const JsonSnapshotCodec m_snapshot_codec{};
   NodeMetrics m_metrics;
   RpcLoop m_data_loop{kLoopRing};
   RpcLoop m_control_loop{kLoopRing};
