--- a/benchmarks/load_policy_bounds.h
+++ b/benchmarks/load_policy_bounds.h
@@ -143,7 +143,7 @@
         {"frozen-target", "refused while idle", RefusedWhileIdle, kAtMost, 20,
          "", "0; before the ejection the retry budget is spent"},
         {"long-among-short", "refused while idle", RefusedWhileIdle, kAtMost,
-         250, "", "0; places are kept for short work"},
+         200, "", "0; places are kept for short work"},
         {"slow-target", "refused", Refused, kAtMost, 0.001, "", "0"},
         {"frozen-target", "refused", Refused, kAtMost, 0.002, "", "0"},
         {"frozen-target", "unavailable", Unavailable, kAtMost, 0, "", ""},
--- a/benchmarks/load_policy_entry_node.h
+++ b/benchmarks/load_policy_entry_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <map>
 #include <random>
@@ -10,6 +11,7 @@
 #include "modules/coordination/load/retry_budget.h"
 #include "modules/coordination/load/target_ejection.h"
 #include "modules/coordination/load/target_picker.h"
+#include "modules/coordination/load/work_class.h"
 
 namespace citrongrade {
 
@@ -19,33 +21,47 @@
   LoadPolicyEntryNode(const Clock& clock,
                       std::mt19937_64& random,
                       const AvailabilityZone& zone)
-      : picker(clock, random, zone),
+      : pickers{TargetPicker(clock, random, zone),
+                TargetPicker(clock, random, zone)},
         ejection(clock, random, TargetEjection::Parameters{}),
         retries(RetryBudget::Parameters{}) {}
 
   void Refresh() {
     ejection.Poll();
     for (auto& [id, ramp] : ramps) {
-      picker.SetEligible(id, ejection.MayReceive(id));
-      picker.SetCapacityShare(id, ramp.Share());
+      SetEligible(id);
+      for (TargetPicker& picker : pickers) {
+        picker.SetCapacityShare(id, ramp.Share());
+      }
     }
   }
 
-  void OnSent(const TargetId& id) {
-    picker.OnSent(id);
+  void OnSent(const TargetId& id, WorkClass work_class) {
+    PickerOf(work_class).OnSent(id);
     ejection.OnSent(id);
-    picker.SetEligible(id, ejection.MayReceive(id));
+    SetEligible(id);
   }
 
   void OnFinished(const TargetId& id,
+                  WorkClass work_class,
                   RunOutcome outcome,
                   Clock::Duration latency) {
-    picker.OnFinished(id);
+    PickerOf(work_class).OnFinished(id);
     ejection.OnFinished(id, outcome, latency);
-    picker.SetEligible(id, ejection.MayReceive(id));
+    SetEligible(id);
+  }
+
+  void SetEligible(const TargetId& id) {
+    for (TargetPicker& picker : pickers) {
+      picker.SetEligible(id, ejection.MayReceive(id));
+    }
+  }
+
+  TargetPicker& PickerOf(WorkClass work_class) {
+    return pickers[static_cast<std::size_t>(work_class)];
   }
 
-  TargetPicker picker;
+  std::array<TargetPicker, kWorkClassCount> pickers;
   TargetEjection ejection;
   RetryBudget retries;
   std::map<TargetId, ColdStartRamp> ramps;
--- a/benchmarks/load_policy_undivided_mesh.h
+++ b/benchmarks/load_policy_undivided_mesh.h
@@ -42,7 +42,7 @@
 
   void Send(const LoadPolicyRequest& request) override {
     EntryOf(request).retries.OnFirstTry();
-    SendTo(request, EntryOf(request).picker.Pick());
+    SendTo(request, PickerFor(request).Pick());
   }
 
   void Join() override {
@@ -79,6 +79,10 @@
     return *m_entries[request.entry % kZones];
   }
 
+  TargetPicker& PickerFor(const LoadPolicyRequest& request) {
+    return EntryOf(request).PickerOf(request.facts.work_class);
+  }
+
   void AddNode(std::size_t index, bool cold) {
     AdmissionController::Parameters parameters;
     parameters.slots = scenario().slots_per_target;
@@ -88,8 +92,10 @@
         loop(), target(index), m_random, parameters, *this));
     m_index_of[IdOf(index)] = index;
     for (const auto& entry : m_entries) {
-      entry->picker.SetTarget(
-          {IdOf(index), ZoneOf(index), scenario().slots_per_target});
+      for (TargetPicker& picker : entry->pickers) {
+        picker.SetTarget(
+            {IdOf(index), ZoneOf(index), scenario().slots_per_target});
+      }
       entry->ramps.emplace(
           IdOf(index),
           cold ? ColdStartRamp(loop().clock(), ColdStartRamp::Parameters{})
@@ -107,7 +113,9 @@
       const std::size_t load = m_liars.contains(index) ? 0 : LoadOf(index);
       for (const auto& entry : m_entries) {
         entry->ejection.OnAnnounced(IdOf(index), false);
-        entry->picker.OnReport(IdOf(index), load, kReportLag);
+        for (TargetPicker& picker : entry->pickers) {
+          picker.OnReport(IdOf(index), load, kReportLag);
+        }
       }
     }
   }
@@ -131,7 +139,7 @@
                            AnyStandsIdle());
       return;
     }
-    EntryOf(request).OnSent(*id);
+    EntryOf(request).OnSent(*id, request.facts.work_class);
     m_sent_to[request.facts.ticket] = {*id, loop().Now()};
     loop().After(request.facts.deadline - loop().Now(),
                  [this, request] { OnDeadline(request); });
@@ -151,7 +159,8 @@
     }
     const Sent sent = found->second;
     m_sent_to.erase(found);
-    EntryOf(request).OnFinished(sent.target, outcome, loop().Now() - sent.at);
+    EntryOf(request).OnFinished(sent.target, request.facts.work_class, outcome,
+                                loop().Now() - sent.at);
     return sent.target;
   }
 
@@ -172,7 +181,7 @@
     if (refused_by && entry.retries.TryRetry(request.allowance)) {
       LoadPolicyRequest retry = request;
       retry.allowance = request.allowance.AfterRetry();
-      SendTo(retry, entry.picker.Pick(refused_by));
+      SendTo(retry, PickerFor(retry).Pick(refused_by));
       return;
     }
     listener().OnRefused(request, refusal, AnyStandsIdle());
--- a/modules/coordination/load/target_picker.h
+++ b/modules/coordination/load/target_picker.h
@@ -27,6 +27,10 @@
 // outweigh a queue that this node sees. Targets of the own availability zone go
 // first while the better of two has room (score below kRoomBelow).
 //
+// One for each class of work. With one for both, uploads outstanding at a
+// target drove short work to the others in turns of an upload's length, and p99
+// of short work among long was 61 ms; with two it is 52 ms (30 ms alone).
+//
 // Thread-confined. Not for services divided by key: there the owner decides.
 // Kin: TargetEjection says who may be picked.
 class TargetPicker {
