--- a/modules/coordination/load/cold_start_ramp.h
+++ b/modules/coordination/load/cold_start_ramp.h
@@ -11,7 +11,10 @@
 // Load pattern: a cold target joins in a rush. It has nothing outstanding, so
 // every picker of least load sends it everything at once, while its caches are
 // empty and each request is at its slowest: it stalls, times out, gets ejected,
-// and comes back cold. Grows linearly from `initial_share` to 1.
+// and comes back cold. Grows linearly from `initial_share` to 1. The patterns
+// of load_policy_benchmark run as well without it
+// (docs/design/load-decisions.md): its values are a precaution, not a
+// measurement.
 //
 // Thread-confined.
 class ColdStartRamp {
--- a/modules/coordination/load/request_queue.h
+++ b/modules/coordination/load/request_queue.h
@@ -22,7 +22,7 @@
 // one before it; the lowest tag goes first, and the tag that went last is where
 // newcomers start. A caller that sends more only moves its own tags back.
 // Start-time tags were tried first: newcomers went before whoever had two
-// waiting, for as long as there were newcomers, and p99 at 1x was 1400 ms.
+// waiting, for as long as there were newcomers (saturation-1x: p99 1400 ms).
 // `callers_per_key` says how many callers' worth of work one key may have: a
 // busy engagement serves many auditors, but doesn't take the target.
 // Bounds: when count or bytes are reached the highest tag goes, be it the new
