--- a/modules/coordination/coordinator_settings.h
+++ b/modules/coordination/coordinator_settings.h
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "modules/state/size_limits.h"
+
 namespace citrongrade {
 
 // Times and bounds of coordination; equal on all nodes of a mesh.
@@ -51,7 +53,7 @@
   std::uint64_t records_per_snapshot = 2'000;
   // And after so long without one, since the log keeps records only for a time.
   Milliseconds snapshot_interval{300'000};
-  std::size_t snapshot_chunk_bytes = 512UL * 1024;
+  std::size_t snapshot_chunk_bytes = SizeLimits::kMaxSnapshotChunkBytes;
 
   friend auto operator<=>(const CoordinatorSettings&,
                           const CoordinatorSettings&) = default;
