--- a/modules/coordination/node_coordinator_test.cc
+++ b/modules/coordination/node_coordinator_test.cc
@@ -213,6 +213,28 @@
   CHECK(mesh.node(5).coordinator().Dump().counted_witness_set == before);
 }
 
+// A holder loses the log and one witness. An operator declares another witness
+// gone, which the log counts as closed at once; but the holder still has the
+// grant that it gave a moment before, and serves. The takeover has to wait
+// until that grant has run out.
+TEST_CASE("a departed witness counts only when its last grant is over") {
+  SimulatedMesh mesh(11, MakeShape(4));
+  REQUIRE(mesh.Boot());
+  mesh.RunFor(seconds(3));
+  const auto witnesses = mesh.node(0).coordinator().Dump().witnesses;
+  REQUIRE(witnesses.size() == 3);
+  const std::size_t cut = mesh.FindNode(witnesses[0].member.node)->number();
+  mesh.log().SetCut(0, true);
+  mesh.network().Cut(0, cut);
+  mesh.network().Cut(cut, 0);
+  mesh.RunFor(milliseconds(1300));
+  mesh.Forget(witnesses[1].member);
+  mesh.RunFor(seconds(4));
+  CHECK(mesh.violations().empty());
+  CHECK(mesh.reference().FindMember(
+            *mesh.node(0).coordinator().Dump().identity) == nullptr);
+}
+
 // A node can't reach the log until the records that it has not read are gone.
 // It distrusts its table and serves nothing until it has found a snapshot, then
 // agrees with all others.
--- a/modules/coordination/testing/simulated_mesh.cc
+++ b/modules/coordination/testing/simulated_mesh.cc
@@ -157,11 +157,15 @@
 void SimulatedMesh::ForgetLostMembers() {
   for (const auto& [id, member] : m_reference.members()) {
     if (!IsAlive(id)) {
-      AppendAsOperator(ForgetRecord{id, "operator"});
+      Forget(id);
     }
   }
 }
 
+void SimulatedMesh::Forget(const MemberId& member) {
+  AppendAsOperator(ForgetRecord{member, "operator"});
+}
+
 bool SimulatedMesh::IsAlive(const MemberId& member) {
   const SimulatedNode* node = FindNode(member.node);
   return node->IsRunning() && node->coordinator().Dump().identity == member;
--- a/modules/coordination/testing/simulated_mesh.h
+++ b/modules/coordination/testing/simulated_mesh.h
@@ -56,6 +56,8 @@
   // members whose process is gone for good. Then checks that all is well again.
   void HealAndCheck();
 
+  // An operator declares the member gone for good, rightly or not.
+  void Forget(const MemberId& member);
   // Two operators publish on the same base; the log decides.
   void PublishByTwoOperators();
 
