Name threads after their duties

Cause: in top and perf all threads but CivetWeb's had one name, and the target pool's had CivetWeb's. Change: NameThread at the start of each.

--- a/modules/transport/coordinator_thread.cc
+++ b/modules/transport/coordinator_thread.cc
@@ -10,6 +10,7 @@
 
 #include "modules/coordination/board_view.h"
 #include "modules/coordination/ownership_board.h"
+#include "modules/transport/thread_name.h"
 
 namespace citrongrade {
 
@@ -133,6 +134,7 @@
 }
 
 void CoordinatorThread::Main() {
+  NameThread("coordinator");
   while (!m_ring.is_closed()) {
     auto input = m_ring.PopWithin(kTick);
     while (input) {
--- a/modules/transport/data_rpc_test.cc
+++ b/modules/transport/data_rpc_test.cc
@@ -45,8 +45,8 @@
   const SteadyClock clock{};
   SilentListener listener;
   const std::string address = listener.TakeAddress();
-  RpcLoop entry_loop{64};
-  RpcLoop owner_loop{64};
+  RpcLoop entry_loop{"entry", 64};
+  RpcLoop owner_loop{"owner", 64};
   FakeRunner runner;
   DataRpcServer server{owner_loop, clock, runner, address};
   DataRpcClient client{entry_loop, clock, DataRpcClient::Settings()};
@@ -139,7 +139,7 @@
   const SteadyClock clock;
   SilentListener listener;
   const std::string address = listener.TakeAddress();
-  RpcLoop loop(64);
+  RpcLoop loop("test", 64);
   DataRpcClient client(loop, clock, DataRpcClient::Settings());
   const auto transfer = std::make_shared<RequestTransfer>(
       ForwardedRequest(), clock.Now() + kPatience);
@@ -156,7 +156,7 @@
   // and so would each one after it.
   const SteadyClock clock;
   const SilentListener listener;
-  RpcLoop loop(64);
+  RpcLoop loop("test", 64);
   DataRpcClient::Settings settings;
   settings.heartbeat_interval = std::chrono::milliseconds(20);
   settings.heartbeat_timeout = std::chrono::milliseconds(50);
@@ -174,7 +174,7 @@
 TEST_CASE("an address in use is told as such") {
   const SteadyClock clock;
   const SilentListener taken;
-  RpcLoop loop(64);
+  RpcLoop loop("test", 64);
   FakeRunner runner;
   CHECK_THROWS_AS(DataRpcServer(loop, clock, runner, taken.address()),
                   RpcListenError);
--- a/modules/transport/log_reader_thread.cc
+++ b/modules/transport/log_reader_thread.cc
@@ -8,6 +8,7 @@
 
 #include "modules/coordination/log_errors.h"
 #include "modules/coordination/platform_log.h"
+#include "modules/transport/thread_name.h"
 
 namespace citrongrade {
 
@@ -32,6 +33,7 @@
 }
 
 void LogReaderThread::Main() {
+  NameThread("log-reader");
   bool was_available = true;
   while (!m_stop) {
     if (!m_listener.IsFollowing()) {
--- a/modules/transport/log_writer_thread.cc
+++ b/modules/transport/log_writer_thread.cc
@@ -7,6 +7,7 @@
 
 #include "modules/coordination/log_errors.h"
 #include "modules/coordination/platform_log.h"
+#include "modules/transport/thread_name.h"
 
 namespace citrongrade {
 
@@ -34,6 +35,7 @@
 }
 
 void LogWriterThread::Main() {
+  NameThread("log-writer");
   while (const auto item = m_ring.Pop()) {
     try {
       m_log->Append(item->first, item->second);
--- a/modules/transport/rpc_loop.cc
+++ b/modules/transport/rpc_loop.cc
@@ -14,6 +14,7 @@
 
 #include "modules/transport/bounded_ring.h"
 #include "modules/transport/task_error_log.h"
+#include "modules/transport/thread_name.h"
 
 namespace citrongrade {
 
@@ -45,8 +46,8 @@
 
 class RpcLoop::Implementation {
  public:
-  explicit Implementation(std::size_t ring_capacity)
-      : m_ring(ring_capacity), m_thread([this] { Main(); }) {
+  Implementation(const char* duty, std::size_t ring_capacity)
+      : m_duty(duty), m_ring(ring_capacity), m_thread([this] { Main(); }) {
     m_started.get_future().get();
   }
 
@@ -78,6 +79,7 @@
 
  private:
   void Main() {
+    NameThread(m_duty);
     kj::AsyncIoContext io = kj::setupAsyncIo();
     m_io = &io;
     TaskErrorLog error_log;
@@ -103,6 +105,7 @@
       (*task)();
   }
 
+  const char* m_duty;
   BoundedRing<std::function<void()>> m_ring;
   ScopedEventFd m_wakeup;
   std::atomic<bool> m_wakeup_pending = false;
@@ -113,8 +116,8 @@
   std::thread m_thread;
 };
 
-RpcLoop::RpcLoop(std::size_t ring_capacity)
-    : m_implementation(std::make_unique<Implementation>(ring_capacity)) {}
+RpcLoop::RpcLoop(const char* duty, std::size_t ring_capacity)
+    : m_implementation(std::make_unique<Implementation>(duty, ring_capacity)) {}
 
 RpcLoop::~RpcLoop() = default;
 
--- a/modules/transport/rpc_loop.h
+++ b/modules/transport/rpc_loop.h
@@ -17,8 +17,9 @@
 // delay the lease renewals on the other.
 class RpcLoop {
  public:
-  // Starts the thread. `ring_capacity`: tasks that wait for it.
-  explicit RpcLoop(std::size_t ring_capacity);
+  // Starts the thread, named after its duty. `ring_capacity`: tasks that wait
+  // for it.
+  RpcLoop(const char* duty, std::size_t ring_capacity);
   // Stops it. Objects made on it must be gone by then (see RunAndWait).
   ~RpcLoop();
   RpcLoop(const RpcLoop&) = delete;
--- a/modules/transport/target_canceller.cc
+++ b/modules/transport/target_canceller.cc
@@ -4,6 +4,7 @@
 
 #include "modules/transport/http_client_connection.h"
 #include "modules/transport/http_errors.h"
+#include "modules/transport/thread_name.h"
 
 namespace citrongrade {
 
@@ -29,6 +30,7 @@
 }
 
 void TargetCanceller::Main() {
+  NameThread("target-cancel");
   while (const auto item = m_ring.Pop()) {
     try {
       HttpClientConnection connection(item->first);
--- a/modules/transport/target_dispatcher.cc
+++ b/modules/transport/target_dispatcher.cc
@@ -22,6 +22,7 @@
 #include "modules/transport/target_call.h"
 #include "modules/transport/target_canceller.h"
 #include "modules/transport/target_connection_pool.h"
+#include "modules/transport/thread_name.h"
 
 namespace citrongrade {
 
@@ -367,11 +368,13 @@
 }
 
 void TargetDispatcher::Implementation::PoolThread() {
+  NameThread("target-call");
   while (const auto run = m_ring.Pop())
     Execute(*run);
 }
 
 void TargetDispatcher::Implementation::TickThread() {
+  NameThread("admission");
   std::unique_lock lock(m_mutex);
   while (!m_stop) {
     m_stopping.wait_for(lock, AdmissionController::kPollInterval);
--- a/programs/citrongrade-node/node.cc
+++ b/programs/citrongrade-node/node.cc
@@ -101,8 +101,8 @@
   const ConfigSettingsResolver m_settings_resolver{};
   const JsonSnapshotCodec m_snapshot_codec{};
   NodeMetrics m_metrics;
-  RpcLoop m_data_loop{kLoopRing};
-  RpcLoop m_control_loop{kLoopRing};
+  RpcLoop m_data_loop{"data-rpc", kLoopRing};
+  RpcLoop m_control_loop{"control-rpc", kLoopRing};
   OwnershipBoard m_board{m_clock};
   TargetDispatcher m_dispatcher{m_clock, m_board};
   DataRpcServer m_data_server;
