--- a/programs/citrongrade-node/node.cc
+++ b/programs/citrongrade-node/node.cc
@@ -46,7 +46,7 @@
 // Callers that learn of the leave from a refusal close by themselves.
 constexpr unsigned kControlThreads = 16;
 // Twice what CallerHandler takes, so that it, and not the library, answers.
-constexpr std::size_t kLibraryHeaderBytes = 64 * 1024;
+constexpr std::size_t kLibraryHeaderBytes = std::size_t{64} * 1024;
 
 // Equal for all processes of one boot of the host.
 std::string ReadBootId() {
