--- a/programs/citrongrade-node/node.cc
+++ b/programs/citrongrade-node/node.cc
@@ -46,7 +46,7 @@
 // Callers that learn of the leave from a refusal close by themselves.
 constexpr unsigned kControlThreads = 16;
 // Twice what CallerHandler takes, so that it, and not the library, answers.
-constexpr std::size_t kLibraryHeaderBytes = 64 * 1024;
+constexpr std::size_t kLibraryHeaderBytes = std::size_t{64} * 1024;
 
 // Equal for all processes of one boot of the host.
 std::string ReadBootId() {
@@ -101,8 +101,8 @@
   const ConfigSettingsResolver m_settings_resolver{};
   const JsonSnapshotCodec m_snapshot_codec{};
   NodeMetrics m_metrics;
-  RpcLoop m_data_loop{kLoopRing};
-  RpcLoop m_control_loop{kLoopRing};
+  RpcLoop m_data_loop{"data-rpc", kLoopRing};
+  RpcLoop m_control_loop{"control-rpc", kLoopRing};
   OwnershipBoard m_board{m_clock};
   TargetDispatcher m_dispatcher{m_clock, m_board};
   DataRpcServer m_data_server;
