--- a/tests/ctl_publish_process_test.py
+++ b/tests/ctl_publish_process_test.py
@@ -7,9 +7,9 @@
 import unittest
 
 from support.node_mesh import Mesh
-from support.processes import ProgramGroup
+from support.processes import ProgramGroup, wait_until
 from support.publications import (Publisher, allows, percentiles,
-                                  print_percentiles)
+                                  print_percentiles, probe)
 
 BUILD_DIR = sys.argv.pop(1)
 OK, CONFLICT, UNKNOWN, LAGGING, UNREACHABLE = 0, 4, 5, 6, 7
@@ -19,12 +19,19 @@
 
 
 class Watch:
-    """Asks nodes all the time for the newest version that is in force."""
+    """Asks nodes all the time for `version`, the newest that is in force.
 
-    def __init__(self, nodes):
+    With `everywhere`, `version` is set once all nodes have it, so a refusal by
+    any of them is a step back. Else a node may still be on its way to it, and a
+    refusal is a step back after that node has allowed the same version.
+    """
+
+    def __init__(self, nodes, everywhere):
         self.version = 0
         self.reverted = []
         self.asked = 0
+        self._everywhere = everywhere
+        self._had = {node.name: -1 for node in nodes}
         self._nodes = nodes
         self._stopping = False
         self._thread = threading.Thread(target=self._run)
@@ -37,12 +44,22 @@
     def _run(self):
         while not self._stopping:
             for node in self._nodes:
-                version = self.version
-                if not allows(node, version):
-                    self.reverted.append((node.name, version))
-                self.asked += 1
+                self._ask(node, self.version)
             time.sleep(0.02)
 
+    def _ask(self, node, version):
+        answer = probe(node, version)
+        had_it = self._everywhere or version <= self._had[node.name]
+        if answer is False and had_it:
+            self.reverted.append((node.name, version))
+        if answer:
+            self._had[node.name] = max(self._had[node.name], version)
+        # Also what it had before: a node on its way to a newer one.
+        if not self._everywhere and self._had[node.name] >= 0:
+            if probe(node, self._had[node.name]) is False:
+                self.reverted.append((node.name, self._had[node.name]))
+        self.asked += 1
+
 
 class PublishTest(unittest.TestCase):
 
@@ -66,7 +83,7 @@
     # an earlier one again, on any node.
     def test_a_hundred_publications_are_in_force_and_never_revert(self):
         self.start_nodes(4)
-        watch = Watch(self.mesh.nodes)
+        watch = Watch(self.mesh.nodes, everywhere=True)
         self.addCleanup(watch.stop)
         taken = []
         for version in range(1, PUBLICATIONS + 1):
@@ -85,6 +102,43 @@
         self.assertLess(percentiles(taken)["p99_ms"],
                         1000 * SECONDS_WITH_LOG_WELL)
 
+    # Meanwhile a node freezes and returns, another joins, the log loses answers
+    # and is down for a while. Each publication ends in a yes, no node goes back
+    # to an earlier version, and in the end the last one is in force on all.
+    def test_no_node_goes_back_while_nodes_and_the_log_fail(self):
+        self.start_nodes(4)
+        watch = Watch(self.mesh.nodes[:], everywhere=False)
+        self.addCleanup(watch.stop)
+        frozen = self.mesh.nodes[2].process
+        for version in range(1, 41):
+            if version % 3 == 0:
+                self.mesh.log.set_faults(lose_answers=1)
+            if version == 8:
+                frozen.pause()
+            if version == 16:
+                frozen.resume()
+            if version == 20:
+                self.mesh.start_node("derby")
+            if version == 26:
+                self.mesh.log.set_faults(outage=True)
+                end = threading.Timer(
+                    1.5, lambda: self.mesh.log.set_faults(outage=False))
+                end.start()
+                self.addCleanup(end.join)
+            (code, output, errors), _ = self.publisher.publish_version(version)
+            self.assertEqual(code, OK, output + errors)
+            wait_until(lambda v=version: allows(self.mesh.nodes[0], v),
+                       "version %d is in force on the first node" % version)
+            watch.version = version
+            time.sleep(0.1)
+        code, output, _ = self.publisher.run("wait")
+        self.assertEqual(code, OK, output)
+        watch.stop()
+        self.assertEqual(watch.reverted, [])
+        for node in self.mesh.nodes:
+            wait_until(lambda n=node: allows(n, 40), node.name + " has it")
+            self.assertFalse(allows(node, 41))
+
     # The log answers each call late. Publishing needs several calls and nodes
     # long-poll, so it takes longer, and still no longer than agreed.
     def test_a_slow_log_delays_a_publication_within_bounds(self):
--- a/tests/support/publications.py
+++ b/tests/support/publications.py
@@ -4,13 +4,16 @@
 version a node has in force.
 """
 
+import http.client
 import json
 import os
 import subprocess
 import tempfile
 import time
 
-from support.node_mesh import KEYED, STREAM, WORKSPACE, keyed_call
+from support.node_mesh import (KEYED, KEYED_PATH, STREAM, WORKSPACE,
+                               keyed_call)
+from support.processes import call
 
 SMALLEST_BODY = 1000
 
@@ -86,6 +89,22 @@
     return keyed_call(node, "key", "PUT", body=body).status == 200
 
 
+def probe(node, version):
+    """True or False as `allows`; None from a node that doesn't say, because it
+    is frozen, starting, or can't reach the key's owner."""
+    body = b"x" * (SMALLEST_BODY + version)
+    try:
+        answer = call(node.caller, "PUT", KEYED_PATH + "/work", body,
+                      {"X-Key": "key"}, timeout_seconds=2)
+    except (OSError, http.client.HTTPException):
+        return None
+    if answer.status == 200:
+        return True
+    refused = (answer.status == 400
+               and answer.json()["error"] == "malformed-request")
+    return False if refused else None
+
+
 def percentiles(seconds):
     ordered = sorted(seconds)
     return {"p50_ms": round(1000 * ordered[len(ordered) // 2], 1),
