--- a/programs/citrongradectl/command.h
+++ b/programs/citrongradectl/command.h
@@ -20,7 +20,12 @@
   // Shown at the end of its help.
   virtual const char* Examples() const = 0;
   virtual void AddOptions(CLI::App& app) = 0;
-  // After the command line was read. Throws what CtlErrors and the log throw.
+  // Which settings the command can't do without; asked once the command line
+  // was read.
+  virtual bool NeedsLog() const { return true; }
+  virtual bool NeedsOperator() const { return false; }
+  // After the command line was read and the settings were checked. Throws what
+  // CtlErrors and the log throw.
   virtual ExitCode Run(CommandContext& context) = 0;
 };
 
--- a/programs/citrongradectl/command_context.cc
+++ b/programs/citrongradectl/command_context.cc
@@ -11,7 +11,9 @@
 #include "modules/coordination/steady_clock.h"
 #include "modules/protocol/record_id_generator.h"
 #include "modules/state/mesh_state.h"
+#include "modules/state/size_limits.h"
 #include "modules/transport/http_address.h"
+#include "modules/transport/http_errors.h"
 #include "modules/transport/http_platform_log.h"
 #include "modules/transport/json_log_record_codec.h"
 #include "programs/citrongradectl/ctl_errors.h"
@@ -89,11 +91,36 @@
   m_out << value.dump(kIndent) << '\n';
 }
 
-CommandContext::Implementation& CommandContext::Open() {
-  if (m_settings.log_address.empty()) {
-    throw UsageError(
-        "--log-address (or CITRONGRADE_LOG_ADDRESS) has to name the log");
+void CommandContext::CheckSettings(bool needs_log, bool needs_operator) const {
+  std::string mistakes;
+  const auto add = [&mistakes](const std::string& mistake) {
+    mistakes += (mistakes.empty() ? "" : "; ") + mistake;
+  };
+  if (needs_log && m_settings.log_address.empty()) {
+    add("--log-address (CITRONGRADE_LOG_ADDRESS) has to name the log");
+  } else if (needs_log) {
+    try {
+      HttpAddress::Parse(m_settings.log_address);
+    } catch (const InvalidHttpAddressError& error) {
+      add(std::string("--log-address: ") + error.what());
+    }
+  }
+  if (needs_log && m_settings.log_stream.empty()) {
+    add("--log-stream (CITRONGRADE_LOG_STREAM) must not be empty");
+  }
+  if (needs_operator && m_settings.operator_name.empty()) {
+    add("--operator (CITRONGRADE_OPERATOR) has to say who makes the change");
+  }
+  if (m_settings.operator_name.size() > SizeLimits::kMaxNameBytes) {
+    add("--operator is longer than " +
+        std::to_string(SizeLimits::kMaxNameBytes) + " bytes");
+  }
+  if (!mistakes.empty()) {
+    throw UsageError(mistakes);
   }
+}
+
+CommandContext::Implementation& CommandContext::Open() {
   if (m_implementation == nullptr) {
     m_implementation = std::make_unique<Implementation>(m_settings);
   }
@@ -120,14 +147,6 @@
   return Open().reader().state();
 }
 
-const std::string& CommandContext::OperatorName() const {
-  if (m_settings.operator_name.empty()) {
-    throw UsageError(
-        "--operator (or CITRONGRADE_OPERATOR) has to say who makes the change");
-  }
-  return m_settings.operator_name;
-}
-
 WriteResult CommandContext::Write(const Record& record) {
   return Open().Write(record, m_settings.timeout);
 }
--- a/programs/citrongradectl/command_context.h
+++ b/programs/citrongradectl/command_context.h
@@ -26,18 +26,16 @@
   std::ostream& out() const { return m_out; }
   void PrintJson(const nlohmann::ordered_json& value) const;
 
+  // Throws UsageError with all mistakes in one message.
+  void CheckSettings(bool needs_log, bool needs_operator) const;
+
   // Reads the log to its present end and goes on trying until the timeout.
-  // Throws UsageError without an address, LogUnavailableError,
-  // LogPastLostError.
+  // Throws LogUnavailableError, LogPastLostError.
   MeshReader& ReadLog();
 
-  // As it was read last, by ReadLog or Write; does not touch the log. Throws
-  // UsageError without an address.
+  // As it was read last, by ReadLog or Write; does not touch the log.
   const MeshState& LastState();
 
-  // Throws UsageError without an operator's name.
-  const std::string& OperatorName() const;
-
   WriteResult Write(const Record& record);
 
   // Waits until all members have applied the record. Prints those that lag.
--- a/programs/citrongradectl/dump_command.cc
+++ b/programs/citrongradectl/dump_command.cc
@@ -34,6 +34,10 @@
                  "ip:port, for a node that is no member or with the log down");
 }
 
+bool DumpCommand::NeedsLog() const {
+  return m_control_address.empty();
+}
+
 ExitCode DumpCommand::Run(CommandContext& context) {
   if (m_node.empty() == m_control_address.empty()) {
     throw UsageError("dump needs either a node's name or --control-address");
--- a/programs/citrongradectl/forget_command.cc
+++ b/programs/citrongradectl/forget_command.cc
@@ -35,8 +35,12 @@
                "you have made sure that it can't run again");
 }
 
+bool ForgetCommand::NeedsOperator() const {
+  return true;
+}
+
 ExitCode ForgetCommand::Run(CommandContext& context) {
-  const std::string& operator_name = context.OperatorName();
+  const std::string& operator_name = context.settings().operator_name;
   const MemberId member{NodeId(m_node), Incarnation(m_incarnation)};
   if (context.ReadLog().state().FindMember(member) == nullptr) {
     throw UsageError("no member " + m_node + " with incarnation " +
--- a/programs/citrongradectl/main.cc
+++ b/programs/citrongradectl/main.cc
@@ -85,6 +85,7 @@
 
 ExitCode RunCommand(Command& command, CommandContext& context) {
   try {
+    context.CheckSettings(command.NeedsLog(), command.NeedsOperator());
     return command.Run(context);
   } catch (const InvalidDeclarationError& error) {
     ProblemPrinter::Print(context, error.problems());
--- a/programs/citrongradectl/publish_command.cc
+++ b/programs/citrongradectl/publish_command.cc
@@ -78,8 +78,12 @@
   app.add_flag("--dry-run", m_dry_run, "check and list, write nothing");
 }
 
+bool PublishCommand::NeedsOperator() const {
+  return true;
+}
+
 ExitCode PublishCommand::Run(CommandContext& context) {
-  const std::string& operator_name = context.OperatorName();
+  const std::string& operator_name = context.settings().operator_name;
   const VersionMap based_on = ReadBasedOn();
   const std::vector<DeclarationFile> files = DeclarationLoader::Load(m_paths);
   const MeshState& state = context.ReadLog().state();
--- a/programs/citrongradectl/publish_command.h
+++ b/programs/citrongradectl/publish_command.h
@@ -20,6 +20,7 @@
   const char* Description() const override;
   const char* Examples() const override;
   void AddOptions(CLI::App& app) override;
+  bool NeedsOperator() const override;
   ExitCode Run(CommandContext& context) override;
 
  private:
--- a/programs/citrongradectl/validate_command.cc
+++ b/programs/citrongradectl/validate_command.cc
@@ -27,6 +27,10 @@
       ->required();
 }
 
+bool ValidateCommand::NeedsLog() const {
+  return false;
+}
+
 ExitCode ValidateCommand::Run(CommandContext& context) {
   const DeclarationSet set =
       DeclarationSet::Read(DeclarationLoader::Load(m_paths), {});
--- a/programs/citrongradectl/validate_command.h
+++ b/programs/citrongradectl/validate_command.h
@@ -14,6 +14,7 @@
   const char* Description() const override;
   const char* Examples() const override;
   void AddOptions(CLI::App& app) override;
+  bool NeedsLog() const override;
   ExitCode Run(CommandContext& context) override;
 
  private:
--- a/tests/ctl_publish_process_test.py
+++ b/tests/ctl_publish_process_test.py
@@ -218,6 +218,14 @@
                               outputs[loser])
         self.assertGreater(conflicts, 5)
 
+    def test_mistakes_in_settings_come_in_one_message(self):
+        code, _, errors = self.publisher.run(
+            "publish", self.publisher.service_file(1), "--log-address", "here",
+            "--operator", "", "--log-stream", "")
+        self.assertEqual(code, 2)
+        for part in ("--log-address", "--operator", "--log-stream"):
+            self.assertIn(part, errors)
+
     # A node is frozen. The others are in force; the operator is told which one
     # lags instead of waiting without an end.
     def test_wait_names_the_node_that_lags(self):
