--- a/modules/coordination/ownership_board_test.cc
+++ b/modules/coordination/ownership_board_test.cc
@@ -58,8 +58,10 @@
   board.PublishLease(Clock::TimePoint::max());
   std::atomic<bool> stop(false);
   std::atomic<int> running(0);
+  constexpr int kThreads = 3;
   std::vector<std::thread> threads;
-  for (int i = 0; i < 3; ++i) {
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&board, &stop, &running] {
       while (!stop) {
         if (board.CheckGrant(kService, kSlot).granted()) {
