Close the callers' door before a stopped node exits

The HTTP library takes no connection once it is told to stop, and closes its listening socket a moment later; what came in between was reset. Change: the listening socket is shut first, and the node exits only after it was quiet for 500 ms; the target's state is looked at again as the last step. The dispatcher's mappings have a file of their own.

--- a/modules/transport/target_dispatcher.cc
+++ b/modules/transport/target_dispatcher.cc
@@ -17,6 +17,7 @@
 #include "modules/transport/body_pipe.h"
 #include "modules/transport/bounded_ring.h"
 #include "modules/transport/local_run.h"
+#include "modules/transport/local_run_facts.h"
 #include "modules/transport/refusals.h"
 #include "modules/transport/request_transfer.h"
 #include "modules/transport/target_call.h"
@@ -33,46 +34,6 @@
 constexpr std::size_t kRunRing = 4096;
 constexpr std::size_t kMaxThreads = 256;
 
-RequestFacts FactsOf(const LocalRun& run) {
-  const ForwardedRequest& request = run.transfer->request();
-  RequestFacts facts;
-  facts.ticket = run.ticket;
-  facts.caller = CallerHash(request.caller_hash);
-  facts.key = KeyHash(std::hash<std::string>()(
-      request.key.empty() ? request.target : request.key));
-  facts.work_class =
-      request.is_long_work ? WorkClass::kLong : WorkClass::kShort;
-  facts.bytes = RequestTransfer::kInlineBytes;
-  if (request.body_length && *request.body_length < facts.bytes)
-    facts.bytes = *request.body_length;
-  facts.deadline = run.transfer->deadline();
-  return facts;
-}
-
-AnswerHead MakeRefusal(const Refusal& refusal) {
-  const bool too_late = refusal.reason == RefusalReason::kDeadlineTooClose;
-  return RefuseNotRun(too_late ? RequestErrorCode::kDeadlinePassed
-                               : RequestErrorCode::kOverloaded,
-                      std::string(ToString(refusal.reason)),
-                      refusal.retry_after);
-}
-
-bool IsProvedNotRun(RequestErrorCode refused) {
-  return refused != RequestErrorCode::kAlreadyRun &&
-         refused != RequestErrorCode::kInProgress &&
-         refused != RequestErrorCode::kHistoryLost;
-}
-
-ProtectedRequest ProtectedPart(const ForwardedRequest& request) {
-  ProtectedRequest part;
-  part.service = request.service;
-  part.slot = request.slot.value_or(SlotIndex());
-  part.id = *request.protected_id;
-  part.is_first_attempt = request.is_first_attempt;
-  part.resend_horizon = request.resend_horizon;
-  return part;
-}
-
 }  // namespace
 
 class TargetDispatcher::Implementation {
@@ -108,6 +69,8 @@
   void PoolThread();
   void TickThread();
   void Execute(const RunPointer& run);
+  // Whether the target may be given the request now, as the last step before.
+  GrantDecision CheckLast(const ForwardedRequest& request);
   void Settle(LocalRun& run, const TargetCall::Result& result);
   void NoteHealth(const LocalRun& run,
                   const TargetCall::Result& result,
@@ -230,7 +193,7 @@
 }
 
 void TargetDispatcher::Implementation::Register(const RunPointer& run) {
-  const ProtectedRequest part = ProtectedPart(run->transfer->request());
+  const ProtectedRequest part = ProtectedPartOf(run->transfer->request());
   m_guard.Register(part, [this, run, part](const Registration& registration) {
     if (registration.may_run())
       run->registered = part;
@@ -281,7 +244,7 @@
     if (decision.verdict == AdmissionDecision::Verdict::kAdmitted) {
       steps.start.push_back(run);
     } else if (decision.verdict == AdmissionDecision::Verdict::kRefused) {
-      steps.refuse.emplace_back(run, MakeRefusal(*decision.refusal));
+      steps.refuse.emplace_back(run, RefusalOf(*decision.refusal));
       m_runs.erase(run->ticket);
     }
   }
@@ -333,7 +296,7 @@
     steps.start.push_back(m_runs.at(ticket));
   for (const RefusedRequest& refused : changes.refused) {
     const auto found = m_runs.find(refused.ticket);
-    steps.refuse.emplace_back(found->second, MakeRefusal(refused.refusal));
+    steps.refuse.emplace_back(found->second, RefusalOf(refused.refusal));
     m_runs.erase(found);
   }
   for (const RequestTicket ticket : changes.overdue)
@@ -393,11 +356,8 @@
   }
   const ForwardedRequest& request = run->transfer->request();
   TargetCall call(m_clock, *pool, *run->transfer);
-  const TargetCall::Result result = call.Run([this, &request] {
-    // An unprotected request to an undivided service belongs to no slot.
-    return request.slot ? m_guard.CheckGrant(request.service, *request.slot)
-                        : GrantDecision();
-  });
+  const TargetCall::Result result =
+      call.Run([this, &request] { return CheckLast(request); });
   Settle(*run, result);
   // A connection that broke shows a crash only when there is no process to
   // connect to any more; a target may also close one that it is done with.
@@ -420,6 +380,19 @@
   Perform(steps);
 }
 
+GrantDecision TargetDispatcher::Implementation::CheckLast(
+    const ForwardedRequest& request) {
+  {
+    // It may have begun to drain while the request waited.
+    const std::lock_guard lock(m_mutex);
+    if (m_target->state != TargetAnnouncement::State::kServing)
+      return {RequestErrorCode::kTargetUnavailable, {}, {}};
+  }
+  // An unprotected request to an undivided service belongs to no slot.
+  return request.slot ? m_guard.CheckGrant(request.service, *request.slot)
+                      : GrantDecision();
+}
+
 void TargetDispatcher::Implementation::Settle(
     LocalRun& run,
     const TargetCall::Result& result) {
--- a/programs/citrongrade-node/node.cc
+++ b/programs/citrongrade-node/node.cc
@@ -28,6 +28,7 @@
 #include "modules/transport/log_writer_thread.h"
 #include "modules/transport/node_dump.h"
 #include "modules/transport/node_metrics.h"
+#include "modules/transport/own_sockets.h"
 #include "modules/transport/peer_rpc_sender.h"
 #include "modules/transport/peer_rpc_server.h"
 #include "modules/transport/route_chooser.h"
@@ -42,8 +43,11 @@
 
 constexpr std::chrono::milliseconds kWatchInterval{100};
 constexpr std::chrono::milliseconds kLogTimeout{3000};
+// Nothing was in flight for so long before a stopped node exits.
+constexpr std::chrono::milliseconds kQuietBeforeExit{500};
+constexpr std::chrono::milliseconds kQuietCheckInterval{10};
 constexpr std::size_t kLoopRing = 8192;
-// Callers that learn of the leave from a refusal close by themselves.
+
 constexpr unsigned kControlThreads = 16;
 // Twice what CallerHandler takes, so that it, and not the library, answers.
 constexpr std::size_t kLibraryHeaderBytes = std::size_t{64} * 1024;
@@ -219,10 +223,14 @@
     std::this_thread::sleep_for(kWatchInterval);
   // Until here callers' requests were passed on to the slots' new owners.
   m_caller_handler.StopTaking();
-  while (m_clock.Now() < until) {
-    if (m_caller_handler.in_flight() == 0 && m_dispatcher.IsIdle())
-      break;
-    std::this_thread::sleep_for(kWatchInterval);
+  StopListening(m_settings.caller_address.ToString());
+  // Connections that were accepted may still bring a request, to be refused.
+  Clock::TimePoint quiet_since = m_clock.Now();
+  while (m_clock.Now() < until &&
+         m_clock.Now() - quiet_since < kQuietBeforeExit) {
+    std::this_thread::sleep_for(kQuietCheckInterval);
+    if (m_caller_handler.in_flight() > 0 || !m_dispatcher.IsIdle())
+      quiet_since = m_clock.Now();
   }
   const bool finished = !m_coordinator.is_member() &&
                         m_caller_handler.in_flight() == 0 &&
