Tell a restarted target's runs from its earlier process's

Cause: the rolling restart failed with 'done without run' for locks that had run. Run numbers start from 1 in each process, and the ledger took the restarted target's reports for ones that came twice. It would have hidden a double run too. Ruled out: answers from the owners' memory (each load has its own ids now). Change: a report names the target's process; a test that failed before. Conclusion: the fault was in the check, not in the router.

--- a/programs/citrongrade-load/load_decisions_test.cc
+++ b/programs/citrongrade-load/load_decisions_test.cc
@@ -43,7 +43,7 @@
 RunReport Run(const std::string& target,
               std::uint64_t number,
               const std::string& id) {
-  return {target, number, id, id, "key"};
+  return {target, "process", number, id, id, "key"};
 }
 
 std::vector<BrokenPromise::Kind> Kinds(const CallRecord& record,
@@ -86,6 +86,20 @@
   CHECK(drawn[2] == doctest::Approx(2000).epsilon(0.06));
 }
 
+TEST_CASE(
+    "runs of a restarted target are not taken for its earlier process's") {
+  // The target counts from 1 again. Taken for reports that came twice, its runs
+  // would be dropped: a double run would not show, and done calls would seem
+  // not to have run.
+  RunLedger ledger;
+  RunReport run = Run("a", 1, "call");
+  ledger.Note(run);
+  run.process = "another process";
+  ledger.Note(run);
+  const auto done = ProtectedCall("call", AttemptOutcome::kDone);
+  CHECK(Kinds(done, ledger) == std::vector{BrokenPromise::Kind::kDoubleRun});
+}
+
 TEST_CASE("a protected call that ran twice, on two targets, shows") {
   RunLedger ledger;
   ledger.Note(Run("a", 1, "call"));
--- a/programs/citrongrade-load/load_run.cc
+++ b/programs/citrongrade-load/load_run.cc
@@ -201,6 +201,7 @@
     const auto body = nlohmann::json::parse(response.body);
     for (const auto& run : body.at("runs")) {
       m_ledger.Note({.target = target.ToString(),
+                     .process = {},
                      .number = run.at("number").get<std::uint64_t>(),
                      .idempotency_key = run.at("idempotency_key"),
                      .call_id = run.at("call_id"),
--- a/programs/citrongrade-load/run_collector.cc
+++ b/programs/citrongrade-load/run_collector.cc
@@ -24,6 +24,7 @@
     return;
   }
   m_ledger.Note({.target = body.value("target", ""),
+                 .process = body.value("process", ""),
                  .number = body.value("number", std::uint64_t{0}),
                  .idempotency_key = body.value("idempotency_key", ""),
                  .call_id = body.value("call_id", ""),
--- a/programs/citrongrade-load/run_ledger.cc
+++ b/programs/citrongrade-load/run_ledger.cc
@@ -11,7 +11,8 @@
 
 void RunLedger::Note(const RunReport& report) {
   const std::lock_guard lock(m_mutex);
-  if (!m_targets[report.target].numbers.insert(report.number).second)
+  TargetRuns& known = m_targets[report.target];
+  if (!known.numbers.emplace(report.process, report.number).second)
     return;
   ++m_calls[report.call_id];
   if (report.key.empty())
--- a/programs/citrongrade-load/run_ledger.h
+++ b/programs/citrongrade-load/run_ledger.h
@@ -26,7 +26,8 @@
 
  private:
   struct TargetRuns {
-    std::set<std::uint64_t> numbers;
+    // Process and number of each run.
+    std::set<std::pair<std::string, std::uint64_t>> numbers;
   };
 
   mutable std::mutex m_mutex;
--- a/programs/citrongrade-target-standin/run_report.h
+++ b/programs/citrongrade-target-standin/run_report.h
@@ -10,6 +10,8 @@
 // GET /v1/runs lists it.
 struct RunReport {
   std::string target;
+  // Random id of the target's process: a restarted target counts from 1 again.
+  std::string process;
   // Counts the runs of the target's process.
   std::uint64_t number = 0;
   std::string idempotency_key;
--- a/programs/citrongrade-target-standin/run_reporter.cc
+++ b/programs/citrongrade-target-standin/run_reporter.cc
@@ -46,6 +46,7 @@
  private:
   static std::string BodyOf(const RunReport& report) {
     return nlohmann::json({{"target", report.target},
+                           {"process", report.process},
                            {"number", report.number},
                            {"idempotency_key", report.idempotency_key},
                            {"call_id", report.call_id},
--- a/programs/citrongrade-target-standin/work_runner.cc
+++ b/programs/citrongrade-target-standin/work_runner.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "modules/protocol/record_id_generator.h"
 #include "modules/transport/http_errors.h"
 #include "modules/transport/http_exchange.h"
 #include "programs/citrongrade-target-standin/answer_writer.h"
@@ -106,6 +107,7 @@
 
   const TargetSettings& m_settings;
   const std::string m_name;
+  const std::string m_process = RecordIdGenerator().Next().value();
   const Clock& m_clock;
   TargetControlStore& m_controls;
   FreezeGate& m_freeze_gate;
@@ -183,6 +185,7 @@
 RunReport WorkRunner::Implementation::BeginRun(const WorkRequest& request) {
   const RunRecord record = m_recorder.Begin(request);
   RunReport report{.target = m_name,
+                   .process = m_process,
                    .number = record.number,
                    .idempotency_key = request.idempotency_key,
                    .call_id = request.call_id,
