Place undivided work by class, slots and one probe at a time

Cause: the node kept one picker for uploads and lookups, took all targets as equally large, never told the ejection of a cold target, and refreshed who may receive only every 100 ms, so a returning target got many probes at once. The dump's mean wait was the mean of nothing. Change: a picker for each class of work, slots from the join record, a member that joins later is marked cold, eligibility follows each request.

--- a/modules/coordination/board_publisher.cc
+++ b/modules/coordination/board_publisher.cc
@@ -87,6 +87,7 @@
   route.availability_zone = member.announcement.availability_zone;
   route.data_address = member.announcement.data_address;
   route.is_local = member.id == m_context->self();
+  route.target_slots = member.announcement.target_slots;
   return route;
 }
 
--- a/modules/coordination/load/admission_controller.cc
+++ b/modules/coordination/load/admission_controller.cc
@@ -191,8 +191,11 @@
     status.burst_credit = m_credit.available();
     status.admitted_total = m_admitted_total;
     status.refused_total = m_refused_total;
-    status.mean_wait = std::chrono::duration_cast<std::chrono::microseconds>(
-        std::chrono::duration<double>(acc::mean(m_waits)));
+    // The mean of nothing is no number.
+    if (acc::count(m_waits) > 0) {
+      status.mean_wait = std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::duration<double>(acc::mean(m_waits)));
+    }
     return status;
   }
 
--- a/modules/coordination/route.h
+++ b/modules/coordination/route.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <string>
 
 #include "modules/state/identifiers.h"
@@ -18,6 +19,8 @@
   SlotIndex slot;
   Epoch epoch;
   bool is_local = false;
+  // Requests that the member's target runs at once.
+  std::uint32_t target_slots = 1;
 
   friend auto operator<=>(const Route&, const Route&) = default;
 };
--- a/modules/protocol/forwarded_request.h
+++ b/modules/protocol/forwarded_request.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "modules/coordination/load/work_class.h"
 #include "modules/protocol/header_field.h"
 #include "modules/state/identifiers.h"
 #include "modules/state/request_id_hash.h"
@@ -44,6 +45,10 @@
   std::uint64_t fingerprint = 0;
   std::uint8_t attempts_left = 0;
 
+  WorkClass work_class() const {
+    return is_long_work ? WorkClass::kLong : WorkClass::kShort;
+  }
+
   friend auto operator<=>(const ForwardedRequest&,
                           const ForwardedRequest&) = default;
 };
--- a/modules/transport/caller_exchange.cc
+++ b/modules/transport/caller_exchange.cc
@@ -134,8 +134,9 @@
   std::string failed;
   std::chrono::milliseconds pause = kFirstRetryPause;
   while (true) {
-    const std::optional<Route> route = m_dependencies.chooser.Choose(
-        *m_parsed.settings, m_parsed.slot_key, failed);
+    const std::optional<Route> route =
+        m_dependencies.chooser.Choose(*m_parsed.settings, m_parsed.slot_key,
+                                      m_parsed.request.work_class(), failed);
     AnswerHead answer = Attempt(route);
     if (!MayRetry(answer)) {
       // What the last attempt proves, it proves of itself alone.
@@ -193,9 +194,9 @@
   Carry(*route);
   AnswerHead answer = AwaitAnswer();
   if (any_member) {
-    m_dependencies.chooser.OnFinished(m_parsed.settings->id, *route,
-                                      ToRunOutcome(answer.outcome),
-                                      m_dependencies.clock.Now() - started);
+    m_dependencies.chooser.OnFinished(
+        m_parsed.settings->id, *route, m_parsed.request.work_class(),
+        ToRunOutcome(answer.outcome), m_dependencies.clock.Now() - started);
   }
   return answer;
 }
--- a/modules/transport/local_run_facts.cc
+++ b/modules/transport/local_run_facts.cc
@@ -15,8 +15,7 @@
   facts.caller = CallerHash(request.caller_hash);
   facts.key = KeyHash(std::hash<std::string>()(
       request.key.empty() ? request.target : request.key));
-  facts.work_class =
-      request.is_long_work ? WorkClass::kLong : WorkClass::kShort;
+  facts.work_class = request.work_class();
   facts.bytes = RequestTransfer::kInlineBytes;
   if (request.body_length && *request.body_length < facts.bytes)
     facts.bytes = *request.body_length;
--- a/modules/transport/route_chooser.cc
+++ b/modules/transport/route_chooser.cc
@@ -1,6 +1,8 @@
 #include "modules/transport/route_chooser.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <mutex>
 #include <random>
@@ -17,8 +19,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRefreshInterval{100};
-// The log doesn't say more of other members' targets than that they are there.
-constexpr std::size_t kAssumedSlots = 8;
 
 }  // namespace
 
@@ -30,11 +30,22 @@
     Service(const Clock& clock,
             std::mt19937_64& random,
             const AvailabilityZone& zone)
-        : picker(clock, random, zone),
+        : short_picker(clock, random, zone),
+          long_picker(clock, random, zone),
           ejection(clock, random, TargetEjection::Parameters()),
           budget(RetryBudget::Parameters()) {}
 
-    TargetPicker picker;
+    TargetPicker& PickerOf(WorkClass work_class) {
+      return work_class == WorkClass::kLong ? long_picker : short_picker;
+    }
+    void SetTarget(const TargetId& target, const Route& route);
+    void RemoveTarget(const TargetId& target);
+    // To be called whenever the ejection may have changed its mind: a probing
+    // target that stayed eligible would get many probes at once.
+    void UpdateEligibility(const TargetId& target);
+
+    TargetPicker short_picker;
+    TargetPicker long_picker;
     TargetEjection ejection;
     RetryBudget budget;
     std::map<TargetId, Route> members;
@@ -52,6 +63,34 @@
   std::map<ServiceId, std::unique_ptr<Service>> services;
 };
 
+void RouteChooser::Implementation::Service::SetTarget(const TargetId& target,
+                                                      const Route& route) {
+  const TargetDescription description{
+      target, route.availability_zone,
+      std::max<std::size_t>(1, route.target_slots)};
+  short_picker.SetTarget(description);
+  long_picker.SetTarget(description);
+  ejection.OnAnnounced(target, false);
+  // One that joins a service already in use has just started.
+  const bool is_new = !members.contains(target);
+  if (is_new && refreshed != Clock::TimePoint::min())
+    ejection.MarkCold(target);
+}
+
+void RouteChooser::Implementation::Service::RemoveTarget(
+    const TargetId& target) {
+  short_picker.RemoveTarget(target);
+  long_picker.RemoveTarget(target);
+  ejection.RemoveTarget(target);
+}
+
+void RouteChooser::Implementation::Service::UpdateEligibility(
+    const TargetId& target) {
+  const bool eligible = ejection.MayReceive(target);
+  short_picker.SetEligible(target, eligible);
+  long_picker.SetEligible(target, eligible);
+}
+
 RouteChooser::Implementation::Service& RouteChooser::Implementation::Find(
     const ServiceId& id) {
   std::unique_ptr<Service>& service = services[id];
@@ -67,24 +106,21 @@
       now - service.refreshed < kRefreshInterval) {
     return;
   }
-  service.refreshed = now;
   std::map<TargetId, Route> members;
   for (const Route& route : table.FindMembers(id))
     members.emplace(TargetId(route.data_address), route);
   for (const auto& [target, route] : service.members) {
     if (!members.contains(target)) {
-      service.picker.RemoveTarget(target);
-      service.ejection.RemoveTarget(target);
+      service.RemoveTarget(target);
     }
   }
-  for (const auto& [target, route] : members) {
-    service.picker.SetTarget({target, route.availability_zone, kAssumedSlots});
-    service.ejection.OnAnnounced(target, false);
-  }
+  for (const auto& [target, route] : members)
+    service.SetTarget(target, route);
   service.ejection.Poll();
   for (const auto& [target, route] : members)
-    service.picker.SetEligible(target, service.ejection.MayReceive(target));
+    service.UpdateEligibility(target);
   service.members = std::move(members);
+  service.refreshed = now;
 }
 
 RouteChooser::RouteChooser(const Clock& clock,
@@ -102,6 +138,7 @@
 
 std::optional<Route> RouteChooser::Choose(const ServiceSettings& settings,
                                           const std::string& slot_key,
+                                          WorkClass work_class,
                                           const std::string& failed) {
   Implementation& self = *m_implementation;
   if (!slot_key.empty())
@@ -112,24 +149,29 @@
   std::optional<TargetId> excluded;
   if (!failed.empty() && service.members.contains(TargetId(failed)))
     excluded = TargetId(failed);
-  const std::optional<TargetId> picked = service.picker.Pick(excluded);
+  const std::optional<TargetId> picked =
+      service.PickerOf(work_class).Pick(excluded);
   if (!picked)
     return std::nullopt;
-  service.picker.OnSent(*picked);
+  service.PickerOf(work_class).OnSent(*picked);
   service.ejection.OnSent(*picked);
+  service.UpdateEligibility(*picked);
   return service.members.at(*picked);
 }
 
 void RouteChooser::OnFinished(const ServiceId& service,
                               const Route& route,
+                              WorkClass work_class,
                               RunOutcome outcome,
                               Clock::Duration latency) {
   Implementation& self = *m_implementation;
   const std::lock_guard lock(self.mutex);
   Implementation::Service& found = self.Find(service);
   const TargetId target(route.data_address);
-  found.picker.OnFinished(target);
+  found.PickerOf(work_class).OnFinished(target);
   found.ejection.OnFinished(target, outcome, latency);
+  if (found.members.contains(target))
+    found.UpdateEligibility(target);
 }
 
 void RouteChooser::OnFirstTry(const ServiceId& service) {
--- a/modules/transport/route_chooser.h
+++ b/modules/transport/route_chooser.h
@@ -7,6 +7,7 @@
 #include "modules/coordination/clock.h"
 #include "modules/coordination/load/retry_allowance.h"
 #include "modules/coordination/load/run_outcome.h"
+#include "modules/coordination/load/work_class.h"
 #include "modules/coordination/route.h"
 #include "modules/state/service_id.h"
 #include "modules/state/service_settings.h"
@@ -33,10 +34,12 @@
   // the member that has just failed it. Nothing when there is nobody.
   std::optional<Route> Choose(const ServiceSettings& settings,
                               const std::string& slot_key,
+                              WorkClass work_class,
                               const std::string& failed);
   // For each route chosen for work that any member may run.
   void OnFinished(const ServiceId& service,
                   const Route& route,
+                  WorkClass work_class,
                   RunOutcome outcome,
                   Clock::Duration latency);
 
