--- a/modules/transport/route_chooser_test.cc
+++ b/modules/transport/route_chooser_test.cc
@@ -115,7 +115,8 @@
   bench.table.Add(MakeRoute("cold"));
   bench.clock.Advance(kRefreshed);
   play(1000);
-  CHECK(play(400) > 0);
+  // An even share would be 100; probes alone are a few.
+  CHECK(play(400) > 50);
 }
 
 TEST_CASE("long work outstanding at a member does not drive short work away") {
