--- a/programs/citrongrade-load/key_place.cc
+++ b/programs/citrongrade-load/key_place.cc
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "programs/citrongrade-log-standin/settings_error.h"
+#include "programs/support/settings_error.h"
 
 namespace citrongrade {
 
--- a/programs/citrongrade-load/main.cc
+++ b/programs/citrongrade-load/main.cc
@@ -7,8 +7,8 @@
 #include "programs/citrongrade-load/load_report.h"
 #include "programs/citrongrade-load/load_run.h"
 #include "programs/citrongrade-load/load_settings.h"
-#include "programs/citrongrade-log-standin/logging_setup.h"
-#include "programs/citrongrade-log-standin/settings_reader.h"
+#include "programs/support/logging_setup.h"
+#include "programs/support/settings_reader.h"
 
 namespace citrongrade {
 
--- a/programs/citrongrade-log-standin/main.cc
+++ b/programs/citrongrade-log-standin/main.cc
@@ -8,9 +8,9 @@
 #include "modules/transport/http_server_settings.h"
 #include "programs/citrongrade-log-standin/log_service.h"
 #include "programs/citrongrade-log-standin/log_standin_settings.h"
-#include "programs/citrongrade-log-standin/logging_setup.h"
-#include "programs/citrongrade-log-standin/settings_reader.h"
-#include "programs/citrongrade-log-standin/termination_signal.h"
+#include "programs/support/logging_setup.h"
+#include "programs/support/settings_reader.h"
+#include "programs/support/termination_signal.h"
 
 namespace citrongrade {
 
--- a/programs/citrongrade-node/main.cc
+++ b/programs/citrongrade-node/main.cc
@@ -4,11 +4,11 @@
 #include <exception>
 #include <string>
 
-#include "programs/citrongrade-log-standin/logging_setup.h"
-#include "programs/citrongrade-log-standin/settings_reader.h"
-#include "programs/citrongrade-log-standin/termination_signal.h"
 #include "programs/citrongrade-node/node.h"
 #include "programs/citrongrade-node/node_settings.h"
+#include "programs/support/logging_setup.h"
+#include "programs/support/settings_reader.h"
+#include "programs/support/termination_signal.h"
 
 namespace citrongrade {
 
--- a/programs/citrongrade-node/node.cc
+++ b/programs/citrongrade-node/node.cc
@@ -34,8 +34,8 @@
 #include "modules/transport/route_chooser.h"
 #include "modules/transport/rpc_loop.h"
 #include "modules/transport/target_dispatcher.h"
-#include "programs/citrongrade-log-standin/termination_signal.h"
 #include "programs/citrongrade-node/node_settings.h"
+#include "programs/support/termination_signal.h"
 
 namespace citrongrade {
 
--- a/programs/citrongrade-target-standin/main.cc
+++ b/programs/citrongrade-target-standin/main.cc
@@ -11,14 +11,14 @@
 #include "modules/transport/http_handler.h"
 #include "modules/transport/http_server.h"
 #include "modules/transport/http_server_settings.h"
-#include "programs/citrongrade-log-standin/logging_setup.h"
-#include "programs/citrongrade-log-standin/settings_reader.h"
-#include "programs/citrongrade-log-standin/termination_signal.h"
 #include "programs/citrongrade-target-standin/announcer.h"
 #include "programs/citrongrade-target-standin/freeze_gate.h"
 #include "programs/citrongrade-target-standin/service_time.h"
 #include "programs/citrongrade-target-standin/target_service.h"
 #include "programs/citrongrade-target-standin/target_settings.h"
+#include "programs/support/logging_setup.h"
+#include "programs/support/settings_reader.h"
+#include "programs/support/termination_signal.h"
 
 namespace citrongrade {
 
--- a/programs/citrongrade-log-standin/settings_reader.h
+++ b/programs/support/settings_reader.h
@@ -15,7 +15,7 @@
 
 #include "modules/transport/http_address.h"
 #include "modules/transport/http_errors.h"
-#include "programs/citrongrade-log-standin/settings_error.h"
+#include "programs/support/settings_error.h"
 
 namespace citrongrade {
 
--- a/programs/citrongrade-log-standin/settings_reader_test.cc
+++ b/programs/support/settings_reader_test.cc
@@ -1,4 +1,4 @@
-#include "programs/citrongrade-log-standin/settings_reader.h"
+#include "programs/support/settings_reader.h"
 
 #include <doctest/doctest.h>
 
