--- a/programs/citrongrade-load/main.cc
+++ b/programs/citrongrade-load/main.cc
@@ -1,13 +1,12 @@
 #include <spdlog/spdlog.h>
 
 #include <cstdlib>
-#include <exception>
 #include <iostream>
 
 #include "programs/citrongrade-load/load_report.h"
 #include "programs/citrongrade-load/load_run.h"
 #include "programs/citrongrade-load/load_settings.h"
-#include "programs/support/logging_setup.h"
+#include "programs/support/run_program.h"
 #include "programs/support/settings_reader.h"
 
 namespace citrongrade {
@@ -114,11 +113,6 @@
 }  // namespace citrongrade
 
 int main(int argc, char** argv) {
-  citrongrade::SetUpLogging();
-  try {
-    return citrongrade::Run(argc, argv);
-  } catch (const std::exception& error) {
-    spdlog::critical("event=start-failed reason=\"{}\"", error.what());
-    return citrongrade::kStartFailed;
-  }
+  return citrongrade::RunProgram(citrongrade::Run, argc, argv,
+                                 citrongrade::kStartFailed);
 }
--- a/programs/citrongrade-log-standin/main.cc
+++ b/programs/citrongrade-log-standin/main.cc
@@ -1,14 +1,13 @@
 #include <spdlog/spdlog.h>
 
 #include <cstdlib>
-#include <exception>
 
 #include "modules/coordination/steady_clock.h"
 #include "modules/transport/http_server.h"
 #include "modules/transport/http_server_settings.h"
 #include "programs/citrongrade-log-standin/log_service.h"
 #include "programs/citrongrade-log-standin/log_standin_settings.h"
-#include "programs/support/logging_setup.h"
+#include "programs/support/run_program.h"
 #include "programs/support/settings_reader.h"
 #include "programs/support/termination_signal.h"
 
@@ -61,11 +60,5 @@
 }  // namespace citrongrade
 
 int main(int argc, char** argv) {
-  citrongrade::SetUpLogging();
-  try {
-    return citrongrade::Run(argc, argv);
-  } catch (const std::exception& error) {
-    spdlog::critical("event=start-failed reason=\"{}\"", error.what());
-    return EXIT_FAILURE;
-  }
+  return citrongrade::RunProgram(citrongrade::Run, argc, argv);
 }
--- a/programs/citrongrade-node/main.cc
+++ b/programs/citrongrade-node/main.cc
@@ -1,12 +1,11 @@
 #include <spdlog/spdlog.h>
 
 #include <cstdlib>
-#include <exception>
 #include <string>
 
 #include "programs/citrongrade-node/node.h"
 #include "programs/citrongrade-node/node_settings.h"
-#include "programs/support/logging_setup.h"
+#include "programs/support/run_program.h"
 #include "programs/support/settings_reader.h"
 #include "programs/support/termination_signal.h"
 
@@ -70,11 +69,5 @@
 }  // namespace citrongrade
 
 int main(int argc, char** argv) {
-  citrongrade::SetUpLogging();
-  try {
-    return citrongrade::Run(argc, argv);
-  } catch (const std::exception& error) {
-    spdlog::critical("event=start-failed reason=\"{}\"", error.what());
-    return EXIT_FAILURE;
-  }
+  return citrongrade::RunProgram(citrongrade::Run, argc, argv);
 }
--- a/programs/citrongrade-target-standin/main.cc
+++ b/programs/citrongrade-target-standin/main.cc
@@ -3,7 +3,6 @@
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
-#include <exception>
 #include <memory>
 #include <thread>
 
@@ -16,7 +15,7 @@
 #include "programs/citrongrade-target-standin/service_time.h"
 #include "programs/citrongrade-target-standin/target_service.h"
 #include "programs/citrongrade-target-standin/target_settings.h"
-#include "programs/support/logging_setup.h"
+#include "programs/support/run_program.h"
 #include "programs/support/settings_reader.h"
 #include "programs/support/termination_signal.h"
 
@@ -152,11 +151,5 @@
 }  // namespace citrongrade
 
 int main(int argc, char** argv) {
-  citrongrade::SetUpLogging();
-  try {
-    return citrongrade::Run(argc, argv);
-  } catch (const std::exception& error) {
-    spdlog::critical("event=start-failed reason=\"{}\"", error.what());
-    return EXIT_FAILURE;
-  }
+  return citrongrade::RunProgram(citrongrade::Run, argc, argv);
 }
