Refuse in the common form what the HTTP library itself can't read

Cause: what is not HTTP, and heads above 64 KiB, got CivetWeb's bare status: no outcome, no error name, no request id. Change: the library's error callback asks the handler; callers get not-run with malformed-request. Tried: telling a large head apart as 431; the library reports 400 for both, so it can't be told.

--- a/modules/transport/caller_exchange.cc
+++ b/modules/transport/caller_exchange.cc
@@ -336,6 +336,12 @@
 void CallerExchange::SendRefusal(HttpExchange& exchange,
                                  const AnswerHead& refusal,
                                  const std::string& request_id) {
+  const HttpResponse response = MakeRefusal(refusal, request_id);
+  exchange.Send(response.head.status, response.head.headers, response.body);
+}
+
+HttpResponse CallerExchange::MakeRefusal(const AnswerHead& refusal,
+                                         const std::string& request_id) {
   std::chrono::milliseconds retry_after = refusal.retry_after;
   if (retry_after.count() == 0 && MayPass(*refusal.error))
     retry_after = kDefaultRetryAfter;
@@ -353,8 +359,11 @@
     headers.push_back({"Retry-After", std::to_string(seconds.count())});
   }
   constexpr auto kReplaceBadText = nlohmann::json::error_handler_t::replace;
-  exchange.Send(StatusOf(*refusal.error), headers,
-                body.dump(-1, ' ', false, kReplaceBadText));
+  HttpResponse response;
+  response.head.status = StatusOf(*refusal.error);
+  response.head.headers = std::move(headers);
+  response.body = body.dump(-1, ' ', false, kReplaceBadText);
+  return response;
 }
 
 }  // namespace citrongrade
--- a/modules/transport/caller_exchange.h
+++ b/modules/transport/caller_exchange.h
@@ -10,6 +10,7 @@
 #include "modules/protocol/answer_head.h"
 #include "modules/transport/caller_handler.h"
 #include "modules/transport/caller_request_parser.h"
+#include "modules/transport/http_response.h"
 
 namespace citrongrade {
 
@@ -29,7 +30,9 @@
   // the caller is gone.
   void Serve(const CallerRequestParser& parser);
 
-  // Answers with a refusal, as JSON.
+  // A refusal as callers get it: headers, and a body of JSON.
+  static HttpResponse MakeRefusal(const AnswerHead& refusal,
+                                  const std::string& request_id);
   static void SendRefusal(HttpExchange& exchange,
                           const AnswerHead& refusal,
                           const std::string& request_id);
--- a/modules/transport/caller_handler.cc
+++ b/modules/transport/caller_handler.cc
@@ -53,4 +53,12 @@
   }
 }
 
+std::optional<HttpResponse> CallerHandler::RefuseUnreadable() {
+  const AnswerHead refusal = RefuseNotRun(
+      RequestErrorCode::kMalformedRequest,
+      "the request can't be read as HTTP, or its head is far too large");
+  m_dependencies.metrics.OnRefused(*refusal.error);
+  return CallerExchange::MakeRefusal(refusal, m_request_ids.Next());
+}
+
 }  // namespace citrongrade
--- a/modules/transport/caller_handler.h
+++ b/modules/transport/caller_handler.h
@@ -35,6 +35,7 @@
   explicit CallerHandler(const Dependencies& dependencies);
 
   void Handle(HttpExchange& exchange) override;
+  std::optional<HttpResponse> RefuseUnreadable() override;
 
   // From now on every request is refused, and its connection closed.
   void StopTaking() { m_stopped = true; }
--- a/modules/transport/http_server.cc
+++ b/modules/transport/http_server.cc
@@ -12,6 +12,7 @@
 #include <exception>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -21,12 +22,17 @@
 #include "modules/transport/http_exchange_implementation.h"
 #include "modules/transport/http_handler.h"
 #include "modules/transport/http_library.h"
+#include "modules/transport/http_message_head.h"
+#include "modules/transport/http_message_writer.h"
 
 namespace citrongrade {
 
 namespace {
 
 constexpr int kInternalError = 500;
+// What the library's error callback returns.
+constexpr int kAnswered = 0;
+constexpr int kLeaveToLibrary = 1;
 constexpr int kListenBacklog = 1024;
 constexpr std::chrono::milliseconds kKnockInterval(5);
 
@@ -99,6 +105,9 @@
 
  private:
   static int OnRequest(mg_connection* connection);
+  static int OnError(mg_connection* connection,
+                     int status,
+                     const char* message);
   static int OnMessage(const mg_connection* connection, const char* message);
 
   int Serve(mg_connection* connection);
@@ -121,6 +130,7 @@
   InitializeHttpLibrary();
   mg_callbacks callbacks = {};
   callbacks.begin_request = &OnRequest;
+  callbacks.http_error = &OnError;
   callbacks.log_message = &OnMessage;
   const ServerOptions options(settings);
   std::vector<const char*> pointers = options.Pointers();
@@ -152,6 +162,30 @@
   return self->Serve(connection);
 }
 
+int HttpServer::Implementation::OnError(mg_connection* connection,
+                                        int /*status*/,
+                                        const char* /*message*/) {
+  auto* self = static_cast<Implementation*>(
+      mg_get_user_data(mg_get_context(connection)));
+  const std::optional<HttpResponse> response =
+      self->m_handler.RefuseUnreadable();
+  if (!response)
+    return kLeaveToLibrary;
+  HttpMessageHead head;
+  head.first_line =
+      "HTTP/1.1 " + std::to_string(response->head.status) + " " +
+      mg_get_response_code_text(connection, response->head.status);
+  head.headers = response->head.headers;
+  head.headers.push_back({"Connection", "close"});
+  head.body_length = HttpBodyLength::Exactly(response->body.size());
+  try {
+    HttpMessageWriter(connection).WriteHead(head, response->body);
+  } catch (const HttpError&) {
+    // The client is gone.
+  }
+  return kAnswered;
+}
+
 int HttpServer::Implementation::OnMessage(const mg_connection* connection,
                                           const char* message) {
   mg_context* context = mg_get_context(connection);
