Tell the coordinator that the log answers again when nobody appended meanwhile

Cause: the reader passed on reads with entries only. After an outage every node took the log to be down until an entry came, and none appended one: an owner lost during the outage was never taken over (failures_log_process_test, 60 s). Ruled out: the takeover itself; the dumps showed testimonies of all witnesses that live and log_available=false, 11 s after the reader's own log-available. Change: empty reads are passed on, and the first read after a failure doesn't wait. Also: tests pick ports by one function, which gives out each once; the other could give a port to two programs of one test (seen as address in use).

--- a/modules/coordination/node_coordinator.h
+++ b/modules/coordination/node_coordinator.h
@@ -71,7 +71,8 @@
 
   // The next offset to read from the log.
   LogOffset NextReadOffset() const;
-  // Entries in order; those before NextReadOffset() are ignored.
+  // Entries in order; those before NextReadOffset() are ignored. To be called
+  // for a read that found none as well: it shows that the log answers.
   void OnLogEntries(const std::vector<LogEntry>& entries);
   // What PlatformLog::NextOffset() returned after this object was made. The
   // node is not ready, and does not join, before it has read so far.
--- a/modules/transport/log_reader_thread.cc
+++ b/modules/transport/log_reader_thread.cc
@@ -41,7 +41,9 @@
       continue;
     }
     try {
-      ReadOnce();
+      // After a failure the first read doesn't wait: it is to tell at once that
+      // the log answers again.
+      ReadOnce(was_available ? kLongPoll : std::chrono::milliseconds(0));
       if (!was_available)
         spdlog::info("event=log-available");
       was_available = true;
@@ -57,13 +59,16 @@
   }
 }
 
-void LogReaderThread::ReadOnce() {
+void LogReaderThread::ReadOnce(std::chrono::milliseconds wait) {
   if (m_listener.WantsLogEnd())
     m_listener.OnLogEnd(m_log->NextOffset());
   std::vector<LogEntry> entries =
-      m_log->Read(m_listener.NextReadOffset(), kMaxEntries, kLongPoll);
-  if (!entries.empty())
-    m_listener.OnLogEntries(std::move(entries));
+      m_log->Read(m_listener.NextReadOffset(), kMaxEntries, wait);
+  // A read without entries is passed on as well: it shows that the log answers.
+  // Else, after an outage in which nobody appended, every node would wait for
+  // another's entry before it appends its own, and no lost owner's slots would
+  // ever be taken over.
+  m_listener.OnLogEntries(std::move(entries));
 }
 
 }  // namespace citrongrade
--- a/modules/transport/log_reader_thread.h
+++ b/modules/transport/log_reader_thread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -27,6 +28,7 @@
     // Whether NextOffset() of the log has to be given to OnLogEnd first.
     virtual bool WantsLogEnd() = 0;
     virtual void OnLogEnd(LogOffset next_offset) = 0;
+    // Empty when a read found nothing new.
     virtual void OnLogEntries(std::vector<LogEntry> entries) = 0;
     virtual void OnLogGap(LogOffset first_kept) = 0;
     virtual void OnLogUnavailable() = 0;
@@ -40,7 +42,7 @@
 
  private:
   void Main();
-  void ReadOnce();
+  void ReadOnce(std::chrono::milliseconds wait);
 
   std::unique_ptr<PlatformLog> m_log;
   Listener& m_listener;
--- a/tests/support/node_mesh.py
+++ b/tests/support/node_mesh.py
@@ -1,11 +1,9 @@
 """A mesh of nodes with their targets on one log stream, for process tests."""
 
 import json
-import random
-import socket
 
 from support.log_client import LogClient
-from support.processes import call, wait_until
+from support.processes import call, free_addresses, wait_until
 
 WORKSPACE = "recife"
 KEYED = "sorteio"
@@ -18,27 +16,6 @@
 }
 
 
-# Below the ports that the system gives to outgoing connections: one of those
-# may be taken by another process between the choice and the program's start.
-PORTS = range(12000, 30000)
-
-
-def listening_addresses(count):
-    """Loopback addresses that nobody listens on now."""
-    addresses = []
-    while len(addresses) < count:
-        port = random.choice(PORTS)
-        address = "127.0.0.1:%d" % port
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if address not in addresses:
-            addresses.append(address)
-    return addresses
-
-
 class Node:
     """One node and its target."""
 
@@ -96,7 +73,7 @@
     def start_node(self, zone="derby", service=KEYED, target_flags=(),
                    node_flags=(), with_target=True, service_time_us=200):
         name = "node-%d" % (len(self.nodes) + 1)
-        caller, control, data, peer, target = listening_addresses(5)
+        caller, control, data, peer, target = free_addresses(5)
         node = Node(name, caller, control)
         node.process = self.programs.start(
             "citrongrade-node", "--node-id", name, "--zone", zone,
