--- a/tests/failures_many_hosts_process_test.py
+++ b/tests/failures_many_hosts_process_test.py
@@ -10,6 +10,8 @@
 
 LOAD_SECONDS = 10
 ROLLING_LOAD_SECONDS = 40
+# Of the example's template.
+SLOT_COUNT = 1024
 SECONDS_BEFORE_KILL = 1
 CALLS_PER_SECOND = 150
 
@@ -44,7 +46,8 @@
             self.mesh.wait_until_served()
             self.wait_until_members_own(self.mesh.hosts)
         report = self.check_promises(load, ROLLING_LOAD_SECONDS)
-        print_figures("rolling restart", failures=report["failures"],
+        print_figures("rolling restart", slots_moved=self.slots_moved(),
+                      slots=SLOT_COUNT, failures=report["failures"],
                       done=report["done"], **report["unavailable_ms"])
 
 
--- a/tests/support/failure_case.py
+++ b/tests/support/failure_case.py
@@ -64,6 +64,16 @@
         self.assertEqual(report["failures"], {})
         self.assertEqual(report["done"], report["calls"])
 
+    def slots_moved(self):
+        """Slots that went from one owner to another since the start, by the log."""
+        answer = call(self.log_address, "GET", "/v1/streams/%s/records?from=1&"
+                      "max=10000&wait_ms=0" % self.mesh.plan.region)
+        records = [json.loads(each["data"])
+                   for each in answer.json()["records"]]
+        # Runs are triples: first slot, count, index of the owner.
+        return sum(sum(record["runs"][1::3]) for record in records
+                   if record["type"] in ("transfer", "takeover"))
+
     def wait_until_members_own(self, hosts):
         """Until the log's owners are just these hosts, each with some slots."""
         names = {host.name for host in hosts}
