Ask a node's control address by one class in tests

Cause: the two meshes of the process tests each had dump() and is_ready(), and three places picked the services out of a dump. Change: NodeControl, which both kinds of host derive from. No check changes. Run: node_requests, node_graceful_stop, node_bad_input and node_lost_owner, one case each of failures_pause and failures_log, and the demo: all pass. The whole check was not run again.

--- a/tests/support/failure_case.py
+++ b/tests/support/failure_case.py
@@ -79,11 +79,7 @@
         names = {host.name for host in hosts}
 
         def settled():
-            coordinator = hosts[0].dump()["coordinator"]
-            if not coordinator:
-                return False
-            services = coordinator["services"]
-            owners = {run["owner"] for service in services
+            owners = {run["owner"] for service in hosts[0].services()
                       for run in service["runs"]}
             return owners == names
         wait_until(settled, "slots are owned by " + ", ".join(sorted(names)),
--- a/tests/support/mesh.py
+++ b/tests/support/mesh.py
@@ -4,7 +4,8 @@
 import json
 import os
 
-from support.processes import call, free_addresses, wait_until
+from support.node_control import NodeControl
+from support.processes import free_addresses, wait_until
 
 SERVED_TIMEOUT_SECONDS = 60
 # Callers of a demo or a test, not the hundreds of a day.
@@ -75,7 +76,7 @@
                 UPLOAD_LOAD, NO_GRANTS)])
 
 
-class Host:
+class Host(NodeControl):
     """A node and its target, which are lost together."""
 
     def __init__(self, number, zone, plan, node, target, addresses):
@@ -92,15 +93,6 @@
     def name(self):
         return self.plan.host_name(self.number)
 
-    def dump(self):
-        return call(self.control, "GET", "/v1/dump").json()
-
-    def is_ready(self):
-        try:
-            return call(self.control, "GET", "/v1/ready").status == 200
-        except OSError:
-            return False
-
     def is_running(self):
         return self.node.is_running() and self.target.is_running()
 
@@ -197,8 +189,7 @@
 
     def _all_slots_owned(self):
         running = next(host for host in self.hosts if host.is_running())
-        coordinator = running.dump()["coordinator"]
-        services = coordinator["services"] if coordinator else []
+        services = running.services()
         return (len(services) == len(self.plan.services) and
                 all(each["unowned_slots"] == 0 for each in services))
 
--- a/tests/support/node_mesh.py
+++ b/tests/support/node_mesh.py
@@ -3,6 +3,7 @@
 import json
 
 from support.log_client import LogClient
+from support.node_control import NodeControl
 from support.processes import call, free_addresses, wait_until
 
 WORKSPACE = "recife"
@@ -16,7 +17,7 @@
 }
 
 
-class Node:
+class Node(NodeControl):
     """One node and its target."""
 
     def __init__(self, name, caller, control):
@@ -27,15 +28,6 @@
         self.target = None
         self.target_address = None
 
-    def dump(self):
-        return call(self.control, "GET", "/v1/dump").json()
-
-    def is_ready(self):
-        try:
-            return call(self.control, "GET", "/v1/ready").status == 200
-        except OSError:
-            return False
-
     def metrics(self):
         return call(self.control, "GET", "/v1/metrics").body.decode()
 
@@ -105,8 +97,7 @@
         return all(node.is_ready() for node in self.nodes)
 
     def _all_slots_owned(self):
-        coordinator = self.nodes[0].dump()["coordinator"]
-        services = coordinator["services"] if coordinator else []
+        services = self.nodes[0].services()
         return services and all(each["unowned_slots"] == 0
                                 for each in services)
 
