--- /dev/null
+++ b/modules/coordination/load/target_admission.cc
@@ -0,0 +1,149 @@
+#include "modules/coordination/load/target_admission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citrongrade {
+
+namespace {
+
+// Weight of the newest run in a mean: some ten runs decide it.
+constexpr double kNewest = 0.1;
+// Kinds come from the operators' routes; beyond this many they share the mean.
+constexpr std::size_t kMaxKinds = 256;
+
+Clock::Duration Blend(Clock::Duration mean, Clock::Duration newest) {
+  return mean +
+         std::chrono::duration_cast<Clock::Duration>((newest - mean) * kNewest);
+}
+
+}  // namespace
+
+TargetAdmission::TargetAdmission(const Clock& clock,
+                                 const Parameters& parameters)
+    : m_clock(clock),
+      m_parameters(parameters),
+      m_mean_work(parameters.assumed_work) {}
+
+Clock::Duration TargetAdmission::WorkOf(const std::string& kind) const {
+  const auto found = m_work.find(kind);
+  return found == m_work.end() ? m_mean_work : found->second;
+}
+
+TargetAdmission::Rank TargetAdmission::RankOf(const Request& request,
+                                              std::uint64_t sequence) const {
+  const bool is_late = m_clock.Now() + WorkOf(request.kind) > request.aim;
+  return {is_late, request.priority, sequence};
+}
+
+Clock::Duration TargetAdmission::WaitBehind(std::size_t ahead) const {
+  const std::size_t slots = std::max<std::size_t>(1, m_parameters.slots);
+  if (m_running.size() + ahead < slots)
+    return Clock::Duration(0);
+  const double rounds =
+      static_cast<double>(ahead + 1 + m_running.size() - slots) /
+      static_cast<double>(slots);
+  return std::chrono::duration_cast<Clock::Duration>(m_mean_work * rounds);
+}
+
+TargetAdmission::Verdict TargetAdmission::Offer(const Request& request) {
+  const Clock::TimePoint now = m_clock.Now();
+  const Clock::TimePoint latest_start =
+      request.deadline - m_parameters.way_back - WorkOf(request.kind) / 2;
+  if (m_running.size() < m_parameters.slots && m_waiting.empty()) {
+    if (now >= latest_start)
+      return Verdict::kRefused;
+    m_running.emplace(request.ticket, request);
+    return Verdict::kAdmitted;
+  }
+  const std::uint64_t sequence = m_next_sequence++;
+  const Rank rank = RankOf(request, sequence);
+  const auto ahead = static_cast<std::size_t>(
+      std::distance(m_waiting.begin(), m_waiting.lower_bound(rank)));
+  if (m_waiting.size() >= m_parameters.max_waiting ||
+      now + WaitBehind(ahead) >= latest_start)
+    return Verdict::kRefused;
+  m_waiting.emplace(rank, request);
+  return Verdict::kWaits;
+}
+
+void TargetAdmission::OnFinished(RequestTicket ticket,
+                                 std::optional<Clock::Duration> work) {
+  const auto found = m_running.find(ticket);
+  if (found == m_running.end())
+    return;
+  const std::string kind = found->second.kind;
+  m_running.erase(found);
+  if (!work)
+    return;
+  m_mean_work = Blend(m_mean_work, *work);
+  const auto known = m_work.find(kind);
+  if (known != m_work.end())
+    known->second = Blend(known->second, *work);
+  else if (m_work.size() < kMaxKinds)
+    m_work.emplace(kind, Blend(m_mean_work, *work));
+}
+
+void TargetAdmission::ReRank() {
+  std::vector<std::pair<Rank, Request>> moved;
+  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+    const Rank rank = RankOf(it->second, it->first.sequence);
+    if (rank == it->first) {
+      ++it;
+      continue;
+    }
+    moved.emplace_back(rank, std::move(it->second));
+    it = m_waiting.erase(it);
+  }
+  for (auto& [rank, request] : moved)
+    m_waiting.emplace(rank, std::move(request));
+}
+
+TargetAdmission::Changes TargetAdmission::Poll() {
+  Changes changes;
+  if (m_waiting.empty())
+    return changes;
+  ReRank();
+  const Clock::TimePoint now = m_clock.Now();
+  while (!m_waiting.empty() && m_running.size() < m_parameters.slots) {
+    auto first = m_waiting.extract(m_waiting.begin());
+    Request& request = first.mapped();
+    if (now + m_parameters.way_back + WorkOf(request.kind) / 2 >=
+        request.deadline) {
+      changes.refused.push_back(request.ticket);
+      continue;
+    }
+    changes.admitted.push_back(request.ticket);
+    m_running.emplace(request.ticket, std::move(request));
+  }
+  std::size_t ahead = 0;
+  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+    const Request& request = it->second;
+    const Clock::TimePoint latest_start =
+        request.deadline - m_parameters.way_back - WorkOf(request.kind) / 2;
+    if (now + WaitBehind(ahead) < latest_start) {
+      ++ahead;
+      ++it;
+      continue;
+    }
+    changes.refused.push_back(request.ticket);
+    it = m_waiting.erase(it);
+  }
+  return changes;
+}
+
+bool TargetAdmission::Withdraw(RequestTicket ticket) {
+  for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
+    if (it->second.ticket != ticket)
+      continue;
+    m_waiting.erase(it);
+    return true;
+  }
+  return false;
+}
+
+Clock::Duration TargetAdmission::DrainTime() const {
+  return WaitBehind(m_waiting.size());
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/heartbeat.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "modules/state/mesh/key_slot.h"
+#include "modules/state/mesh/target_life.h"
+
+namespace citrongrade {
+
+// What a node tells the leader: that it lives, what its target is and did.
+struct Heartbeat {
+  enum class TargetState : std::uint8_t {
+    // This process has not heard of its target yet: the target may be alive and
+    // still hold keys that an earlier process granted.
+    kUnheard,
+    kServing,
+    kDraining,
+    // It is gone, or has no hold left.
+    kGone,
+  };
+
+  struct Target {
+    TargetState state = TargetState::kUnheard;
+    TargetLife life;
+    std::string service;
+    std::uint32_t slots = 0;
+    // How much longer it says to be slow after its start.
+    std::uint32_t cold_ms = 0;
+
+    friend auto operator<=>(const Target&, const Target&) = default;
+  };
+
+  // Keys that the target gave back, by order of the leader.
+  struct Released {
+    std::string service;
+    SlotRange range;
+    std::uint64_t fence = 0;
+    // For the next holder; empty when the hold ran out instead.
+    std::string handover;
+
+    friend auto operator<=>(const Released&, const Released&) = default;
+  };
+
+  struct SlotArrivals {
+    std::uint32_t slot = 0;
+    std::uint32_t count = 0;
+
+    friend auto operator<=>(const SlotArrivals&, const SlotArrivals&) = default;
+  };
+
+  std::string address;
+  std::string data_address;
+  std::string zone;
+  // Drawn at the start of the process.
+  std::uint64_t incarnation = 0;
+  // Grows with each heartbeat of the process: a late one is known by it.
+  std::uint64_t sequence = 0;
+  // The node's vote is the leader's for MeshTiming::promise from now on.
+  bool promises = false;
+  // Of the leader's last reply, by which it knows how old the promise is.
+  std::uint64_t leader_nonce = 0;
+  std::int64_t leader_stamp_ns = 0;
+  // What the node knows already.
+  std::uint64_t epoch = 0;
+  std::uint64_t view_version = 0;
+  std::uint64_t config_version = 0;
+  // The node was told to stop.
+  bool is_leaving = false;
+  // Its last call to the platform's store was answered.
+  bool store_answers = false;
+  // To be answered at once: it brings news.
+  bool is_urgent = false;
+  Target target;
+  std::vector<Released> released;
+  // Requests that came for its slots since the last heartbeat.
+  std::vector<SlotArrivals> arrivals;
+  // Mean time that the target takes for a request; 0 when not known.
+  std::uint32_t mean_work_us = 0;
+  // Marks of requests that were running when the target crashed.
+  std::vector<std::uint64_t> crash_suspects;
+
+  friend auto operator<=>(const Heartbeat&, const Heartbeat&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/heartbeat_reply.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "modules/state/mesh/key_slot.h"
+#include "modules/state/mesh/mesh_view.h"
+
+namespace citrongrade {
+
+// The leader's answer to a heartbeat.
+struct HeartbeatReply {
+  // The target is to give these keys back.
+  struct ReleaseOrder {
+    std::string service;
+    SlotRange range;
+    std::uint64_t fence = 0;
+
+    friend auto operator<=>(const ReleaseOrder&, const ReleaseOrder&) = default;
+  };
+
+  // False: the one asked does not lead, and the rest says nothing but who may.
+  bool is_leader = false;
+  // Whom to ask instead; empty when not known.
+  std::string leader_hint;
+  // The leader gave up; votes promised to it are free again.
+  bool has_resigned = false;
+  std::uint64_t nonce = 0;
+  std::int64_t stamp_ns = 0;
+  // Counts from when the heartbeat was sent; 0: no lease.
+  std::uint32_t lease_ms = 0;
+  // The node is to follow the operators' configuration in the store as well,
+  // in case the leader can't.
+  bool follow_store = false;
+  ViewDelta view;
+  std::vector<ReleaseOrder> releases;
+  std::vector<std::uint64_t> crash_suspects;
+  // The operators' document, as stored, when it is newer than the node's.
+  std::uint64_t config_version = 0;
+  std::string config_document;
+
+  friend auto operator<=>(const HeartbeatReply&,
+                          const HeartbeatReply&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/key_assigner.cc
@@ -0,0 +1,360 @@
+#include "modules/coordination/mesh/key_assigner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citrongrade {
+
+namespace {
+
+// Part of a rate that one round of counting replaces. With rounds of 250 ms a
+// hot spot shows in half a second, and noise of a few requests does not.
+constexpr double kRoundShare = 0.3;
+// Weight of a slot without arrivals, as part of the mean of all.
+constexpr double kIdleWeight = 0.1;
+// A fence holds the leader's epoch above a count of its grants.
+constexpr unsigned kGrantBits = 24;
+// A run that nobody owns is given out in pieces of at most this part of what
+// one member would get.
+constexpr double kPieceShare = 0.34;
+
+}  // namespace
+
+KeyAssigner::KeyAssigner(std::uint64_t epoch,
+                         std::map<std::string, KeyTable> tables)
+    : m_epoch(epoch), m_tables(std::move(tables)) {}
+
+void KeyAssigner::SetMembers(std::vector<Member> members) {
+  m_members = std::move(members);
+}
+
+void KeyAssigner::AddService(const std::string& service) {
+  m_tables.try_emplace(service);
+}
+
+void KeyAssigner::CountArrivals(
+    const std::string& service,
+    const std::vector<Heartbeat::SlotArrivals>& arrivals) {
+  if (arrivals.empty())
+    return;
+  std::vector<double>& counts = m_counts[service];
+  counts.resize(kSlotCount, 0);
+  for (const Heartbeat::SlotArrivals& slot : arrivals) {
+    if (slot.slot < kSlotCount)
+      counts[slot.slot] += slot.count;
+  }
+}
+
+void KeyAssigner::EndRound(double seconds) {
+  for (auto& [service, counts] : m_counts) {
+    std::vector<double>& rates = m_rates[service];
+    rates.resize(kSlotCount, 0);
+    for (std::uint32_t slot = 0; slot < kSlotCount; ++slot) {
+      rates[slot] += kRoundShare * (counts[slot] / seconds - rates[slot]);
+      counts[slot] = 0;
+    }
+  }
+}
+
+void KeyAssigner::FreeLost(
+    const std::function<bool(const OwnedRun&)>& is_lost) {
+  for (const auto& [service, table] : m_tables) {
+    std::vector<OwnedRun> lost;
+    for (const OwnedRun& run : table.runs()) {
+      if (run.has_owner() && is_lost(run))
+        lost.push_back(run);
+    }
+    for (OwnedRun run : lost) {
+      std::erase_if(m_orders, [&](const Order& order) {
+        return order.service == service && order.range.Overlaps(run.range);
+      });
+      run.owner.clear();
+      run.life = {};
+      run.handover.clear();
+      Record(service, run);
+    }
+  }
+}
+
+void KeyAssigner::PlaceUnowned() {
+  for (const auto& [service, table] : m_tables) {
+    if (!table.HasUnowned() || ReceiversOf(service).empty())
+      continue;
+    if (table.runs().size() == 1) {
+      SpreadAll(service);
+      continue;
+    }
+    const std::vector<OwnedRun> runs = table.runs();
+    for (const OwnedRun& run : runs) {
+      if (!run.has_owner())
+        PlaceRun(service, run);
+    }
+  }
+}
+
+void KeyAssigner::SpreadAll(const std::string& service) {
+  const std::vector<const Member*> receivers = ReceiversOf(service);
+  double all = 0;
+  for (const Member* member : receivers)
+    all += member->capacity;
+  double given = 0;
+  std::uint32_t next = 0;
+  for (const Member* member : receivers) {
+    given += member->capacity;
+    auto end = static_cast<std::uint32_t>(given / all * kSlotCount);
+    if (member == receivers.back())
+      end = kSlotCount;
+    if (end > next)
+      Give(service, {next, end - 1}, *member, {});
+    next = std::max(next, end);
+  }
+}
+
+void KeyAssigner::PlaceRun(const std::string& service, const OwnedRun& run) {
+  const std::vector<const Member*> receivers = ReceiversOf(service);
+  const std::vector<double> weights = WeightsOf(service);
+  const KeyTable planned = PlannedTable(service);
+  std::map<std::string, double> loads;
+  double all = 0;
+  for (const OwnedRun& owned : planned.runs()) {
+    for (std::uint32_t s = owned.range.first; s <= owned.range.last; ++s) {
+      loads[owned.owner] += weights[s];
+      all += weights[s];
+    }
+  }
+  const double piece_weight =
+      all / static_cast<double>(receivers.size()) * kPieceShare;
+  std::uint32_t next = run.range.first;
+  while (next <= run.range.last) {
+    // What one holder gave back goes on together: its handover is for all.
+    std::uint32_t end = run.handover.empty() ? next : run.range.last;
+    double weight = 0;
+    for (std::uint32_t s = next; s <= end; ++s)
+      weight += weights[s];
+    while (end < run.range.last && weight + weights[end + 1] <= piece_weight)
+      weight += weights[++end];
+    const auto best = std::min_element(
+        receivers.begin(), receivers.end(),
+        [&](const Member* left, const Member* right) {
+          return (loads[left->address] + weight) / left->capacity <
+                 (loads[right->address] + weight) / right->capacity;
+        });
+    loads[(*best)->address] += weight;
+    Give(service, {next, end}, **best, run.handover);
+    next = end + 1;
+  }
+}
+
+void KeyAssigner::OrderDrains() {
+  for (const Member& member : m_members) {
+    if (member.must_give)
+      OrderDrain(member);
+  }
+}
+
+void KeyAssigner::OrderDrain(const Member& giver) {
+  const auto found = m_tables.find(giver.service);
+  if (found == m_tables.end())
+    return;
+  const std::vector<const Member*> receivers = ReceiversOf(giver.service);
+  if (receivers.empty())
+    return;
+  const std::vector<double> weights = WeightsOf(giver.service);
+  const KeyTable planned = PlannedTable(giver.service);
+  std::map<std::string, double> loads;
+  double all = 0;
+  for (const OwnedRun& run : planned.runs()) {
+    for (std::uint32_t s = run.range.first; s <= run.range.last; ++s) {
+      loads[run.owner] += weights[s];
+      all += weights[s];
+    }
+  }
+  const double piece_weight =
+      all / static_cast<double>(receivers.size()) * kPieceShare;
+  const std::vector<OwnedRun> runs = found->second.runs();
+  for (const OwnedRun& run : runs) {
+    if (run.owner != giver.address)
+      continue;
+    std::uint32_t next = run.range.first;
+    while (next <= run.range.last) {
+      if (IsOrdered(giver.service, {next, next})) {
+        ++next;
+        continue;
+      }
+      std::uint32_t end = next;
+      double weight = weights[next];
+      while (end < run.range.last &&
+             weight + weights[end + 1] <= piece_weight &&
+             !IsOrdered(giver.service, {end + 1, end + 1})) {
+        weight += weights[++end];
+      }
+      const auto best = std::min_element(
+          receivers.begin(), receivers.end(),
+          [&](const Member* left, const Member* right) {
+            return (loads[left->address] + weight) / left->capacity <
+                   (loads[right->address] + weight) / right->capacity;
+          });
+      loads[(*best)->address] += weight;
+      AddOrders(giver.service, run, {next, end}, (*best)->address);
+      next = end + 1;
+    }
+  }
+}
+
+void KeyAssigner::OrderBalance() {
+  for (const auto& [service, table] : m_tables) {
+    const auto rates = m_rates.find(service);
+    if (rates == m_rates.end() || table.HasUnowned())
+      continue;
+    std::vector<KeyBalancer::Target> targets;
+    for (const Member& member : m_members) {
+      if (member.service == service && !member.must_give)
+        targets.push_back(
+            {member.address, member.capacity, member.may_receive});
+    }
+    KeyBalancer& balancer =
+        m_balancers.try_emplace(service, KeyBalancer::Parameters())
+            .first->second;
+    const std::vector<KeyBalancer::Move> moves =
+        balancer.Plan(PlannedTable(service), rates->second, targets);
+    const KeyTable current = table;
+    for (const KeyBalancer::Move& move : moves) {
+      for (const OwnedRun& run : current.runs()) {
+        if (!run.range.Overlaps(move.range) || run.owner != move.from)
+          continue;
+        const SlotRange part{std::max(run.range.first, move.range.first),
+                             std::min(run.range.last, move.range.last)};
+        if (!IsOrdered(service, part))
+          AddOrders(service, run, part, move.to);
+      }
+    }
+  }
+}
+
+bool KeyAssigner::OnReleased(const std::string& from,
+                             const Heartbeat::Released& released) {
+  const auto found = m_tables.find(released.service);
+  if (found == m_tables.end() || released.range.last >= kSlotCount ||
+      released.range.first > released.range.last)
+    return false;
+  const OwnedRun run = found->second.Find(released.range.first);
+  if (run.owner != from || run.fence != released.fence ||
+      !run.range.Contains(released.range))
+    return false;
+  std::string to;
+  std::erase_if(m_orders, [&](const Order& order) {
+    const bool is_it = order.service == released.service &&
+                       order.range.Overlaps(released.range);
+    if (is_it)
+      to = order.to;
+    return is_it;
+  });
+  const Member* receiver = FindReceiver(released.service, to);
+  if (receiver != nullptr) {
+    Give(released.service, released.range, *receiver, released.handover);
+    return true;
+  }
+  OwnedRun free = run;
+  free.range = released.range;
+  free.owner.clear();
+  free.life = {};
+  free.handover = released.handover;
+  Record(released.service, free);
+  PlaceUnowned();
+  return true;
+}
+
+std::vector<HeartbeatReply::ReleaseOrder> KeyAssigner::OrdersFor(
+    const std::string& address) const {
+  std::vector<HeartbeatReply::ReleaseOrder> orders;
+  for (const Order& order : m_orders) {
+    if (order.from == address)
+      orders.push_back({order.service, order.range, order.fence});
+  }
+  return orders;
+}
+
+std::vector<KeyAssigner::Change> KeyAssigner::TakeChanges() {
+  return std::exchange(m_changes, {});
+}
+
+std::vector<const KeyAssigner::Member*> KeyAssigner::ReceiversOf(
+    const std::string& service) const {
+  std::vector<const Member*> receivers;
+  for (const Member& member : m_members) {
+    if (member.service == service && member.may_receive && !member.must_give)
+      receivers.push_back(&member);
+  }
+  return receivers;
+}
+
+const KeyAssigner::Member* KeyAssigner::FindReceiver(
+    const std::string& service,
+    const std::string& address) const {
+  for (const Member* member : ReceiversOf(service)) {
+    if (member->address == address)
+      return member;
+  }
+  return nullptr;
+}
+
+std::vector<double> KeyAssigner::WeightsOf(const std::string& service) const {
+  const auto rates = m_rates.find(service);
+  if (rates == m_rates.end())
+    return std::vector<double>(kSlotCount, 1.0);
+  double sum = 0;
+  for (const double rate : rates->second)
+    sum += rate;
+  const double idle = sum > 0 ? kIdleWeight * sum / kSlotCount : 1.0;
+  std::vector<double> weights = rates->second;
+  for (double& weight : weights)
+    weight += idle;
+  return weights;
+}
+
+KeyTable KeyAssigner::PlannedTable(const std::string& service) const {
+  KeyTable planned = m_tables.at(service);
+  for (const Order& order : m_orders) {
+    if (order.service != service)
+      continue;
+    OwnedRun run = planned.Find(order.range.first);
+    run.range = order.range;
+    run.owner = order.to;
+    planned.Assign(run);
+  }
+  return planned;
+}
+
+void KeyAssigner::AddOrders(const std::string& service,
+                            const OwnedRun& run,
+                            SlotRange range,
+                            const std::string& to) {
+  m_orders.push_back({service, range, run.owner, to, run.fence});
+  ++m_orders_given;
+}
+
+bool KeyAssigner::IsOrdered(const std::string& service, SlotRange range) const {
+  return std::any_of(m_orders.begin(), m_orders.end(), [&](const Order& order) {
+    return order.service == service && order.range.Overlaps(range);
+  });
+}
+
+void KeyAssigner::Give(const std::string& service,
+                       SlotRange range,
+                       const Member& receiver,
+                       const std::string& handover) {
+  OwnedRun run;
+  run.range = range;
+  run.owner = receiver.address;
+  run.life = receiver.life;
+  run.fence = (m_epoch << kGrantBits) + ++m_grants;
+  run.handover = handover;
+  Record(service, run);
+}
+
+void KeyAssigner::Record(const std::string& service, const OwnedRun& run) {
+  m_tables[service].Assign(run);
+  m_changes.push_back({service, run});
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/key_assigner.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "modules/coordination/mesh/heartbeat.h"
+#include "modules/coordination/mesh/heartbeat_reply.h"
+#include "modules/coordination/mesh/key_balancer.h"
+#include "modules/state/mesh/key_table.h"
+
+namespace citrongrade {
+
+// The leader's plan of who owns which keys: it gives out what nobody owns, has
+// the targets that leave or are too busy give keys back, and hands these on.
+//
+// How to use it: SetMembers() and then the steps, every tick; what changed is
+// in TakeChanges(), to be stored before it is published. A release order stands
+// in OrdersFor() until OnReleased() or until its giver is lost.
+//
+// What it decides takes effect nowhere by itself. Thread-confined. Kin:
+// MeshLeader, which knows who is alive; KeyBalancer, which says what to move.
+class KeyAssigner {
+ public:
+  struct Member {
+    std::string address;
+    std::string service;
+    TargetLife life;
+    bool may_receive = false;
+    bool must_give = false;
+    // Requests a second.
+    double capacity = 1;
+
+    friend auto operator<=>(const Member&, const Member&) = default;
+  };
+
+  struct Change {
+    std::string service;
+    OwnedRun run;
+
+    friend auto operator<=>(const Change&, const Change&) = default;
+  };
+
+  // `tables`: as stored by the leader before.
+  KeyAssigner(std::uint64_t epoch, std::map<std::string, KeyTable> tables);
+
+  void SetMembers(std::vector<Member> members);
+  // A divided service whose keys are to be given out.
+  void AddService(const std::string& service);
+
+  void CountArrivals(const std::string& service,
+                     const std::vector<Heartbeat::SlotArrivals>& arrivals);
+  // Closes a round of counting that lasted `seconds`.
+  void EndRound(double seconds);
+
+  // Steps of a tick.
+  void FreeLost(const std::function<bool(const OwnedRun&)>& is_lost);
+  void PlaceUnowned();
+  void OrderDrains();
+  void OrderBalance();
+
+  // True when it was news.
+  bool OnReleased(const std::string& from, const Heartbeat::Released& released);
+  std::vector<HeartbeatReply::ReleaseOrder> OrdersFor(
+      const std::string& address) const;
+
+  std::vector<Change> TakeChanges();
+  std::size_t orders_given() const { return m_orders_given; }
+  bool has_changes() const { return !m_changes.empty(); }
+  const std::map<std::string, KeyTable>& tables() const { return m_tables; }
+
+ private:
+  struct Order {
+    std::string service;
+    SlotRange range;
+    std::string from;
+    std::string to;
+    std::uint64_t fence = 0;
+  };
+
+  std::vector<const Member*> ReceiversOf(const std::string& service) const;
+  const Member* FindReceiver(const std::string& service,
+                             const std::string& address) const;
+  // Arrivals by slot, with a little added to each: keys without any load now
+  // are spread as well.
+  std::vector<double> WeightsOf(const std::string& service) const;
+  KeyTable PlannedTable(const std::string& service) const;
+  void SpreadAll(const std::string& service);
+  void PlaceRun(const std::string& service, const OwnedRun& run);
+  void OrderDrain(const Member& giver);
+  void AddOrders(const std::string& service,
+                 const OwnedRun& run,
+                 SlotRange range,
+                 const std::string& to);
+  bool IsOrdered(const std::string& service, SlotRange range) const;
+  void Give(const std::string& service,
+            SlotRange range,
+            const Member& receiver,
+            const std::string& handover);
+  void Record(const std::string& service, const OwnedRun& run);
+
+  const std::uint64_t m_epoch;
+  std::uint64_t m_grants = 0;
+  std::map<std::string, KeyTable> m_tables;
+  std::vector<Member> m_members;
+  std::vector<Order> m_orders;
+  std::size_t m_orders_given = 0;
+  std::vector<Change> m_changes;
+  // By service and slot: requests in this round, and a second.
+  std::map<std::string, std::vector<double>> m_counts;
+  std::map<std::string, std::vector<double>> m_rates;
+  std::map<std::string, KeyBalancer> m_balancers;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/key_balancer.cc
@@ -0,0 +1,134 @@
+#include "modules/coordination/mesh/key_balancer.h"
+
+#include <algorithm>
+#include <map>
+
+namespace citrongrade {
+
+namespace {
+
+// A slot with this part of what should move is hot: it goes by itself.
+constexpr double kHotShare = 0.2;
+// A move may take this much more than wanted: one slot can't be divided.
+constexpr double kOvershoot = 1.5;
+// Less than this part of a target's work is not worth a move.
+constexpr double kLeastShare = 0.02;
+
+}  // namespace
+
+KeyBalancer::KeyBalancer(const Parameters& parameters)
+    : m_parameters(parameters), m_moved(kSlotCount, 0) {}
+
+bool KeyBalancer::Rests(std::uint32_t slot) const {
+  return m_moved[slot] != 0 &&
+         m_round - m_moved[slot] < m_parameters.rest_rounds;
+}
+
+std::vector<KeyBalancer::Load> KeyBalancer::Measure(
+    const KeyTable& table,
+    const std::vector<double>& arrivals,
+    const std::vector<Target>& targets) const {
+  std::map<std::string, double> sums;
+  for (const OwnedRun& run : table.runs()) {
+    double& sum = sums[run.owner];
+    for (std::uint32_t slot = run.range.first; slot <= run.range.last; ++slot)
+      sum += arrivals[slot];
+  }
+  std::vector<Load> loads;
+  for (const Target& target : targets)
+    loads.push_back({target, sums[target.address]});
+  return loads;
+}
+
+SlotRange KeyBalancer::Choose(const KeyTable& table,
+                              const std::vector<double>& arrivals,
+                              const std::string& from,
+                              double amount) const {
+  const OwnedRun* widest = nullptr;
+  std::uint32_t hottest = kSlotCount;
+  for (const OwnedRun& run : table.runs()) {
+    if (run.owner != from)
+      continue;
+    if (widest == nullptr || run.range.size() > widest->range.size())
+      widest = &run;
+    for (std::uint32_t slot = run.range.first; slot <= run.range.last; ++slot) {
+      if (Rests(slot) || arrivals[slot] > amount * kOvershoot)
+        continue;
+      if (hottest == kSlotCount || arrivals[slot] > arrivals[hottest])
+        hottest = slot;
+    }
+  }
+  if (hottest != kSlotCount && arrivals[hottest] >= kHotShare * amount)
+    return {hottest, hottest};
+  if (widest == nullptr)
+    return {1, 0};
+  // Even load: cut the wanted amount off the end of its widest run.
+  SlotRange cut{widest->range.last, widest->range.last};
+  double sum = 0;
+  for (std::uint32_t slot = widest->range.last + 1;
+       slot-- > widest->range.first;) {
+    if (Rests(slot) || sum + arrivals[slot] > amount * kOvershoot)
+      break;
+    sum += arrivals[slot];
+    cut.first = slot;
+    if (sum >= amount)
+      break;
+  }
+  return sum > 0 ? cut : SlotRange{1, 0};
+}
+
+std::vector<KeyBalancer::Move> KeyBalancer::Plan(
+    const KeyTable& table,
+    const std::vector<double>& arrivals,
+    const std::vector<Target>& targets) {
+  ++m_round;
+  std::vector<Move> moves;
+  KeyTable planned = table;
+  std::vector<Load> loads = Measure(table, arrivals, targets);
+  double all_arrivals = 0;
+  double all_capacity = 0;
+  for (const Load& load : loads) {
+    all_arrivals += load.arrivals;
+    all_capacity += load.target.may_receive ? load.target.capacity : 0;
+  }
+  if (loads.size() < 2 || all_capacity <= 0)
+    return moves;
+  const double mean = all_arrivals / all_capacity;
+  const auto less = [](const Load& left, const Load& right) {
+    return left.use() < right.use();
+  };
+  while (moves.size() < m_parameters.max_moves) {
+    const auto giver = std::max_element(loads.begin(), loads.end(), less);
+    auto taker = loads.end();
+    for (auto it = loads.begin(); it != loads.end(); ++it) {
+      if (it->target.may_receive && (taker == loads.end() || less(*it, *taker)))
+        taker = it;
+    }
+    if (taker == loads.end() || taker == giver ||
+        giver->use() < m_parameters.idle_use ||
+        giver->use() < mean * m_parameters.band)
+      break;
+    const double over = giver->arrivals - mean * giver->target.capacity;
+    const double room = mean * taker->target.capacity - taker->arrivals;
+    const double amount = std::min(over, room);
+    if (amount < kLeastShare * giver->arrivals)
+      break;
+    const SlotRange range =
+        Choose(planned, arrivals, giver->target.address, amount);
+    if (range.first > range.last)
+      break;
+    OwnedRun run = planned.Find(range.first);
+    run.range = range;
+    run.owner = taker->target.address;
+    planned.Assign(run);
+    for (std::uint32_t slot = range.first; slot <= range.last; ++slot) {
+      m_moved[slot] = m_round;
+      giver->arrivals -= arrivals[slot];
+      taker->arrivals += arrivals[slot];
+    }
+    moves.push_back({range, giver->target.address, taker->target.address});
+  }
+  return moves;
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -0,0 +1,314 @@
+#include "modules/coordination/mesh/mesh_leader.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace citrongrade {
+
+namespace {
+
+// How often arrivals are looked at for moves.
+constexpr std::chrono::milliseconds kRound{250};
+// Until a target has shown how long it takes.
+constexpr double kAssumedWorkSeconds = 0.15;
+// A target that is still slow after its start does so much.
+constexpr double kColdCapacity = 0.5;
+// Crashes are told to every node once; older ones are known by then.
+constexpr std::size_t kMaxSuspects = 1024;
+// Keys stay where they are until most nodes have had time to report.
+constexpr std::chrono::milliseconds kFirstReports{700};
+
+double CapacityOf(const Heartbeat& last) {
+  const double work =
+      last.mean_work_us > 0 ? last.mean_work_us / 1e6 : kAssumedWorkSeconds;
+  const double slots = std::max<std::uint32_t>(1, last.target.slots);
+  const double capacity = slots / work;
+  return last.target.cold_ms > 0 ? capacity * kColdCapacity : capacity;
+}
+
+}  // namespace
+
+MeshLeader::MeshLeader(const Clock& clock,
+                       const MeshTiming& timing,
+                       std::string self,
+                       std::uint64_t nonce,
+                       MeshRecord claimed)
+    : m_clock(clock),
+      m_timing(timing),
+      m_self(self),
+      m_nonce(nonce),
+      m_started(clock.Now()),
+      m_is_new_mesh(claimed.tables.empty()),
+      m_stored(claimed),
+      m_lease(clock, timing.promise, timing.drift, self),
+      m_assigner(claimed.epoch, claimed.tables),
+      m_round_began(clock.Now()) {
+  m_lease.SetVoters(claimed.voters);
+  m_view.BeginEpoch(claimed.epoch);
+  for (const auto& [service, table] : claimed.tables)
+    m_view.SetTable(service, table);
+}
+
+void MeshLeader::SetDividedServices(const std::set<std::string>& services) {
+  for (const std::string& service : services)
+    m_assigner.AddService(service);
+}
+
+void MeshLeader::OnVote(const std::string& voter, Clock::TimePoint asked) {
+  m_lease.OnPromise(voter, asked);
+}
+
+void MeshLeader::OnHeartbeat(const Heartbeat& heartbeat) {
+  const Clock::TimePoint now = m_clock.Now();
+  const auto [found, is_new] = m_nodes.try_emplace(heartbeat.address);
+  Node& node = found->second;
+  const bool is_restart =
+      !is_new && node.last.incarnation != heartbeat.incarnation;
+  // A heartbeat that was overtaken says what is no longer so.
+  if (!is_new && !is_restart && heartbeat.sequence <= node.last.sequence)
+    return;
+  if (is_new || is_restart) {
+    node.first_heard = now;
+    node.suspects_seen = 0;
+    node.has_promised = false;
+  }
+  node.heard = now;
+  if (heartbeat.promises && heartbeat.leader_nonce == m_nonce) {
+    const Clock::TimePoint stamp{
+        std::chrono::nanoseconds(heartbeat.leader_stamp_ns)};
+    if (stamp <= now) {
+      m_lease.OnPromise(heartbeat.address, stamp);
+      node.has_promised = true;
+    }
+  }
+  m_assigner.CountArrivals(heartbeat.target.service, heartbeat.arrivals);
+  for (const Heartbeat::Released& released : heartbeat.released) {
+    if (HasAuthority())
+      m_assigner.OnReleased(heartbeat.address, released);
+  }
+  for (const std::uint64_t suspect : heartbeat.crash_suspects) {
+    if (m_crash_suspects.size() < kMaxSuspects)
+      m_crash_suspects.push_back(suspect);
+  }
+  node.last = heartbeat;
+  PublishMember(node);
+}
+
+HeartbeatReply MeshLeader::MakeReply(const Heartbeat& heartbeat) {
+  HeartbeatReply reply;
+  reply.leader_hint = m_has_resigned ? m_successor : m_self;
+  reply.has_resigned = m_has_resigned;
+  if (m_has_resigned)
+    return reply;
+  reply.is_leader = true;
+  const Clock::TimePoint now = m_clock.Now();
+  reply.nonce = m_nonce;
+  reply.stamp_ns = std::chrono::nanoseconds(now.time_since_epoch()).count();
+  reply.view = m_view.ChangesSince(heartbeat.epoch, heartbeat.view_version);
+  const auto found = m_nodes.find(heartbeat.address);
+  if (found == m_nodes.end() || !HasAuthority())
+    return reply;
+  Node& node = found->second;
+  reply.lease_ms = static_cast<std::uint32_t>(m_timing.lease.count());
+  node.lease_until = now + m_timing.lease + m_timing.drift;
+  reply.releases = m_assigner.OrdersFor(heartbeat.address);
+  reply.follow_store = heartbeat.address == FindSuccessor();
+  reply.crash_suspects.assign(
+      m_crash_suspects.begin() +
+          static_cast<std::ptrdiff_t>(node.suspects_seen),
+      m_crash_suspects.end());
+  node.suspects_seen = m_crash_suspects.size();
+  return reply;
+}
+
+bool MeshLeader::HasNewsFor(const Heartbeat& heartbeat) const {
+  if (m_has_resigned || heartbeat.is_urgent)
+    return true;
+  return heartbeat.epoch != m_view.epoch() ||
+         heartbeat.view_version != m_view.version();
+}
+
+bool MeshLeader::HasAuthority() const {
+  return !m_has_resigned && m_lease.IsValid();
+}
+
+bool MeshLeader::IsSilent(const Node& node) const {
+  return m_clock.Now() - node.heard > m_timing.silence;
+}
+
+MeshMember::State MeshLeader::StateOf(const Node& node) const {
+  if (IsSilent(node))
+    return MeshMember::State::kAbsent;
+  switch (node.last.target.state) {
+    case Heartbeat::TargetState::kUnheard:
+    case Heartbeat::TargetState::kGone:
+      return MeshMember::State::kAbsent;
+    case Heartbeat::TargetState::kDraining:
+      return MeshMember::State::kDraining;
+    case Heartbeat::TargetState::kServing:
+      return node.last.is_leaving ? MeshMember::State::kDraining
+                                  : MeshMember::State::kServing;
+  }
+  return MeshMember::State::kAbsent;
+}
+
+void MeshLeader::PublishMember(const Node& node) {
+  MeshMember member;
+  member.address = node.last.address;
+  member.data_address = node.last.data_address;
+  member.zone = node.last.zone;
+  member.service = node.last.target.service;
+  member.target = node.last.target.life;
+  member.slots = node.last.target.slots;
+  member.state = StateOf(node);
+  m_view.SetMember(member);
+}
+
+bool MeshLeader::IsLost(const OwnedRun& run) const {
+  const Clock::TimePoint now = m_clock.Now();
+  const Clock::Duration hold = m_timing.lease + m_timing.drift;
+  const auto found = m_nodes.find(run.owner);
+  // The leader before may have granted it a lease up to the very end.
+  if (found == m_nodes.end())
+    return now > m_started + hold;
+  const Node& node = found->second;
+  switch (node.last.target.state) {
+    case Heartbeat::TargetState::kUnheard:
+      // Its process is new: what an earlier one granted runs out meanwhile.
+      return now > std::max(node.first_heard, m_started) + hold;
+    case Heartbeat::TargetState::kGone:
+      return true;
+    case Heartbeat::TargetState::kServing:
+    case Heartbeat::TargetState::kDraining:
+      if (node.last.target.life != run.life)
+        return true;
+      return now > std::max(node.lease_until, m_started + hold) &&
+             IsSilent(node);
+  }
+  return false;
+}
+
+bool MeshLeader::IsSettled() const {
+  const Clock::Duration wait = m_is_new_mesh ? m_timing.settle : kFirstReports;
+  return m_clock.Now() > m_started + wait;
+}
+
+std::vector<KeyAssigner::Member> MeshLeader::AssignableMembers() const {
+  std::vector<KeyAssigner::Member> members;
+  for (const auto& [address, node] : m_nodes) {
+    const MeshMember::State state = StateOf(node);
+    if (state == MeshMember::State::kAbsent)
+      continue;
+    KeyAssigner::Member member;
+    member.address = address;
+    member.service = node.last.target.service;
+    member.life = node.last.target.life;
+    member.may_receive = state == MeshMember::State::kServing;
+    member.must_give = state == MeshMember::State::kDraining;
+    member.capacity = CapacityOf(node.last);
+    members.push_back(member);
+  }
+  return members;
+}
+
+void MeshLeader::Tick() {
+  for (const auto& [address, node] : m_nodes)
+    PublishMember(node);
+  if (!HasAuthority())
+    return;
+  m_assigner.SetMembers(AssignableMembers());
+  m_assigner.FreeLost([this](const OwnedRun& run) { return IsLost(run); });
+  if (!IsSettled())
+    return;
+  m_assigner.PlaceUnowned();
+  m_assigner.OrderDrains();
+  const Clock::Duration round = m_clock.Now() - m_round_began;
+  if (round < kRound)
+    return;
+  m_round_began = m_clock.Now();
+  m_assigner.EndRound(std::chrono::duration<double>(round).count());
+  m_assigner.OrderBalance();
+}
+
+std::vector<std::string> MeshLeader::WantedVoters() const {
+  std::set<std::string> wanted{m_self};
+  const Clock::TimePoint now = m_clock.Now();
+  // One that has just started promises nothing yet: with it, half of the votes
+  // of a young mesh would be missing.
+  for (const auto& [address, node] : m_nodes) {
+    if (now - node.heard < m_timing.voter_silence && node.has_promised)
+      wanted.insert(address);
+  }
+  for (const std::string& voter : m_stored.voters) {
+    const auto found = m_nodes.find(voter);
+    if (found != m_nodes.end() &&
+        now - found->second.heard < m_timing.voter_silence)
+      wanted.insert(voter);
+  }
+  for (const std::string& voter : m_stored.voters) {
+    if (!m_nodes.contains(voter) && now - m_started < m_timing.voter_silence)
+      wanted.insert(voter);
+  }
+  return {wanted.begin(), wanted.end()};
+}
+
+std::optional<MeshRecord> MeshLeader::RecordToStore() {
+  if (m_storing || !HasAuthority())
+    return std::nullopt;
+  std::vector<std::string> voters = WantedVoters();
+  if (!m_assigner.has_changes() && voters == m_stored.voters)
+    return std::nullopt;
+  m_storing_changes = m_assigner.TakeChanges();
+  m_storing = m_stored;
+  m_storing->tables = m_assigner.tables();
+  if (voters != m_stored.voters) {
+    m_lease.SetNextVoters(voters);
+    m_storing->voters = std::move(voters);
+  }
+  return m_storing;
+}
+
+void MeshLeader::OnStored() {
+  // The caller reports the end of a write that RecordToStore() did not begin.
+  if (!m_storing)
+    return;
+  m_stored = *std::exchange(m_storing, std::nullopt);
+  m_lease.SetVoters(m_stored.voters);
+  for (const KeyAssigner::Change& change : std::exchange(m_storing_changes, {}))
+    m_view.Assign(change.service, change.run);
+}
+
+void MeshLeader::Resign(const std::string& successor) {
+  m_has_resigned = true;
+  m_successor = successor;
+}
+
+std::string MeshLeader::FindSuccessor() const {
+  const Node* best = nullptr;
+  for (const auto& [address, node] : m_nodes) {
+    if (address == m_self || IsSilent(node) || node.last.is_leaving)
+      continue;
+    if (best == nullptr ||
+        (node.last.store_answers && !best->last.store_answers))
+      best = &node;
+  }
+  return best == nullptr ? std::string() : best->last.address;
+}
+
+bool MeshLeader::SuccessorHasStore() const {
+  const auto found = m_nodes.find(FindSuccessor());
+  return found != m_nodes.end() && found->second.last.store_answers;
+}
+
+std::vector<std::string> MeshLeader::MissingNodes() const {
+  std::vector<std::string> missing;
+  for (const std::string& voter : m_stored.voters) {
+    const auto found = m_nodes.find(voter);
+    if (voter != m_self && (found == m_nodes.end() || IsSilent(found->second)))
+      missing.push_back(voter);
+  }
+  return missing;
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "modules/coordination/clock.h"
+#include "modules/coordination/mesh/heartbeat.h"
+#include "modules/coordination/mesh/heartbeat_reply.h"
+#include "modules/coordination/mesh/key_assigner.h"
+#include "modules/coordination/mesh/leadership_lease.h"
+#include "modules/coordination/mesh/mesh_timing.h"
+#include "modules/state/mesh/mesh_record.h"
+#include "modules/state/mesh/mesh_view.h"
+
+namespace citrongrade {
+
+// What the one leading node of a mesh does: it hears from every node, grants it
+// a lease, publishes who is there and who owns which keys, and moves keys.
+//
+// How to use it: make one once the mesh's record is claimed in the store. Feed
+// it heartbeats, answer them by MakeReply(), call Tick() every 50 ms or so, and
+// store what RecordToStore() gives, under the condition that nobody else wrote.
+//
+// Keys of a node are given to others only when its lease, and so every hold
+// that its target has by it, has run out for certain: a lease that the leader
+// before may have granted counts in full from the moment of this one's claim.
+// Without authority (votes of more than half) it grants and changes nothing.
+//
+// Thread-confined, no input or output. Kin: MeshNode, its counterpart at every
+// node; LeadershipLease; KeyAssigner.
+class MeshLeader {
+ public:
+  MeshLeader(const Clock& clock,
+             const MeshTiming& timing,
+             std::string self,
+             std::uint64_t nonce,
+             MeshRecord claimed);
+
+  // Services whose keys are given out, from the operators' configuration.
+  void SetDividedServices(const std::set<std::string>& services);
+
+  void OnVote(const std::string& voter, Clock::TimePoint asked);
+  void OnHeartbeat(const Heartbeat& heartbeat);
+  HeartbeatReply MakeReply(const Heartbeat& heartbeat);
+  // Something that the node should hear at once.
+  bool HasNewsFor(const Heartbeat& heartbeat) const;
+
+  void Tick();
+
+  bool HasAuthority() const;
+  // Nothing when nothing is to be stored, or one is on its way already.
+  std::optional<MeshRecord> RecordToStore();
+  // The record on its way took effect.
+  void OnStored();
+
+  // The store did not answer this node, but answers others: one of them should
+  // lead. From then on every reply says so.
+  void Resign(const std::string& successor);
+  bool has_resigned() const { return m_has_resigned; }
+  // Who would lead best after this node, one that the store answers if there
+  // is any; empty when there is none.
+  std::string FindSuccessor() const;
+  bool SuccessorHasStore() const;
+  // How many release orders have been given so far.
+  std::size_t orders_given() const { return m_assigner.orders_given(); }
+
+  const MeshView& view() const { return m_view; }
+  // Members of the record that have not been heard of.
+  std::vector<std::string> MissingNodes() const;
+  std::size_t node_count() const { return m_nodes.size(); }
+
+ private:
+  struct Node {
+    Heartbeat last;
+    Clock::TimePoint first_heard;
+    Clock::TimePoint heard;
+    Clock::TimePoint lease_until;
+    std::size_t suspects_seen = 0;
+    bool has_promised = false;
+  };
+
+  bool IsLost(const OwnedRun& run) const;
+  bool IsSilent(const Node& node) const;
+  MeshMember::State StateOf(const Node& node) const;
+  void PublishMember(const Node& node);
+  std::vector<KeyAssigner::Member> AssignableMembers() const;
+  std::vector<std::string> WantedVoters() const;
+  bool IsSettled() const;
+
+  const Clock& m_clock;
+  const MeshTiming m_timing;
+  const std::string m_self;
+  const std::uint64_t m_nonce;
+  const Clock::TimePoint m_started;
+  const bool m_is_new_mesh;
+  MeshRecord m_stored;
+  std::optional<MeshRecord> m_storing;
+  std::vector<KeyAssigner::Change> m_storing_changes;
+  LeadershipLease m_lease;
+  KeyAssigner m_assigner;
+  MeshView m_view;
+  std::map<std::string, Node> m_nodes;
+  Clock::TimePoint m_round_began;
+  bool m_has_resigned = false;
+  std::string m_successor;
+  std::vector<std::uint64_t> m_crash_suspects;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/vote.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace citrongrade {
+
+// A node asks another for its vote, or gives one back that it can't use.
+struct VoteRequest {
+  std::string candidate;
+  bool gives_back = false;
+  // The candidate leads, and tells a node that has lost touch with the mesh.
+  bool is_hello = false;
+
+  friend auto operator<=>(const VoteRequest&, const VoteRequest&) = default;
+};
+
+struct VoteReply {
+  bool is_granted = false;
+  // Who has the vote instead, or leads as far as the voter knows.
+  std::string leader_hint;
+
+  friend auto operator<=>(const VoteReply&, const VoteReply&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/vote_promise.cc
@@ -0,0 +1,32 @@
+#include "modules/coordination/mesh/vote_promise.h"
+
+namespace citrongrade {
+
+VotePromise::VotePromise(const Clock& clock, Clock::Duration length)
+    : m_clock(clock), m_length(length), m_votes_from(clock.Now() + length) {}
+
+bool VotePromise::Grant(const std::string& candidate) {
+  if (is_abstaining())
+    return false;
+  const std::string current = holder();
+  if (!current.empty() && current != candidate)
+    return false;
+  m_holder = candidate;
+  m_until = m_clock.Now() + m_length;
+  return true;
+}
+
+void VotePromise::GiveBack(const std::string& holder) {
+  if (m_holder == holder)
+    m_holder.clear();
+}
+
+std::string VotePromise::holder() const {
+  return m_clock.Now() < m_until ? m_holder : std::string();
+}
+
+bool VotePromise::is_abstaining() const {
+  return m_clock.Now() < m_votes_from;
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/vote_promise.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+
+#include "modules/coordination/clock.h"
+
+namespace citrongrade {
+
+// One node's vote: to whom it is promised, and until when.
+//
+// A promise can't be taken back before its time, or two nodes could lead at
+// once: the old one counts on it without asking again. A process that has just
+// started may have promised its vote before it died and remembers nothing of
+// it, so it votes only after one promise's length.
+//
+// Thread-confined. Kin: LeadershipLease, which counts promises.
+class VotePromise {
+ public:
+  VotePromise(const Clock& clock, Clock::Duration length);
+
+  // Promises the vote to `candidate` from now on, if nobody else has it.
+  bool Grant(const std::string& candidate);
+  // `holder` does not count on it any more: it said so, or its process is gone.
+  void GiveBack(const std::string& holder);
+  // Who has it now; empty: nobody.
+  std::string holder() const;
+  bool is_abstaining() const;
+
+ private:
+  const Clock& m_clock;
+  const Clock::Duration m_length;
+  const Clock::TimePoint m_votes_from;
+  std::string m_holder;
+  Clock::TimePoint m_until;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/protocol/mesh.capnp
@@ -0,0 +1,113 @@
+@0xb8d1f2a7c3e45960;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("citrongrade::rpc");
+
+# Messages by which the nodes of a mesh agree who leads and who owns what. Each
+# travels as the body of one HTTP request or response.
+
+struct SlotSpan {
+  first @0 :UInt32;
+  last @1 :UInt32;
+}
+
+struct MeshHeartbeat {
+  address @0 :Text;
+  dataAddress @1 :Text;
+  zone @2 :Text;
+  incarnation @3 :UInt64;
+  sequence @4 :UInt64;
+  promises @5 :Bool;
+  leaderNonce @6 :UInt64;
+  leaderStampNs @7 :Int64;
+  epoch @8 :UInt64;
+  viewVersion @9 :UInt64;
+  configVersion @10 :UInt64;
+  isLeaving @11 :Bool;
+  storeAnswers @12 :Bool;
+  isUrgent @13 :Bool;
+  targetState @14 :UInt8;
+  targetId @15 :Text;
+  targetStartedUnixMs @16 :Int64;
+  service @17 :Text;
+  slots @18 :UInt32;
+  coldMs @19 :UInt32;
+  released @20 :List(Released);
+  # Slot and count by turns.
+  arrivals @21 :List(UInt32);
+  meanWorkUs @22 :UInt32;
+  crashSuspects @23 :List(UInt64);
+
+  struct Released {
+    service @0 :Text;
+    range @1 :SlotSpan;
+    fence @2 :UInt64;
+    handover @3 :Text;
+  }
+}
+
+struct MeshMemberEntry {
+  address @0 :Text;
+  dataAddress @1 :Text;
+  zone @2 :Text;
+  service @3 :Text;
+  targetId @4 :Text;
+  targetStartedUnixMs @5 :Int64;
+  slots @6 :UInt32;
+  state @7 :UInt8;
+}
+
+struct MeshOwnedRun {
+  service @0 :Text;
+  range @1 :SlotSpan;
+  owner @2 :Text;
+  targetId @3 :Text;
+  targetStartedUnixMs @4 :Int64;
+  fence @5 :UInt64;
+  handover @6 :Text;
+  version @7 :UInt64;
+}
+
+struct MeshHeartbeatReply {
+  isLeader @0 :Bool;
+  leaderHint @1 :Text;
+  hasResigned @2 :Bool;
+  nonce @3 :UInt64;
+  stampNs @4 :Int64;
+  leaseMs @5 :UInt32;
+  followStore @6 :Bool;
+  viewEpoch @7 :UInt64;
+  viewVersion @8 :UInt64;
+  viewIsWhole @9 :Bool;
+  members @10 :List(MeshMemberEntry);
+  runs @11 :List(MeshOwnedRun);
+  releases @12 :List(ReleaseOrder);
+  crashSuspects @13 :List(UInt64);
+  configVersion @14 :UInt64;
+  configDocument @15 :Data;
+
+  struct ReleaseOrder {
+    service @0 :Text;
+    range @1 :SlotSpan;
+    fence @2 :UInt64;
+  }
+}
+
+struct MeshVoteRequest {
+  candidate @0 :Text;
+  givesBack @1 :Bool;
+  isHello @2 :Bool;
+}
+
+struct MeshVoteReply {
+  isGranted @0 :Bool;
+  leaderHint @1 :Text;
+}
+
+# What is stored: see MeshRecord.
+struct StoredMesh {
+  epoch @0 :UInt64;
+  leader @1 :Text;
+  voters @2 :List(Text);
+  runs @3 :List(MeshOwnedRun);
+}
--- /dev/null
+++ b/modules/protocol/mesh_message_codec.cc
@@ -0,0 +1,348 @@
+#include "modules/protocol/mesh_message_codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <utility>
+#include <vector>
+
+#include "modules/protocol/malformed_message_error.h"
+#include "modules/protocol/mesh.capnp.h"
+
+namespace citrongrade {
+
+namespace {
+
+template <typename Builder>
+std::string Pack(Builder& message) {
+  kj::VectorOutputStream stream;
+  capnp::writePackedMessage(stream, message);
+  const auto bytes = stream.getArray();
+  return std::string(reinterpret_cast<const char*>(bytes.begin()),
+                     bytes.size());
+}
+
+// Runs `read` on the message's root; whatever is wrong with the bytes is a
+// MalformedMessageError.
+template <typename Root, typename Read>
+auto Unpack(std::string_view bytes, Read read) {
+  try {
+    kj::ArrayInputStream stream(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+    capnp::PackedMessageReader message(stream);
+    return read(message.getRoot<Root>());
+  } catch (const kj::Exception& error) {
+    throw MalformedMessageError(error.getDescription().cStr());
+  }
+}
+
+SlotRange ReadSpan(rpc::SlotSpan::Reader span) {
+  const SlotRange range{span.getFirst(), span.getLast()};
+  if (range.first > range.last || range.last >= kSlotCount)
+    throw MalformedMessageError("not a range of slots");
+  return range;
+}
+
+void WriteSpan(const SlotRange& range, rpc::SlotSpan::Builder span) {
+  span.setFirst(range.first);
+  span.setLast(range.last);
+}
+
+void WriteRun(const std::string& service,
+              const OwnedRun& run,
+              rpc::MeshOwnedRun::Builder out) {
+  out.setService(service);
+  WriteSpan(run.range, out.initRange());
+  out.setOwner(run.owner);
+  out.setTargetId(run.life.id);
+  out.setTargetStartedUnixMs(run.life.started_unix_ms);
+  out.setFence(run.fence);
+  out.setHandover(run.handover);
+  out.setVersion(run.version);
+}
+
+OwnedRun ReadRun(rpc::MeshOwnedRun::Reader in) {
+  OwnedRun run;
+  run.range = ReadSpan(in.getRange());
+  run.owner = in.getOwner();
+  run.life = {in.getTargetId(), in.getTargetStartedUnixMs()};
+  run.fence = in.getFence();
+  run.handover = in.getHandover();
+  run.version = in.getVersion();
+  return run;
+}
+
+void WriteMember(const MeshMember& member, rpc::MeshMemberEntry::Builder out) {
+  out.setAddress(member.address);
+  out.setDataAddress(member.data_address);
+  out.setZone(member.zone);
+  out.setService(member.service);
+  out.setTargetId(member.target.id);
+  out.setTargetStartedUnixMs(member.target.started_unix_ms);
+  out.setSlots(member.slots);
+  out.setState(static_cast<std::uint8_t>(member.state));
+}
+
+MeshMember ReadMember(rpc::MeshMemberEntry::Reader in) {
+  MeshMember member;
+  member.address = in.getAddress();
+  member.data_address = in.getDataAddress();
+  member.zone = in.getZone();
+  member.service = in.getService();
+  member.target = {in.getTargetId(), in.getTargetStartedUnixMs()};
+  member.slots = in.getSlots();
+  if (in.getState() > static_cast<std::uint8_t>(MeshMember::State::kDraining))
+    throw MalformedMessageError("not a state of a member");
+  member.state = static_cast<MeshMember::State>(in.getState());
+  return member;
+}
+
+template <typename List>
+std::vector<std::uint64_t> ReadNumbers(List list) {
+  std::vector<std::uint64_t> numbers;
+  numbers.reserve(list.size());
+  for (const std::uint64_t number : list)
+    numbers.push_back(number);
+  return numbers;
+}
+
+kj::ArrayPtr<const std::uint64_t> NumbersOf(
+    const std::vector<std::uint64_t>& numbers) {
+  return kj::arrayPtr(numbers.data(), numbers.size());
+}
+
+void WriteReleased(const std::vector<Heartbeat::Released>& released,
+                   rpc::MeshHeartbeat::Builder out) {
+  auto list = out.initReleased(static_cast<unsigned>(released.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    list[i].setService(released[i].service);
+    WriteSpan(released[i].range, list[i].initRange());
+    list[i].setFence(released[i].fence);
+    list[i].setHandover(released[i].handover);
+  }
+}
+
+void WriteArrivals(const std::vector<Heartbeat::SlotArrivals>& arrivals,
+                   rpc::MeshHeartbeat::Builder out) {
+  auto list = out.initArrivals(static_cast<unsigned>(2 * arrivals.size()));
+  for (unsigned i = 0; i < arrivals.size(); ++i) {
+    list.set(2 * i, arrivals[i].slot);
+    list.set(2 * i + 1, arrivals[i].count);
+  }
+}
+
+Heartbeat::Target ReadTarget(rpc::MeshHeartbeat::Reader in) {
+  constexpr auto kLast =
+      static_cast<std::uint8_t>(Heartbeat::TargetState::kGone);
+  if (in.getTargetState() > kLast)
+    throw MalformedMessageError("not a state of a target");
+  Heartbeat::Target target;
+  target.state = static_cast<Heartbeat::TargetState>(in.getTargetState());
+  target.life = {in.getTargetId(), in.getTargetStartedUnixMs()};
+  target.service = in.getService();
+  target.slots = in.getSlots();
+  target.cold_ms = in.getColdMs();
+  return target;
+}
+
+Heartbeat ReadHeartbeat(rpc::MeshHeartbeat::Reader in) {
+  Heartbeat heartbeat;
+  heartbeat.address = in.getAddress();
+  heartbeat.data_address = in.getDataAddress();
+  heartbeat.zone = in.getZone();
+  heartbeat.incarnation = in.getIncarnation();
+  heartbeat.sequence = in.getSequence();
+  heartbeat.promises = in.getPromises();
+  heartbeat.leader_nonce = in.getLeaderNonce();
+  heartbeat.leader_stamp_ns = in.getLeaderStampNs();
+  heartbeat.epoch = in.getEpoch();
+  heartbeat.view_version = in.getViewVersion();
+  heartbeat.config_version = in.getConfigVersion();
+  heartbeat.is_leaving = in.getIsLeaving();
+  heartbeat.store_answers = in.getStoreAnswers();
+  heartbeat.is_urgent = in.getIsUrgent();
+  heartbeat.target = ReadTarget(in);
+  for (const auto released : in.getReleased()) {
+    heartbeat.released.push_back({released.getService(),
+                                  ReadSpan(released.getRange()),
+                                  released.getFence(), released.getHandover()});
+  }
+  const auto arrivals = in.getArrivals();
+  for (unsigned i = 0; i + 1 < arrivals.size(); i += 2)
+    heartbeat.arrivals.push_back({arrivals[i], arrivals[i + 1]});
+  heartbeat.mean_work_us = in.getMeanWorkUs();
+  heartbeat.crash_suspects = ReadNumbers(in.getCrashSuspects());
+  return heartbeat;
+}
+
+HeartbeatReply ReadReply(rpc::MeshHeartbeatReply::Reader in) {
+  HeartbeatReply reply;
+  reply.is_leader = in.getIsLeader();
+  reply.leader_hint = in.getLeaderHint();
+  reply.has_resigned = in.getHasResigned();
+  reply.nonce = in.getNonce();
+  reply.stamp_ns = in.getStampNs();
+  reply.lease_ms = in.getLeaseMs();
+  reply.follow_store = in.getFollowStore();
+  reply.view.epoch = in.getViewEpoch();
+  reply.view.version = in.getViewVersion();
+  reply.view.is_whole = in.getViewIsWhole();
+  for (const auto member : in.getMembers())
+    reply.view.members.push_back(ReadMember(member));
+  for (const auto run : in.getRuns())
+    reply.view.runs.push_back({run.getService(), ReadRun(run)});
+  for (const auto order : in.getReleases()) {
+    reply.releases.push_back(
+        {order.getService(), ReadSpan(order.getRange()), order.getFence()});
+  }
+  reply.crash_suspects = ReadNumbers(in.getCrashSuspects());
+  reply.config_version = in.getConfigVersion();
+  const auto document = in.getConfigDocument();
+  reply.config_document.assign(reinterpret_cast<const char*>(document.begin()),
+                               document.size());
+  return reply;
+}
+
+MeshRecord ReadRecord(rpc::StoredMesh::Reader in) {
+  MeshRecord record;
+  record.epoch = in.getEpoch();
+  record.leader = in.getLeader();
+  for (const auto voter : in.getVoters())
+    record.voters.emplace_back(voter);
+  for (const auto run : in.getRuns())
+    record.tables[run.getService()].Assign(ReadRun(run));
+  return record;
+}
+
+}  // namespace
+
+std::string MeshMessageCodec::Encode(const Heartbeat& heartbeat) {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<rpc::MeshHeartbeat>();
+  out.setAddress(heartbeat.address);
+  out.setDataAddress(heartbeat.data_address);
+  out.setZone(heartbeat.zone);
+  out.setIncarnation(heartbeat.incarnation);
+  out.setSequence(heartbeat.sequence);
+  out.setPromises(heartbeat.promises);
+  out.setLeaderNonce(heartbeat.leader_nonce);
+  out.setLeaderStampNs(heartbeat.leader_stamp_ns);
+  out.setEpoch(heartbeat.epoch);
+  out.setViewVersion(heartbeat.view_version);
+  out.setConfigVersion(heartbeat.config_version);
+  out.setIsLeaving(heartbeat.is_leaving);
+  out.setStoreAnswers(heartbeat.store_answers);
+  out.setIsUrgent(heartbeat.is_urgent);
+  out.setTargetState(static_cast<std::uint8_t>(heartbeat.target.state));
+  out.setTargetId(heartbeat.target.life.id);
+  out.setTargetStartedUnixMs(heartbeat.target.life.started_unix_ms);
+  out.setService(heartbeat.target.service);
+  out.setSlots(heartbeat.target.slots);
+  out.setColdMs(heartbeat.target.cold_ms);
+  WriteReleased(heartbeat.released, out);
+  WriteArrivals(heartbeat.arrivals, out);
+  out.setMeanWorkUs(heartbeat.mean_work_us);
+  out.setCrashSuspects(NumbersOf(heartbeat.crash_suspects));
+  return Pack(message);
+}
+
+std::string MeshMessageCodec::Encode(const HeartbeatReply& reply) {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<rpc::MeshHeartbeatReply>();
+  out.setIsLeader(reply.is_leader);
+  out.setLeaderHint(reply.leader_hint);
+  out.setHasResigned(reply.has_resigned);
+  out.setNonce(reply.nonce);
+  out.setStampNs(reply.stamp_ns);
+  out.setLeaseMs(reply.lease_ms);
+  out.setFollowStore(reply.follow_store);
+  out.setViewEpoch(reply.view.epoch);
+  out.setViewVersion(reply.view.version);
+  out.setViewIsWhole(reply.view.is_whole);
+  auto members =
+      out.initMembers(static_cast<unsigned>(reply.view.members.size()));
+  for (unsigned i = 0; i < members.size(); ++i)
+    WriteMember(reply.view.members[i], members[i]);
+  auto runs = out.initRuns(static_cast<unsigned>(reply.view.runs.size()));
+  for (unsigned i = 0; i < runs.size(); ++i)
+    WriteRun(reply.view.runs[i].service, reply.view.runs[i].run, runs[i]);
+  auto releases =
+      out.initReleases(static_cast<unsigned>(reply.releases.size()));
+  for (unsigned i = 0; i < releases.size(); ++i) {
+    releases[i].setService(reply.releases[i].service);
+    WriteSpan(reply.releases[i].range, releases[i].initRange());
+    releases[i].setFence(reply.releases[i].fence);
+  }
+  out.setCrashSuspects(NumbersOf(reply.crash_suspects));
+  out.setConfigVersion(reply.config_version);
+  out.setConfigDocument(kj::arrayPtr(
+      reinterpret_cast<const kj::byte*>(reply.config_document.data()),
+      reply.config_document.size()));
+  return Pack(message);
+}
+
+std::string MeshMessageCodec::Encode(const VoteRequest& request) {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<rpc::MeshVoteRequest>();
+  out.setCandidate(request.candidate);
+  out.setGivesBack(request.gives_back);
+  out.setIsHello(request.is_hello);
+  return Pack(message);
+}
+
+std::string MeshMessageCodec::Encode(const VoteReply& reply) {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<rpc::MeshVoteReply>();
+  out.setIsGranted(reply.is_granted);
+  out.setLeaderHint(reply.leader_hint);
+  return Pack(message);
+}
+
+std::string MeshMessageCodec::Encode(const MeshRecord& record) {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<rpc::StoredMesh>();
+  out.setEpoch(record.epoch);
+  out.setLeader(record.leader);
+  auto voters = out.initVoters(static_cast<unsigned>(record.voters.size()));
+  for (unsigned i = 0; i < voters.size(); ++i)
+    voters.set(i, record.voters[i]);
+  std::size_t count = 0;
+  for (const auto& [service, table] : record.tables)
+    count += table.runs().size();
+  auto runs = out.initRuns(static_cast<unsigned>(count));
+  unsigned next = 0;
+  for (const auto& [service, table] : record.tables) {
+    for (const OwnedRun& run : table.runs())
+      WriteRun(service, run, runs[next++]);
+  }
+  return Pack(message);
+}
+
+Heartbeat MeshMessageCodec::DecodeHeartbeat(std::string_view bytes) {
+  return Unpack<rpc::MeshHeartbeat>(bytes, ReadHeartbeat);
+}
+
+HeartbeatReply MeshMessageCodec::DecodeHeartbeatReply(std::string_view bytes) {
+  return Unpack<rpc::MeshHeartbeatReply>(bytes, ReadReply);
+}
+
+VoteRequest MeshMessageCodec::DecodeVoteRequest(std::string_view bytes) {
+  return Unpack<rpc::MeshVoteRequest>(bytes, [](rpc::MeshVoteRequest::Reader
+                                                    in) {
+    return VoteRequest{in.getCandidate(), in.getGivesBack(), in.getIsHello()};
+  });
+}
+
+VoteReply MeshMessageCodec::DecodeVoteReply(std::string_view bytes) {
+  return Unpack<rpc::MeshVoteReply>(bytes, [](rpc::MeshVoteReply::Reader in) {
+    return VoteReply{in.getIsGranted(), in.getLeaderHint()};
+  });
+}
+
+MeshRecord MeshMessageCodec::DecodeRecord(std::string_view bytes) {
+  return Unpack<rpc::StoredMesh>(bytes, ReadRecord);
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/state/mesh/key_table.cc
@@ -0,0 +1,89 @@
+#include "modules/state/mesh/key_table.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace citrongrade {
+
+namespace {
+
+void AppendJoined(std::vector<OwnedRun>& runs, OwnedRun run) {
+  if (!runs.empty() && runs.back().SameAssignment(run)) {
+    runs.back().range.last = run.range.last;
+    runs.back().version = std::max(runs.back().version, run.version);
+    return;
+  }
+  runs.push_back(std::move(run));
+}
+
+}  // namespace
+
+bool OwnedRun::SameAssignment(const OwnedRun& other) const {
+  return owner == other.owner && life == other.life && fence == other.fence &&
+         handover == other.handover;
+}
+
+KeyTable::KeyTable() {
+  OwnedRun all;
+  all.range = {0, kSlotCount - 1};
+  m_runs.push_back(all);
+}
+
+std::size_t KeyTable::IndexOf(std::uint32_t slot) const {
+  // The caller must pass a slot of this table: 0 to kSlotCount - 1.
+  assert(slot < kSlotCount);
+  const auto after =
+      std::upper_bound(m_runs.begin(), m_runs.end(), slot,
+                       [](std::uint32_t wanted, const OwnedRun& run) {
+                         return wanted < run.range.first;
+                       });
+  return static_cast<std::size_t>(after - m_runs.begin()) - 1;
+}
+
+const OwnedRun& KeyTable::Find(std::uint32_t slot) const {
+  return m_runs[IndexOf(slot)];
+}
+
+void KeyTable::Assign(const OwnedRun& run) {
+  // The caller must pass a range whose end is not before its start.
+  assert(run.range.first <= run.range.last && run.range.last < kSlotCount);
+  std::vector<OwnedRun> changed;
+  changed.reserve(m_runs.size() + 2);
+  bool placed = false;
+  for (const OwnedRun& old : m_runs) {
+    if (!old.range.Overlaps(run.range)) {
+      AppendJoined(changed, old);
+      continue;
+    }
+    if (old.range.first < run.range.first) {
+      OwnedRun left = old;
+      left.range.last = run.range.first - 1;
+      AppendJoined(changed, std::move(left));
+    }
+    if (!placed) {
+      AppendJoined(changed, run);
+      placed = true;
+    }
+    if (old.range.last > run.range.last) {
+      OwnedRun right = old;
+      right.range.first = run.range.last + 1;
+      AppendJoined(changed, std::move(right));
+    }
+  }
+  m_runs = std::move(changed);
+}
+
+bool KeyTable::HasUnowned() const {
+  return std::any_of(m_runs.begin(), m_runs.end(),
+                     [](const OwnedRun& run) { return !run.has_owner(); });
+}
+
+std::uint32_t KeyTable::CountOwnedBy(const std::string& owner) const {
+  std::uint32_t count = 0;
+  for (const OwnedRun& run : m_runs)
+    count += run.owner == owner ? run.range.size() : 0;
+  return count;
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/state/mesh/key_table.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "modules/state/mesh/key_slot.h"
+#include "modules/state/mesh/target_life.h"
+
+namespace citrongrade {
+
+// Neighbouring slots that one target's life got by one assignment.
+struct OwnedRun {
+  SlotRange range;
+  // Mesh address ("ip:port") of the owner's node; empty: nobody owns them.
+  std::string owner;
+  // They belong to this life of the owner's target, and to no other.
+  TargetLife life;
+  // Fencing token: higher than any with which another target had these slots.
+  std::uint64_t fence = 0;
+  // What the last holder gave at its release; empty when it gave none.
+  std::string handover;
+  // Version of the view that changed it last.
+  std::uint64_t version = 0;
+
+  bool has_owner() const { return !owner.empty(); }
+  // All but the range and the version.
+  bool SameAssignment(const OwnedRun& other) const;
+
+  friend auto operator<=>(const OwnedRun&, const OwnedRun&) = default;
+};
+
+// Who owns which slots of one divided service: runs in order that together
+// cover all slots. Splits and joins runs as slots are assigned. A value: no
+// clock, no thread. Kin: MeshView holds one for each divided service.
+class KeyTable {
+ public:
+  KeyTable();
+
+  const std::vector<OwnedRun>& runs() const { return m_runs; }
+  const OwnedRun& Find(std::uint32_t slot) const;
+
+  // Gives the run's slots its owner, whoever had them before.
+  void Assign(const OwnedRun& run);
+
+  bool HasUnowned() const;
+  std::uint32_t CountOwnedBy(const std::string& owner) const;
+
+  friend bool operator==(const KeyTable&, const KeyTable&) = default;
+
+ private:
+  std::size_t IndexOf(std::uint32_t slot) const;
+
+  std::vector<OwnedRun> m_runs;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/state/mesh/mesh_member.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "modules/state/mesh/target_life.h"
+
+namespace citrongrade {
+
+// A node and the target beside it, as the mesh knows them.
+struct MeshMember {
+  enum class State : std::uint8_t {
+    // Nobody has heard of it lately, or its target is gone.
+    kAbsent,
+    kServing,
+    // Its target, or the node itself, is about to leave: no new work.
+    kDraining,
+  };
+
+  // "ip:port" where other nodes talk to it. Its identity: no two live nodes
+  // share one.
+  std::string address;
+  // Where other nodes send requests for its target.
+  std::string data_address;
+  std::string zone;
+  // The service of its target; empty until the target has announced itself.
+  std::string service;
+  TargetLife target;
+  // Requests that the target runs at once.
+  std::uint32_t slots = 0;
+  State state = State::kAbsent;
+
+  friend auto operator<=>(const MeshMember&, const MeshMember&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/state/mesh/routing_config.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace citrongrade {
+
+// A part of a route's requests that goes to one service.
+struct RouteDestination {
+  std::string service;
+  // In proportion to the weights of the route's other destinations.
+  std::uint32_t weight = 1;
+
+  friend auto operator<=>(const RouteDestination&,
+                          const RouteDestination&) = default;
+};
+
+// Where requests of one host and path prefix go, and how they may be treated.
+struct RouteRule {
+  std::string name;
+  std::string host;
+  // Begins and ends with a slash.
+  std::string path_prefix;
+  // May run more than once with the same effect.
+  bool is_idempotent = false;
+  // Longest time that a caller is kept waiting.
+  std::chrono::milliseconds timeout{1000};
+  // An answer within this time is worth most to its caller.
+  std::chrono::milliseconds target_latency{1000};
+  // 0 is the most urgent.
+  std::uint32_t priority = 0;
+  // Targets that one request may be sent to, the first included.
+  std::uint32_t max_attempts = 1;
+  std::vector<RouteDestination> destinations;
+
+  friend auto operator<=>(const RouteRule&, const RouteRule&) = default;
+};
+
+struct RoutedService {
+  std::string name;
+  // Each key belongs to one target.
+  bool is_divided_by_key = false;
+  // Path of the target's health check.
+  std::string health_path = "/";
+  // Connections that one target accepts from all callers together.
+  std::uint32_t max_connections = 64;
+
+  friend auto operator<=>(const RoutedService&, const RoutedService&) = default;
+};
+
+// What callers may send.
+struct CallerLimits {
+  std::uint64_t max_header_bytes = 16'384;
+  std::uint64_t max_body_bytes = 64ULL << 20U;
+  std::chrono::milliseconds header_timeout{5000};
+  std::chrono::milliseconds idle_timeout{15'000};
+
+  friend auto operator<=>(const CallerLimits&, const CallerLimits&) = default;
+};
+
+// One whole version of what operators want. Immutable once read.
+struct RoutingConfig {
+  std::uint64_t version = 0;
+  std::vector<RouteRule> routes;
+  std::map<std::string, RoutedService> services;
+  CallerLimits limits;
+
+  // The route of that host whose prefix is the longest that begins the path;
+  // nothing when there is none. `host` may carry a port.
+  const RouteRule* FindRoute(std::string_view host,
+                             std::string_view path) const;
+  const RoutedService* FindService(const std::string& name) const;
+
+  friend auto operator<=>(const RoutingConfig&, const RoutingConfig&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/state/mesh/target_life.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace citrongrade {
+
+// One life of one target's process. A target may start again under its old id;
+// it then holds no keys and remembers nothing, so the start time belongs to its
+// identity.
+struct TargetLife {
+  std::string id;
+  // Milliseconds since the Unix epoch, as the target itself states it.
+  std::int64_t started_unix_ms = 0;
+
+  bool is_known() const { return !id.empty(); }
+
+  friend auto operator<=>(const TargetLife&, const TargetLife&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/async/async_connection_pool.cc
@@ -0,0 +1,78 @@
+#include "modules/transport/async/async_connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citrongrade {
+
+namespace {
+
+// A connection is given up so long before its peer would close it, as a request
+// that crosses the close can't be proved not to have run.
+constexpr std::chrono::milliseconds kBeforePeerCloses{1000};
+
+}  // namespace
+
+AsyncConnectionPool::AsyncConnectionPool(boost::asio::io_context& loop,
+                                         const Clock& clock,
+                                         const Settings& settings)
+    : m_loop(loop), m_clock(clock), m_settings(settings) {}
+
+AsyncConnectionPool::~AsyncConnectionPool() = default;
+
+Task<std::unique_ptr<AsyncHttpConnection>> AsyncConnectionPool::Take(
+    HttpAddress address,
+    Clock::Duration max_idle) {
+  std::vector<Idle>& idle = m_idle[address];
+  const Clock::TimePoint now = m_clock.Now();
+  while (!idle.empty()) {
+    Idle last = std::move(idle.back());
+    idle.pop_back();
+    if (now - last.since > max_idle) {
+      // The others were idle for longer still.
+      idle.push_back(std::move(last));
+      break;
+    }
+    if (now < last.expires && !last.connection->IsStale())
+      co_return std::move(last.connection);
+  }
+  ++m_opened;
+  co_return co_await AsyncHttpConnection::Open(m_loop, address,
+                                               m_settings.connect_timeout);
+}
+
+void AsyncConnectionPool::GiveBack(
+    const HttpAddress& address,
+    std::unique_ptr<AsyncHttpConnection> connection) {
+  if (!connection->is_reusable())
+    return;
+  const Clock::TimePoint now = m_clock.Now();
+  Clock::Duration keep_for = m_settings.keep_for;
+  if (connection->peer_keep_alive() > Clock::Duration(0)) {
+    keep_for = std::min<Clock::Duration>(
+        keep_for, connection->peer_keep_alive() - kBeforePeerCloses);
+  }
+  std::vector<Idle>& idle = m_idle[address];
+  if (keep_for > Clock::Duration(0) && idle.size() < m_settings.max_idle_each)
+    idle.push_back({std::move(connection), now, now + keep_for});
+}
+
+void AsyncConnectionPool::Forget(const HttpAddress& address) {
+  m_idle.erase(address);
+}
+
+void AsyncConnectionPool::Sweep() {
+  const Clock::TimePoint now = m_clock.Now();
+  for (auto& [address, idle] : m_idle)
+    std::erase_if(idle, [now](const Idle& one) { return now >= one.expires; });
+  std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
+}
+
+std::size_t AsyncConnectionPool::idle_count() const {
+  std::size_t count = 0;
+  for (const auto& [address, idle] : m_idle)
+    count += idle.size();
+  return count;
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/async/async_http_connection.cc
@@ -0,0 +1,264 @@
+#include "modules/transport/async/async_http_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <string>
+#include <utility>
+
+#include "modules/transport/http_errors.h"
+
+namespace citrongrade {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr unsigned kHttpVersion = 11;
+constexpr int kFirstFinalStatus = 200;
+constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{16} << 20U;
+constexpr std::uint32_t kMaxHeadBytes = 32 * 1024;
+// Bytes that the peer's host does not confirm for so long: the connection was
+// lost on the way, and without this it would hold a call to its timeout.
+constexpr unsigned kUnconfirmedMs = 3000;
+
+using Parser = http::response_parser<http::string_body>;
+
+struct Outgoing {
+  http::request<http::string_body> message;
+  bool is_written = false;
+};
+
+std::shared_ptr<Outgoing> MakeOutgoing(HttpRequest request,
+                                       const std::string& host) {
+  auto outgoing = std::make_shared<Outgoing>();
+  auto& message = outgoing->message;
+  message.version(kHttpVersion);
+  message.method_string(request.method);
+  message.target(request.target);
+  for (const HttpHeader& header : request.headers)
+    message.insert(header.name, header.value);
+  if (message.find(http::field::host) == message.end())
+    message.set(http::field::host, host);
+  message.body() = std::move(request.body);
+  const bool is_bodiless =
+      message.body().empty() &&
+      (request.method == "GET" || request.method == "HEAD" ||
+       request.method == "DELETE");
+  if (!is_bodiless)
+    message.content_length(message.body().size());
+  return outgoing;
+}
+
+HttpResponse TakeResponse(Parser& parser) {
+  auto& message = parser.get();
+  HttpResponse response;
+  response.head.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.head.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  response.body = std::move(message.body());
+  response.head.body_length = HttpBodyLength::Exactly(response.body.size());
+  return response;
+}
+
+std::chrono::seconds KeepAliveOf(const HttpResponse& response) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto header = response.head.Header("Keep-Alive");
+  if (!header)
+    return std::chrono::seconds(0);
+  const std::size_t at = header->find(kTimeout);
+  if (at == std::string_view::npos)
+    return std::chrono::seconds(0);
+  const std::string_view digits = header->substr(at + kTimeout.size());
+  unsigned seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
+[[noreturn]] void ThrowReadError(const boost::system::error_code& error,
+                                 bool got_some,
+                                 const std::string& host) {
+  const std::string text = host + ": " + error.message();
+  if (error == beast::error::timeout)
+    throw ResponseTimeoutError(text);
+  if (error == http::error::end_of_stream)
+    throw ConnectionClosedError(text);
+  if (error == http::error::partial_message)
+    throw TruncatedBodyError(text);
+  if (error.category() ==
+      http::make_error_code(http::error::bad_version).category())
+    throw MalformedResponseError(text);
+  if (got_some)
+    throw TruncatedBodyError(text);
+  throw ConnectionClosedError(text);
+}
+
+}  // namespace
+
+class AsyncHttpConnection::Implementation
+    : public std::enable_shared_from_this<Implementation> {
+ public:
+  Implementation(asio::io_context& loop, const HttpAddress& address)
+      : m_host(address.ToString()),
+        m_endpoint(asio::ip::make_address(address.ip), address.port),
+        m_stream(loop) {}
+
+  Task<> Connect(Clock::Duration timeout);
+  Task<HttpResponse> Call(HttpRequest request,
+                          Clock::Duration timeout,
+                          IsAnswer is_answer);
+  void Close() {
+    m_is_usable = false;
+    m_stream.close();
+  }
+  bool is_reusable() const { return m_is_usable; }
+  bool IsStale() const;
+  Clock::Duration peer_keep_alive() const { return m_peer_keep_alive; }
+
+ private:
+  Task<HttpResponse> ReadOne();
+
+  const std::string m_host;
+  const tcp::endpoint m_endpoint;
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  bool m_is_usable = false;
+  bool m_peer_keeps_open = false;
+  Clock::Duration m_peer_keep_alive{0};
+};
+
+Task<> AsyncHttpConnection::Implementation::Connect(Clock::Duration timeout) {
+  m_stream.expires_after(timeout);
+  boost::system::error_code error;
+  co_await m_stream.async_connect(
+      m_endpoint, asio::redirect_error(asio::use_awaitable, error));
+  if (error == asio::error::connection_refused)
+    throw ConnectRefusedError(m_host + ": " + error.message());
+  if (error)
+    throw ConnectError(m_host + ": " + error.message());
+  boost::system::error_code ignored;
+  m_stream.socket().set_option(tcp::no_delay(true), ignored);
+  setsockopt(m_stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &kUnconfirmedMs, sizeof(kUnconfirmedMs));
+  m_is_usable = true;
+}
+
+Task<HttpResponse> AsyncHttpConnection::Implementation::ReadOne() {
+  while (true) {
+    Parser parser;
+    parser.body_limit(kMaxAnswerBytes);
+    parser.header_limit(kMaxHeadBytes);
+    boost::system::error_code error;
+    co_await http::async_read(m_stream, m_buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+      ThrowReadError(error, parser.got_some(), m_host);
+    if (parser.get().result_int() < kFirstFinalStatus)
+      continue;
+    m_peer_keeps_open = parser.keep_alive() && !parser.need_eof();
+    co_return TakeResponse(parser);
+  }
+}
+
+Task<HttpResponse> AsyncHttpConnection::Implementation::Call(
+    HttpRequest request,
+    Clock::Duration timeout,
+    IsAnswer is_answer) {
+  const auto self = shared_from_this();
+  const std::shared_ptr<Outgoing> outgoing =
+      MakeOutgoing(std::move(request), m_host);
+  m_is_usable = false;
+  m_stream.expires_after(timeout);
+  http::async_write(m_stream, outgoing->message,
+                    [self, outgoing](const boost::system::error_code& error,
+                                     std::size_t /*bytes*/) {
+                      outgoing->is_written = !error;
+                    });
+  bool was_exact = true;
+  while (true) {
+    HttpResponse response = co_await ReadOne();
+    if (is_answer && !is_answer(response)) {
+      was_exact = false;
+      if (!m_peer_keeps_open)
+        throw ConnectionClosedError(m_host + ": closed after another answer");
+      continue;
+    }
+    m_peer_keep_alive = KeepAliveOf(response);
+    m_is_usable = was_exact && outgoing->is_written && m_peer_keeps_open &&
+                  m_buffer.size() == 0 && m_stream.socket().is_open();
+    m_stream.expires_never();
+    if (!m_is_usable)
+      m_stream.close();
+    co_return response;
+  }
+}
+
+bool AsyncHttpConnection::Implementation::IsStale() const {
+  char byte = 0;
+  const int handle =
+      const_cast<beast::tcp_stream&>(m_stream).socket().native_handle();
+  const ssize_t count = recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
+AsyncHttpConnection::AsyncHttpConnection(
+    std::shared_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation)) {}
+
+AsyncHttpConnection::~AsyncHttpConnection() {
+  m_implementation->Close();
+}
+
+Task<std::unique_ptr<AsyncHttpConnection>> AsyncHttpConnection::Open(
+    asio::io_context& loop,
+    HttpAddress address,
+    Clock::Duration timeout) {
+  auto implementation = std::make_shared<Implementation>(loop, address);
+  co_await implementation->Connect(timeout);
+  co_return std::unique_ptr<AsyncHttpConnection>(
+      new AsyncHttpConnection(std::move(implementation)));
+}
+
+Task<HttpResponse> AsyncHttpConnection::Call(HttpRequest request,
+                                             Clock::Duration timeout,
+                                             IsAnswer is_answer) {
+  const auto implementation = m_implementation;
+  co_return co_await implementation->Call(std::move(request), timeout,
+                                          std::move(is_answer));
+}
+
+void AsyncHttpConnection::Close() {
+  m_implementation->Close();
+}
+
+bool AsyncHttpConnection::is_reusable() const {
+  return m_implementation->is_reusable();
+}
+
+bool AsyncHttpConnection::IsStale() const {
+  return m_implementation->IsStale();
+}
+
+Clock::Duration AsyncHttpConnection::peer_keep_alive() const {
+  return m_implementation->peer_keep_alive();
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/async/async_http_connection.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "modules/coordination/clock.h"
+#include "modules/transport/async/task.h"
+#include "modules/transport/http_address.h"
+#include "modules/transport/http_request.h"
+#include "modules/transport/http_response.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace citrongrade {
+
+// One kept HTTP/1.1 client connection on the event loop, by Boost.Beast. One
+// call at a time. Kin: HttpClientConnection, by threads; AsyncConnectionPool
+// keeps them.
+class AsyncHttpConnection {
+ public:
+  // Whether a response is the answer to the request in hand. A peer may send a
+  // second answer to an earlier request; that one is skipped.
+  using IsAnswer = std::function<bool(const HttpResponse&)>;
+
+  // Throws ConnectRefusedError when nobody listens there, else ConnectError.
+  static Task<std::unique_ptr<AsyncHttpConnection>> Open(
+      boost::asio::io_context& loop,
+      HttpAddress address,
+      Clock::Duration timeout);
+
+  ~AsyncHttpConnection();
+  AsyncHttpConnection(const AsyncHttpConnection&) = delete;
+  AsyncHttpConnection& operator=(const AsyncHttpConnection&) = delete;
+
+  // Sends the request and reads its answer whole. The peer may answer before it
+  // has read the whole body. Throws ResponseTimeoutError,
+  // ConnectionClosedError (before any byte of an answer), TruncatedBodyError
+  // (after some), MalformedResponseError; also after Close().
+  Task<HttpResponse> Call(HttpRequest request,
+                          Clock::Duration timeout,
+                          IsAnswer is_answer = nullptr);
+
+  // Makes a call that waits fail at once: the peer sees its connection close.
+  void Close();
+
+  // The last call ended well and neither side closes.
+  bool is_reusable() const;
+  // The peer closed it, or sent what nobody asked for.
+  bool IsStale() const;
+  // How long the peer said to keep it open when idle; zero: it said nothing.
+  Clock::Duration peer_keep_alive() const;
+
+ private:
+  class Implementation;
+
+  explicit AsyncHttpConnection(std::shared_ptr<Implementation> implementation);
+
+  std::shared_ptr<Implementation> m_implementation;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/async/async_http_server.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+#include "modules/transport/async/task.h"
+#include "modules/transport/http_address.h"
+#include "modules/transport/http_request.h"
+#include "modules/transport/http_response.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace citrongrade {
+
+class Clock;
+class RequestContext;
+
+// An HTTP/1.1 server on one address and one event loop, by Boost.Beast. Kept
+// connections cost no thread, and a caller that goes while its request is
+// served is noticed at once. Requests and answers are held whole: for bodies of
+// some megabytes at most. Kin: HttpServer, by threads; AsyncHttpConnection, the
+// client.
+class AsyncHttpServer {
+ public:
+  struct Settings {
+    HttpAddress address;
+    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    std::uint64_t max_body_bytes = std::uint64_t{8} << 20U;
+    // A kept connection without a request is closed after this.
+    std::chrono::milliseconds idle_timeout{15'000};
+    // A body has to come within this.
+    std::chrono::milliseconds read_timeout{10'000};
+  };
+
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+
+    // What it throws closes the connection without an answer.
+    virtual Task<HttpResponse> Handle(HttpRequest request,
+                                      RequestContext& context) = 0;
+  };
+
+  // Throws AddressInUseError, HttpServerStartError. All outlive the server.
+  AsyncHttpServer(boost::asio::io_context& loop,
+                  const Clock& clock,
+                  const Settings& settings,
+                  Handler& handler);
+  ~AsyncHttpServer();
+  AsyncHttpServer(const AsyncHttpServer&) = delete;
+  AsyncHttpServer& operator=(const AsyncHttpServer&) = delete;
+
+  void SetIdleTimeout(std::chrono::milliseconds timeout);
+
+  // Takes no new connection, closes idle ones, and each other one after the
+  // answer that it waits for.
+  void Close();
+
+  // Requests being read or served.
+  std::size_t in_flight() const;
+  std::size_t connection_count() const;
+
+ private:
+  class Implementation;
+
+  std::shared_ptr<Implementation> m_implementation;
+};
+
+}  // namespace citrongrade
--- a/modules/transport/http_errors.h
+++ b/modules/transport/http_errors.h
@@ -34,6 +34,12 @@
   using HttpError::HttpError;
 };
 
+// Nobody listens at the address: the process that did is gone.
+class ConnectRefusedError : public ConnectError {
+ public:
+  using ConnectError::ConnectError;
+};
+
 // The peer closed or reset the connection before the whole message was sent,
 // or before any byte of the answer came. The request may have run.
 class ConnectionClosedError : public HttpError {
--- /dev/null
+++ b/modules/transport/mesh/connection_headers.cc
@@ -0,0 +1,56 @@
+#include "modules/transport/mesh/connection_headers.h"
+
+#include <algorithm>
+#include <iterator>
+#include <string>
+#include <string_view>
+
+namespace citrongrade {
+
+namespace {
+
+constexpr std::string_view kNames[] = {
+    "Connection",     "Keep-Alive",        "Proxy-Connection",
+    "Content-Length", "Transfer-Encoding", "TE",
+    "Trailer",        "Upgrade",           "Expect"};
+
+bool IsListed(const std::vector<std::string>& names, std::string_view name) {
+  return std::any_of(names.begin(), names.end(), [name](const auto& listed) {
+    return SameHeaderName(listed, name);
+  });
+}
+
+// What a Connection header names concerns that connection as well.
+std::vector<std::string> NamedByConnection(
+    const std::vector<HttpHeader>& headers) {
+  std::vector<std::string> named;
+  const auto value = FindHeader(headers, "Connection");
+  if (!value)
+    return named;
+  std::string name;
+  for (const char c : *value) {
+    if (c == ',') {
+      named.push_back(std::move(name));
+      name.clear();
+    } else if (c != ' ' && c != '\t') {
+      name += c;
+    }
+  }
+  named.push_back(std::move(name));
+  return named;
+}
+
+}  // namespace
+
+void StripConnectionHeaders(std::vector<HttpHeader>& headers) {
+  const std::vector<std::string> named = NamedByConnection(headers);
+  std::erase_if(headers, [&named](const HttpHeader& header) {
+    return IsListed(named, header.name) ||
+           std::any_of(std::begin(kNames), std::end(kNames),
+                       [&header](std::string_view name) {
+                         return SameHeaderName(header.name, name);
+                       });
+  });
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/instance_chooser.cc
@@ -0,0 +1,129 @@
+#include "modules/transport/mesh/instance_chooser.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "modules/coordination/load/target_ejection.h"
+#include "modules/coordination/load/target_picker.h"
+
+namespace citrongrade {
+
+namespace {
+
+// Tries to find one that is not excluded; with two random choices each.
+constexpr int kDraws = 8;
+
+}  // namespace
+
+struct InstanceChooser::Service {
+  Service(const Clock& clock, std::mt19937_64& random, const std::string& zone)
+      : picker(clock, random, AvailabilityZone(zone)),
+        ejection(clock, random, TargetEjection::Parameters()) {}
+
+  TargetPicker picker;
+  TargetEjection ejection;
+  std::set<std::string> members;
+  bool was_used = false;
+};
+
+InstanceChooser::InstanceChooser(const Clock& clock, std::string own_zone)
+    : m_clock(clock),
+      m_own_zone(std::move(own_zone)),
+      m_random(std::random_device()()) {}
+
+InstanceChooser::~InstanceChooser() = default;
+
+void InstanceChooser::RefreshService(const std::string& name,
+                                     const MeshView& view,
+                                     Service& service) {
+  std::set<std::string> members;
+  for (const MeshMember* member : view.MembersOf(name)) {
+    if (member->state == MeshMember::State::kAbsent)
+      continue;
+    members.insert(member->address);
+    const TargetId id(member->address);
+    service.picker.SetTarget({id, AvailabilityZone(member->zone),
+                              std::max<std::size_t>(1, member->slots)});
+    service.ejection.OnAnnounced(id,
+                                 member->state == MeshMember::State::kDraining);
+    if (service.was_used && !service.members.contains(member->address))
+      service.ejection.MarkCold(id);
+  }
+  for (const std::string& gone : service.members) {
+    if (members.contains(gone))
+      continue;
+    service.picker.RemoveTarget(TargetId(gone));
+    service.ejection.RemoveTarget(TargetId(gone));
+  }
+  service.members = std::move(members);
+  service.ejection.Poll();
+  for (const std::string& member : service.members) {
+    const TargetId id(member);
+    service.picker.SetEligible(id, service.ejection.MayReceive(id));
+  }
+}
+
+void InstanceChooser::Refresh(const MeshView& view) {
+  for (const MeshMember* member : view.members()) {
+    if (member->service.empty() || view.FindTable(member->service) != nullptr)
+      continue;
+    std::unique_ptr<Service>& service = m_services[member->service];
+    if (!service)
+      service = std::make_unique<Service>(m_clock, m_random, m_own_zone);
+  }
+  for (auto& [name, service] : m_services)
+    RefreshService(name, view, *service);
+}
+
+std::optional<std::string> InstanceChooser::Choose(
+    const std::string& service,
+    const std::set<std::string>& excluded) {
+  const auto found = m_services.find(service);
+  if (found == m_services.end())
+    return std::nullopt;
+  Service& chosen = *found->second;
+  chosen.was_used = true;
+  std::optional<TargetId> last;
+  for (int draw = 0; draw < kDraws; ++draw) {
+    const std::optional<TargetId> picked = chosen.picker.Pick(last);
+    if (!picked)
+      return std::nullopt;
+    if (!excluded.contains(picked->value())) {
+      chosen.picker.OnSent(*picked);
+      chosen.ejection.OnSent(*picked);
+      chosen.picker.SetEligible(*picked, chosen.ejection.MayReceive(*picked));
+      return picked->value();
+    }
+    last = picked;
+  }
+  return std::nullopt;
+}
+
+bool InstanceChooser::HasOther(const std::string& service,
+                               const std::set<std::string>& excluded) const {
+  const auto found = m_services.find(service);
+  if (found == m_services.end())
+    return false;
+  const std::set<std::string>& members = found->second->members;
+  return std::any_of(members.begin(), members.end(),
+                     [&excluded](const std::string& member) {
+                       return !excluded.contains(member);
+                     });
+}
+
+void InstanceChooser::OnFinished(const std::string& service,
+                                 const std::string& address,
+                                 RunOutcome outcome,
+                                 Clock::Duration latency) {
+  const auto found = m_services.find(service);
+  if (found == m_services.end())
+    return;
+  Service& chosen = *found->second;
+  const TargetId id(address);
+  chosen.picker.OnFinished(id);
+  chosen.ejection.OnFinished(id, outcome, latency);
+  if (chosen.members.contains(address))
+    chosen.picker.SetEligible(id, chosen.ejection.MayReceive(id));
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -0,0 +1,723 @@
+#include "modules/transport/mesh/mesh_agent.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "modules/coordination/mesh/mesh_leader.h"
+#include "modules/protocol/malformed_message_error.h"
+#include "modules/protocol/mesh_message_codec.h"
+#include "modules/transport/async/async_connection_pool.h"
+#include "modules/transport/http_errors.h"
+#include "modules/transport/mesh/config_follower.h"
+#include "modules/transport/mesh/mesh_store.h"
+
+namespace citrongrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kHeartbeatPath = "/mesh/heartbeat";
+constexpr const char* kVotePath = "/mesh/vote";
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+// Beyond the time for which the leader may hold its answer: a frozen or lost
+// leader is given up after two of these.
+constexpr milliseconds kAnswerSlack{350};
+constexpr milliseconds kVoteTimeout{250};
+// Two nodes that campaign at once split the votes; by rank they start apart.
+constexpr milliseconds kRankStep{70};
+constexpr milliseconds kLongestRankDelay{500};
+constexpr milliseconds kPauseAfterFailure{120};
+constexpr milliseconds kLeaderStep{40};
+constexpr milliseconds kStoreRetry{120};
+// A leader whose writes fail for so long gives up if the store answers others.
+constexpr milliseconds kStoreLost{700};
+constexpr milliseconds kHelloEvery{400};
+// After a leader of the record did not answer, it is not asked again for so
+// long.
+constexpr milliseconds kUnansweredCounts{1500};
+constexpr milliseconds kPeerIdle{3000};
+constexpr milliseconds kNoAuthority{1500};
+// How long a leader that has resigned goes on before it follows another.
+constexpr milliseconds kResigned{100};
+constexpr milliseconds kResignationTold{1500};
+
+HttpResponse MakeResponse(int status, std::string body) {
+  HttpResponse response;
+  response.head.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+struct MeshAgent::Waiting {
+  explicit Waiting(boost::asio::io_context& loop) : timer(loop) {}
+  boost::asio::steady_timer timer;
+};
+
+struct MeshAgent::VoteCount {
+  Clock::TimePoint asked;
+  std::set<std::string> granted;
+  std::string leader_hint;
+  std::size_t open = 0;
+};
+
+MeshAgent::MeshAgent(boost::asio::io_context& loop,
+                     const Clock& clock,
+                     const MeshTiming& timing,
+                     Identity identity,
+                     MeshStore& store,
+                     ConfigFollower& config,
+                     AsyncConnectionPool& peers,
+                     Listener& listener)
+    : m_loop(loop),
+      m_clock(clock),
+      m_timing(timing),
+      m_identity(std::move(identity)),
+      m_store(store),
+      m_config(config),
+      m_peers(peers),
+      m_listener(listener),
+      m_random(std::random_device()()),
+      m_incarnation(m_random()),
+      m_promise(clock, timing.promise),
+      m_leader_answered(clock.Now()) {}
+
+MeshAgent::~MeshAgent() = default;
+
+void MeshAgent::Start() {
+  boost::asio::co_spawn(m_loop, Run(), boost::asio::detached);
+}
+
+void MeshAgent::SetLeaving() {
+  m_is_leaving = true;
+  if (m_leader) {
+    const std::string successor = m_leader->FindSuccessor();
+    if (!successor.empty())
+      Resign(successor, "leaving");
+  }
+  Urge();
+}
+
+void MeshAgent::Resign(const std::string& successor, const std::string& why) {
+  spdlog::warn("event=resigns successor={} reason=\"{}\"", successor, why);
+  m_leader->Resign(successor);
+  m_resigned_until = m_clock.Now() + kResignationTold;
+  NotifyWaiting();
+}
+
+void MeshAgent::SetDividedServices(std::set<std::string> services) {
+  m_divided_services = std::move(services);
+  if (m_leader)
+    m_leader->SetDividedServices(m_divided_services);
+}
+
+bool MeshAgent::follows_store() const {
+  return m_leader != nullptr || m_follow_store ||
+         TimeWithoutLeader() > m_timing.promise || m_config.version() == 0;
+}
+
+Clock::Duration MeshAgent::TimeWithoutLeader() const {
+  if (m_leader)
+    return Clock::Duration(0);
+  const Clock::Duration silence = m_clock.Now() - m_leader_answered;
+  return silence < m_timing.heartbeat + kAnswerSlack ? Clock::Duration(0)
+                                                     : silence;
+}
+
+Task<> MeshAgent::Pause(milliseconds duration) {
+  auto waiting = std::make_shared<Waiting>(m_loop);
+  waiting->timer.expires_after(duration);
+  m_pausing = waiting;
+  boost::system::error_code ignored;
+  co_await waiting->timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  m_pausing.reset();
+}
+
+void MeshAgent::Urge() {
+  m_is_urged = true;
+  if (m_pausing)
+    m_pausing->timer.cancel();
+  if (!m_leader && !m_is_urgent_running && !m_leader_address.empty()) {
+    m_is_urgent_running = true;
+    boost::asio::co_spawn(m_loop, RunUrgent(), boost::asio::detached);
+  }
+}
+
+Task<> MeshAgent::Run() {
+  while (true) {
+    bool has_failed = false;
+    try {
+      if (m_leader)
+        co_await LeadOnce();
+      else if (!m_leader_address.empty())
+        co_await HeartbeatOnce();
+      else
+        co_await FindLeader();
+    } catch (const std::exception& error) {
+      spdlog::error("event=mesh-step-failed reason=\"{}\"", error.what());
+      has_failed = true;
+    }
+    if (has_failed)
+      co_await Pause(kPauseAfterFailure);
+  }
+}
+
+Task<std::string> MeshAgent::Ask(std::string peer,
+                                 std::string target,
+                                 std::string body,
+                                 milliseconds timeout) {
+  const HttpAddress address = HttpAddress::Parse(peer);
+  HttpRequest request;
+  request.method = "POST";
+  request.target = std::move(target);
+  request.body = std::move(body);
+  const Clock::TimePoint started = m_clock.Now();
+  auto connection = co_await m_peers.Take(address, kPeerIdle);
+  const Clock::Duration left = timeout - (m_clock.Now() - started);
+  HttpResponse response = co_await connection->Call(
+      std::move(request), std::max<Clock::Duration>(left, milliseconds(1)));
+  m_peers.GiveBack(address, std::move(connection));
+  if (response.head.status != kOk)
+    throw MalformedMessageError(peer + " answered " +
+                                std::to_string(response.head.status));
+  co_return std::move(response.body);
+}
+
+Heartbeat MeshAgent::Compose(bool promises) {
+  Heartbeat heartbeat;
+  heartbeat.address = m_identity.address;
+  heartbeat.data_address = m_identity.data_address;
+  heartbeat.zone = m_identity.zone;
+  heartbeat.incarnation = m_incarnation;
+  heartbeat.sequence = ++m_sequence;
+  heartbeat.promises = promises;
+  heartbeat.leader_nonce = m_leader_nonce;
+  heartbeat.leader_stamp_ns = m_leader_stamp_ns;
+  heartbeat.epoch = m_view.epoch();
+  heartbeat.view_version = m_view.version();
+  heartbeat.config_version = m_config.version();
+  heartbeat.is_leaving = m_is_leaving;
+  heartbeat.store_answers = m_config.store_answers();
+  m_listener.FillHeartbeat(heartbeat);
+  return heartbeat;
+}
+
+Task<> MeshAgent::RunUrgent() {
+  while (m_is_urged && !m_leader && !m_leader_address.empty()) {
+    m_is_urged = false;
+    const std::string leader = m_leader_address;
+    Heartbeat heartbeat = Compose(m_promise.Grant(leader));
+    heartbeat.is_urgent = true;
+    const Clock::TimePoint sent = m_clock.Now();
+    try {
+      const std::string body =
+          co_await Ask(leader, kHeartbeatPath,
+                       MeshMessageCodec::Encode(heartbeat), kAnswerSlack);
+      OnReply(MeshMessageCodec::DecodeHeartbeatReply(body), leader, sent);
+    } catch (const std::exception& error) {
+      // The regular heartbeat says it again.
+      spdlog::debug("event=urgent-heartbeat-failed leader={} reason=\"{}\"",
+                    leader, error.what());
+    }
+  }
+  m_is_urgent_running = false;
+}
+
+Task<> MeshAgent::HeartbeatOnce() {
+  const std::string leader = m_leader_address;
+  const Clock::TimePoint sent = m_clock.Now();
+  const Heartbeat heartbeat = Compose(m_promise.Grant(leader));
+  bool has_failed = true;
+  std::string reason;
+  try {
+    const std::string body = co_await Ask(leader, kHeartbeatPath,
+                                          MeshMessageCodec::Encode(heartbeat),
+                                          m_timing.heartbeat + kAnswerSlack);
+    const HeartbeatReply reply = MeshMessageCodec::DecodeHeartbeatReply(body);
+    OnReply(reply, leader, sent);
+    m_refused_since.erase(leader);
+    if (reply.is_leader)
+      co_return;
+    has_failed = false;
+  } catch (const ConnectRefusedError& error) {
+    // Its process is gone: it leads nobody, and counts on no vote.
+    m_promise.GiveBack(leader);
+    m_refused_since.try_emplace(leader, m_clock.Now());
+    m_unanswered[leader] = m_clock.Now();
+    spdlog::warn("event=leader-gone leader={}", leader);
+    ForgetLeader();
+    co_return;
+  } catch (const std::exception& error) {
+    reason = error.what();
+  }
+  if (has_failed && m_leader_address == leader) {
+    ++m_failures;
+    if (m_failures >= 2) {
+      spdlog::warn("event=leader-unanswered leader={} reason=\"{}\"", leader,
+                   reason);
+      m_unanswered[leader] = m_clock.Now();
+      ForgetLeader();
+    }
+    co_return;
+  }
+  // Whoever was asked does not lead, or does not yet.
+  if (m_clock.Now() - m_leader_answered > m_timing.promise &&
+      m_leader_address == leader) {
+    m_unanswered[leader] = m_clock.Now();
+    ForgetLeader();
+  }
+  co_await Pause(kLeaderStep);
+}
+
+void MeshAgent::ForgetLeader() {
+  m_leader_address.clear();
+  m_failures = 0;
+}
+
+void MeshAgent::OnReply(const HeartbeatReply& reply,
+                        const std::string& from,
+                        Clock::TimePoint sent) {
+  if (!reply.is_leader) {
+    if (reply.has_resigned)
+      m_promise.GiveBack(from);
+    if (from != m_leader_address)
+      return;
+    m_was_named = reply.has_resigned && reply.leader_hint == m_identity.address;
+    if (m_was_named || reply.leader_hint == from)
+      ForgetLeader();
+    else if (!reply.leader_hint.empty())
+      m_leader_address = reply.leader_hint;
+    return;
+  }
+  // An old leader that does not know of its successor yet.
+  if (reply.view.epoch < m_view.epoch())
+    return;
+  m_failures = 0;
+  m_leader_answered = m_clock.Now();
+  m_leader_nonce = reply.nonce;
+  m_leader_stamp_ns = reply.stamp_ns;
+  m_follow_store = reply.follow_store;
+  if (reply.lease_ms > 0)
+    m_lease_until =
+        std::max(m_lease_until, sent + milliseconds(reply.lease_ms));
+  if (!reply.config_document.empty())
+    m_config.OnDocument(reply.config_document);
+  const bool is_news = !reply.view.is_empty();
+  m_view.Apply(reply.view);
+  m_listener.OnReply(reply);
+  if (is_news)
+    m_listener.OnViewChanged();
+}
+
+HeartbeatReply MeshAgent::Reply(const Heartbeat& heartbeat) {
+  if (!m_leader) {
+    HeartbeatReply reply;
+    reply.leader_hint =
+        m_leader_address.empty() ? m_promise.holder() : m_leader_address;
+    // A voter that missed the resignation would keep its promise.
+    reply.has_resigned = m_clock.Now() < m_resigned_until;
+    if (reply.leader_hint == heartbeat.address && !reply.has_resigned)
+      reply.leader_hint.clear();
+    return reply;
+  }
+  HeartbeatReply reply = m_leader->MakeReply(heartbeat);
+  if (reply.is_leader && m_config.version() > heartbeat.config_version) {
+    reply.config_version = m_config.version();
+    reply.config_document = m_config.document();
+  }
+  return reply;
+}
+
+Task<HttpResponse> MeshAgent::Handle(HttpRequest request,
+                                     RequestContext& /*context*/) {
+  try {
+    if (request.target == kHeartbeatPath)
+      co_return co_await HandleHeartbeat(request);
+    if (request.target == kVotePath)
+      co_return HandleVote(request);
+  } catch (const MalformedMessageError& error) {
+    spdlog::warn("event=peer-message-unreadable target={} reason=\"{}\"",
+                 request.target, error.what());
+    co_return MakeResponse(kBadRequest, error.what());
+  }
+  co_return MakeResponse(kNotFound, {});
+}
+
+Task<HttpResponse> MeshAgent::HandleHeartbeat(const HttpRequest& request) {
+  const Heartbeat heartbeat = MeshMessageCodec::DecodeHeartbeat(request.body);
+  if (m_leader) {
+    m_leader->OnHeartbeat(heartbeat);
+    if (heartbeat.is_urgent)
+      Urge();
+    const bool has_news = m_leader->HasNewsFor(heartbeat) ||
+                          m_config.version() > heartbeat.config_version;
+    if (!has_news) {
+      auto waiting = std::make_shared<Waiting>(m_loop);
+      waiting->timer.expires_after(m_timing.heartbeat);
+      m_waiting.insert(waiting);
+      boost::system::error_code ignored;
+      co_await waiting->timer.async_wait(
+          boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+      m_waiting.erase(waiting);
+    }
+  }
+  co_return MakeResponse(kOk, MeshMessageCodec::Encode(Reply(heartbeat)));
+}
+
+HttpResponse MeshAgent::HandleVote(const HttpRequest& request) {
+  const VoteRequest vote = MeshMessageCodec::DecodeVoteRequest(request.body);
+  VoteReply reply;
+  if (vote.gives_back) {
+    m_promise.GiveBack(vote.candidate);
+    if (m_leader_address == vote.candidate)
+      ForgetLeader();
+  } else if (vote.is_hello) {
+    if (!m_leader && m_leader_address.empty())
+      m_leader_address = vote.candidate;
+    if (m_pausing)
+      m_pausing->timer.cancel();
+  } else if (!m_leader || m_leader->has_resigned()) {
+    reply.is_granted = m_promise.Grant(vote.candidate);
+    reply.leader_hint = m_promise.holder();
+    if (reply.is_granted)
+      spdlog::info("event=vote-promised candidate={}", vote.candidate);
+  } else {
+    reply.leader_hint = m_identity.address;
+  }
+  return MakeResponse(kOk, MeshMessageCodec::Encode(reply));
+}
+
+Task<> MeshAgent::FindLeader() {
+  const std::string holder = m_promise.holder();
+  if (!holder.empty() && holder != m_identity.address &&
+      !m_unanswered.contains(holder)) {
+    m_leader_address = holder;
+    co_return;
+  }
+  if (m_is_leaving) {
+    co_await Pause(kPauseAfterFailure);
+    co_return;
+  }
+  MeshStore::StoredRecord stored;
+  std::string failure;
+  try {
+    stored = co_await m_store.ReadRecord();
+  } catch (const StoreError& error) {
+    failure = error.what();
+  }
+  if (!m_leader_address.empty())
+    co_return;
+  if (!failure.empty()) {
+    spdlog::warn("event=mesh-record-unread reason=\"{}\"", failure);
+    co_await Pause(kPauseAfterFailure);
+    co_return;
+  }
+  if (!stored.bytes) {
+    co_await ClaimNewMesh(stored.end);
+    co_return;
+  }
+  const MeshRecord record = MeshMessageCodec::DecodeRecord(*stored.bytes);
+  const Clock::TimePoint now = m_clock.Now();
+  std::erase_if(m_unanswered, [now](const auto& entry) {
+    return now - entry.second > kUnansweredCounts;
+  });
+  if (record.leader != m_identity.address &&
+      !m_unanswered.contains(record.leader) && !m_was_named) {
+    m_leader_address = record.leader;
+    m_leader_answered = now;
+    co_return;
+  }
+  co_await Campaign(record, stored.end, std::exchange(m_was_named, false));
+}
+
+Task<> MeshAgent::ClaimNewMesh(std::uint64_t end) {
+  MeshRecord record;
+  record.voters = {m_identity.address};
+  if (co_await Claim(record, end))
+    co_return;
+  co_await Pause(kLeaderStep);
+}
+
+Task<bool> MeshAgent::Claim(MeshRecord record, std::uint64_t end) {
+  ++record.epoch;
+  record.leader = m_identity.address;
+  const std::string bytes = MeshMessageCodec::Encode(record);
+  try {
+    m_record_end = co_await m_store.WriteRecord(bytes, end);
+  } catch (const StoreRefusedError& error) {
+    spdlog::info("event=claim-refused epoch={} reason=\"{}\"", record.epoch,
+                 error.what());
+    co_return false;
+  } catch (const StoreError& error) {
+    spdlog::warn("event=claim-unanswered epoch={} reason=\"{}\"", record.epoch,
+                 error.what());
+    co_return false;
+  }
+  BecomeLeader(record, nullptr);
+  co_return true;
+}
+
+void MeshAgent::BecomeLeader(const MeshRecord& record, const VoteCount* votes) {
+  spdlog::info("event=leads epoch={} voters={} services={}", record.epoch,
+               record.voters.size(), record.tables.size());
+  const std::uint64_t nonce = m_random();
+  m_leader = std::make_shared<MeshLeader>(m_clock, m_timing, m_identity.address,
+                                          nonce, record);
+  m_leader->SetDividedServices(m_divided_services);
+  m_leader_address.clear();
+  m_is_storing = false;
+  m_notified_version = 0;
+  if (votes == nullptr)
+    return;
+  for (const std::string& voter : votes->granted)
+    m_leader->OnVote(voter, votes->asked);
+}
+
+void MeshAgent::StepDown(const char* reason) {
+  spdlog::warn("event=leads-no-more reason={}", reason);
+  m_promise.GiveBack(m_identity.address);
+  if (m_leader->has_resigned())
+    m_leader_address = m_leader->FindSuccessor();
+  m_leader.reset();
+  m_leader_answered = m_clock.Now();
+  NotifyWaiting();
+}
+
+Task<> MeshAgent::AskForVote(std::string voter,
+                             std::shared_ptr<VoteCount> count) {
+  VoteRequest request;
+  request.candidate = m_identity.address;
+  try {
+    const std::string body = co_await Ask(
+        voter, kVotePath, MeshMessageCodec::Encode(request), kVoteTimeout);
+    m_refused_since.erase(voter);
+    const VoteReply reply = MeshMessageCodec::DecodeVoteReply(body);
+    if (reply.is_granted)
+      count->granted.insert(voter);
+    else if (!reply.leader_hint.empty())
+      count->leader_hint = reply.leader_hint;
+  } catch (const ConnectRefusedError&) {
+    // Its process is gone. What it promised before runs out within a promise's
+    // length, and a new process promises nothing for as long.
+    const auto since =
+        m_refused_since.try_emplace(voter, m_clock.Now()).first->second;
+    if (m_clock.Now() - since > m_timing.promise)
+      count->granted.insert(voter);
+  } catch (const std::exception& error) {
+    m_refused_since.erase(voter);
+    spdlog::debug("event=vote-unanswered voter={} reason=\"{}\"", voter,
+                  error.what());
+  }
+  --count->open;
+  if (count->open == 0 && m_pausing)
+    m_pausing->timer.cancel();
+}
+
+Task<> MeshAgent::GiveVotesBack(std::shared_ptr<VoteCount> count) {
+  VoteRequest request;
+  request.candidate = m_identity.address;
+  request.gives_back = true;
+  for (const std::string& voter : count->granted) {
+    try {
+      co_await Ask(voter, kVotePath, MeshMessageCodec::Encode(request),
+                   kVoteTimeout);
+    } catch (const std::exception& error) {
+      // Its promise runs out by itself.
+      spdlog::debug("event=vote-not-given-back voter={} reason=\"{}\"", voter,
+                    error.what());
+    }
+  }
+}
+
+Task<> MeshAgent::Campaign(MeshRecord record,
+                           std::uint64_t end,
+                           bool is_named) {
+  if (m_promise.is_abstaining()) {
+    co_await Pause(kPauseAfterFailure);
+    co_return;
+  }
+  if (!is_named) {
+    std::size_t rank = 0;
+    const auto order = [&record](const std::string& address) {
+      return std::hash<std::string>()(address + std::to_string(record.epoch));
+    };
+    for (const std::string& voter : record.voters)
+      rank += order(voter) < order(m_identity.address) ? 1 : 0;
+    const milliseconds delay =
+        std::min(kLongestRankDelay, kRankStep * static_cast<int>(rank));
+    co_await Pause(delay + milliseconds(m_random() % kRankStep.count()));
+  }
+  if (!m_leader_address.empty() || !m_promise.Grant(m_identity.address))
+    co_return;
+  auto count = std::make_shared<VoteCount>();
+  count->asked = m_clock.Now();
+  for (const std::string& voter : record.voters) {
+    if (voter == m_identity.address) {
+      count->granted.insert(voter);
+      continue;
+    }
+    ++count->open;
+    boost::asio::co_spawn(m_loop, AskForVote(voter, count),
+                          boost::asio::detached);
+  }
+  const Clock::TimePoint give_up = m_clock.Now() + kVoteTimeout + kLeaderStep;
+  const std::size_t needed = record.voters.size() / 2 + 1;
+  while (count->open > 0 && count->granted.size() < needed &&
+         m_clock.Now() < give_up)
+    co_await Pause(milliseconds(10));
+  spdlog::info("event=campaign epoch={} votes={} needed={}", record.epoch + 1,
+               count->granted.size(), needed);
+  if (count->granted.size() >= needed && co_await Claim(record, end)) {
+    for (const std::string& voter : count->granted)
+      m_leader->OnVote(voter, count->asked);
+    co_return;
+  }
+  m_promise.GiveBack(m_identity.address);
+  co_await GiveVotesBack(count);
+  if (!count->leader_hint.empty() && count->leader_hint != m_identity.address &&
+      !m_unanswered.contains(count->leader_hint)) {
+    m_leader_address = count->leader_hint;
+    m_leader_answered = m_clock.Now();
+  }
+  co_await Pause(kPauseAfterFailure +
+                 milliseconds(m_random() % kPauseAfterFailure.count()));
+}
+
+Task<> MeshAgent::LeadOnce() {
+  const std::shared_ptr<MeshLeader> leader = m_leader;
+  m_promise.Grant(m_identity.address);
+  const Clock::TimePoint now = m_clock.Now();
+  const Heartbeat heartbeat = Compose(false);
+  leader->OnHeartbeat(heartbeat);
+  leader->Tick();
+  if (leader->HasAuthority())
+    m_leader_answered = now;
+  OnReply(Reply(heartbeat), m_identity.address, now);
+  if (m_leader != leader)
+    co_return;
+  if (now - m_leader_answered >
+      (leader->has_resigned() ? kResigned : kNoAuthority)) {
+    StepDown(leader->has_resigned() ? "resigned" : "no-majority");
+    co_return;
+  }
+  if (!m_is_storing) {
+    if (auto record = leader->RecordToStore()) {
+      m_is_storing = true;
+      boost::asio::co_spawn(m_loop, StoreRecord(std::move(*record), leader),
+                            boost::asio::detached);
+    }
+  }
+  NotifyWaiting();
+  if (now - m_last_hello > kHelloEvery) {
+    m_last_hello = now;
+    for (const std::string& node : leader->MissingNodes())
+      boost::asio::co_spawn(m_loop, SayHello(node), boost::asio::detached);
+  }
+  m_is_urged = false;
+  co_await Pause(kLeaderStep);
+}
+
+Task<> MeshAgent::SayHello(std::string node) {
+  VoteRequest request;
+  request.candidate = m_identity.address;
+  request.is_hello = true;
+  try {
+    co_await Ask(node, kVotePath, MeshMessageCodec::Encode(request),
+                 kVoteTimeout);
+  } catch (const std::exception& error) {
+    spdlog::debug("event=hello-unanswered node={} reason=\"{}\"", node,
+                  error.what());
+  }
+}
+
+Task<bool> MeshAgent::StoreOnce(const std::string& bytes,
+                                const std::shared_ptr<MeshLeader>& leader) {
+  bool is_conflict = false;
+  try {
+    m_record_end = co_await m_store.WriteRecord(bytes, m_record_end);
+    leader->OnStored();
+    co_return true;
+  } catch (const StoreConflictError&) {
+    is_conflict = true;
+  }
+  // Either an earlier try of this write took effect without an answer, or
+  // another node has claimed the mesh.
+  const MeshStore::StoredRecord stored = co_await m_store.ReadRecord();
+  if (stored.bytes && *stored.bytes == bytes) {
+    m_record_end = stored.end;
+    leader->OnStored();
+    co_return true;
+  }
+  if (stored.bytes) {
+    const MeshRecord record = MeshMessageCodec::DecodeRecord(*stored.bytes);
+    if (record.leader != m_identity.address ||
+        record.epoch != leader->view().epoch()) {
+      if (m_leader == leader)
+        StepDown("another-leader-claimed");
+      co_return true;
+    }
+  }
+  m_record_end = stored.end;
+  co_return !is_conflict;
+}
+
+Task<> MeshAgent::StoreRecord(MeshRecord record,
+                              std::shared_ptr<MeshLeader> leader) {
+  const std::string bytes = MeshMessageCodec::Encode(record);
+  const Clock::TimePoint began = m_clock.Now();
+  bool is_done = false;
+  while (!is_done && m_leader == leader) {
+    std::string failure;
+    try {
+      is_done = co_await StoreOnce(bytes, leader);
+    } catch (const StoreError& error) {
+      failure = error.what();
+    }
+    if (is_done || m_leader != leader)
+      break;
+    const std::string successor = leader->FindSuccessor();
+    if (!failure.empty() && m_clock.Now() - began > kStoreLost &&
+        leader->SuccessorHasStore() && !leader->has_resigned()) {
+      Resign(successor, failure);
+    }
+    boost::asio::steady_timer timer(m_loop, kStoreRetry);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+  if (m_leader != leader)
+    co_return;
+  m_is_storing = false;
+  NotifyWaiting();
+  // This node itself should learn of it now.
+  if (m_pausing)
+    m_pausing->timer.cancel();
+}
+
+void MeshAgent::NotifyWaiting() {
+  if (m_leader && !m_leader->has_resigned()) {
+    const std::uint64_t version = m_leader->view().version();
+    const std::size_t orders = m_leader->orders_given();
+    if (version == m_notified_version && orders == m_notified_orders &&
+        m_config.version() == m_notified_config)
+      return;
+    m_notified_version = version;
+    m_notified_orders = orders;
+    m_notified_config = m_config.version();
+  }
+  for (const std::shared_ptr<Waiting>& waiting : m_waiting)
+    waiting->timer.cancel();
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/mesh_agent.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "modules/coordination/clock.h"
+#include "modules/coordination/mesh/heartbeat.h"
+#include "modules/coordination/mesh/heartbeat_reply.h"
+#include "modules/coordination/mesh/mesh_timing.h"
+#include "modules/coordination/mesh/vote.h"
+#include "modules/coordination/mesh/vote_promise.h"
+#include "modules/state/mesh/mesh_record.h"
+#include "modules/state/mesh/mesh_view.h"
+#include "modules/transport/async/async_http_server.h"
+#include "modules/transport/async/task.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace citrongrade {
+
+class AsyncConnectionPool;
+class ConfigFollower;
+class MeshLeader;
+class MeshStore;
+
+// This node's part in the mesh: it finds the leader or becomes it, sends it
+// heartbeats, and keeps the view and the lease that come back. Answers the
+// messages of other nodes.
+//
+// Who leads is decided by votes of more than half of the nodes that the stored
+// record names, and by a claim in the store that fails if anybody else wrote
+// meanwhile. Votes are promised for a time, so an old leader has lost its
+// authority before a new one has any.
+//
+// On the event loop. Kin: MeshLeader, VotePromise, which decide; this one sends
+// and waits.
+class MeshAgent final : public AsyncHttpServer::Handler {
+ public:
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    // What a heartbeat says beside what the agent knows itself.
+    virtual void FillHeartbeat(Heartbeat& heartbeat) = 0;
+    virtual void OnReply(const HeartbeatReply& reply) = 0;
+    virtual void OnViewChanged() = 0;
+  };
+
+  struct Identity {
+    std::string address;
+    std::string data_address;
+    std::string zone;
+  };
+
+  MeshAgent(boost::asio::io_context& loop,
+            const Clock& clock,
+            const MeshTiming& timing,
+            Identity identity,
+            MeshStore& store,
+            ConfigFollower& config,
+            AsyncConnectionPool& peers,
+            Listener& listener);
+  ~MeshAgent() override;
+
+  void Start();
+  Task<HttpResponse> Handle(HttpRequest request,
+                            RequestContext& context) override;
+
+  // The leader should hear from this node now.
+  void Urge();
+  // This node was told to stop: its keys go to others, its vote as well.
+  void SetLeaving();
+  // Services whose keys the leader gives out.
+  void SetDividedServices(std::set<std::string> services);
+
+  const MeshView& view() const { return m_view; }
+  const Identity& identity() const { return m_identity; }
+  Clock::TimePoint lease_until() const { return m_lease_until; }
+  bool is_leader() const { return m_leader != nullptr; }
+  // The node should read the store for itself.
+  bool follows_store() const;
+  // Since when no leader has answered; zero: it does.
+  Clock::Duration TimeWithoutLeader() const;
+  std::string leader_address() const { return m_leader_address; }
+
+ private:
+  struct VoteCount;
+
+  Task<> Run();
+  Task<> RunUrgent();
+  Task<> HeartbeatOnce();
+  Task<> LeadOnce();
+  Task<> FindLeader();
+  Task<> Campaign(MeshRecord record, std::uint64_t end, bool is_named);
+  Task<> AskForVote(std::string voter, std::shared_ptr<VoteCount> count);
+  Task<> GiveVotesBack(std::shared_ptr<VoteCount> count);
+  Task<> ClaimNewMesh(std::uint64_t end);
+  Task<bool> Claim(MeshRecord record, std::uint64_t end);
+  void BecomeLeader(const MeshRecord& record, const VoteCount* votes);
+  void StepDown(const char* reason);
+  void Resign(const std::string& successor, const std::string& why);
+  Task<> StoreRecord(MeshRecord record, std::shared_ptr<MeshLeader> leader);
+  // True once it is known to be stored, false if somebody else has written.
+  Task<bool> StoreOnce(const std::string& bytes,
+                       const std::shared_ptr<MeshLeader>& leader);
+  Task<> SayHello(std::string node);
+
+  Heartbeat Compose(bool promises);
+  void OnReply(const HeartbeatReply& reply,
+               const std::string& from,
+               Clock::TimePoint sent);
+  HeartbeatReply Reply(const Heartbeat& heartbeat);
+  Task<HttpResponse> HandleHeartbeat(const HttpRequest& request);
+  HttpResponse HandleVote(const HttpRequest& request);
+  void NotifyWaiting();
+  void ForgetLeader();
+  Task<> Pause(std::chrono::milliseconds duration);
+  Task<std::string> Ask(std::string peer,
+                        std::string target,
+                        std::string body,
+                        std::chrono::milliseconds timeout);
+
+  boost::asio::io_context& m_loop;
+  const Clock& m_clock;
+  const MeshTiming m_timing;
+  const Identity m_identity;
+  MeshStore& m_store;
+  ConfigFollower& m_config;
+  AsyncConnectionPool& m_peers;
+  Listener& m_listener;
+  std::mt19937_64 m_random;
+  const std::uint64_t m_incarnation;
+
+  VotePromise m_promise;
+  std::string m_leader_address;
+  Clock::TimePoint m_leader_answered;
+  std::uint64_t m_leader_nonce = 0;
+  std::int64_t m_leader_stamp_ns = 0;
+  Clock::TimePoint m_lease_until;
+  MeshView m_view;
+  bool m_follow_store = false;
+  bool m_is_leaving = false;
+  bool m_was_named = false;
+  std::uint64_t m_sequence = 0;
+  unsigned m_failures = 0;
+  // Leaders that the record named and that did not answer, and when.
+  std::map<std::string, Clock::TimePoint> m_unanswered;
+  // Since when a node's address refuses connections.
+  std::map<std::string, Clock::TimePoint> m_refused_since;
+
+  std::shared_ptr<MeshLeader> m_leader;
+  std::uint64_t m_record_end = 0;
+  bool m_is_storing = false;
+  // Until then replies say that this node gave up leading.
+  Clock::TimePoint m_resigned_until;
+  std::set<std::string> m_divided_services;
+  Clock::TimePoint m_last_hello;
+  std::uint64_t m_notified_version = 0;
+  std::uint64_t m_notified_config = 0;
+  std::size_t m_notified_orders = 0;
+
+  struct Waiting;
+  // Heartbeats that the leader answers when there is news.
+  std::set<std::shared_ptr<Waiting>> m_waiting;
+  // What interrupts the pause between two of this node's own steps.
+  std::shared_ptr<Waiting> m_pausing;
+  bool m_is_urged = false;
+  bool m_is_urgent_running = false;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/request_log.cc
@@ -0,0 +1,110 @@
+#include "modules/transport/mesh/request_log.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "modules/transport/mesh/work_order.h"
+#include "modules/transport/mesh/work_result.h"
+#include "modules/transport/refusals.h"
+
+namespace citrongrade {
+
+namespace {
+
+std::string_view ReasonOf(const WorkResult& result) {
+  return result.error ? ToString(*result.error) : std::string_view("none");
+}
+
+}  // namespace
+
+RequestLog::RequestLog(const Clock& clock, const Settings& settings)
+    : m_clock(clock), m_settings(settings) {}
+
+bool RequestLog::Take(const char* event,
+                      bool is_failure,
+                      std::uint64_t& left_out) {
+  const double per_second = is_failure ? m_settings.failures_per_second
+                                       : m_settings.successes_per_second;
+  const auto [found, is_new] =
+      m_rates.try_emplace(std::string(event) + (is_failure ? "-failed" : ""));
+  Rate& rate = found->second;
+  const Clock::TimePoint now = m_clock.Now();
+  const double passed =
+      is_new ? 1.0 : std::chrono::duration<double>(now - rate.filled).count();
+  rate.tokens = std::min(per_second, rate.tokens + passed * per_second);
+  rate.filled = now;
+  if (rate.tokens < 1) {
+    ++rate.left_out;
+    return false;
+  }
+  rate.tokens -= 1;
+  left_out = rate.left_out;
+  rate.left_out = 0;
+  return true;
+}
+
+void RequestLog::OnTry(const WorkOrder& order,
+                       const std::string& member,
+                       const WorkResult& result,
+                       std::chrono::milliseconds took,
+                       std::uint64_t view_version) {
+  std::uint64_t left_out = 0;
+  if (result.has_answer() || !Take("request-try", true, left_out))
+    return;
+  spdlog::info(
+      "event=request-try id={} service={} key={} node={} outcome={} reason={} "
+      "took_ms={} view={} left_out={} detail=\"{}\"",
+      order.request_id, order.service,
+      order.key ? std::to_string(*order.key) : "none", member,
+      ToString(result.outcome), ReasonOf(result), took.count(), view_version,
+      left_out, result.message);
+}
+
+void RequestLog::OnAnswered(const WorkOrder& order,
+                            int status,
+                            const WorkResult& result,
+                            unsigned tries,
+                            std::chrono::milliseconds took,
+                            std::uint64_t config_version) {
+  std::uint64_t left_out = 0;
+  if (!Take("request-answered", !result.has_answer(), left_out))
+    return;
+  spdlog::info(
+      "event=request-answered id={} route={} service={} status={} outcome={} "
+      "reason={} tries={} took_ms={} retry_after_ms={} config={} left_out={}",
+      order.request_id, order.kind, order.service, status,
+      ToString(result.outcome), ReasonOf(result), tries, took.count(),
+      result.retry_after.count(), config_version, left_out);
+}
+
+void RequestLog::OnRun(const WorkOrder& order,
+                       const WorkResult& result,
+                       const std::string& from) {
+  std::uint64_t left_out = 0;
+  if (result.has_answer() || !Take("request-run", true, left_out))
+    return;
+  spdlog::info(
+      "event=request-run id={} service={} key={} from={} outcome={} reason={} "
+      "time_left_ms={} left_out={} detail=\"{}\"",
+      order.request_id, order.service,
+      order.key ? std::to_string(*order.key) : "none", from,
+      ToString(result.outcome), ReasonOf(result), order.time_left.count(),
+      left_out, result.message);
+}
+
+void RequestLog::OnUnrouted(const std::string& request_id,
+                            const std::string& host,
+                            const std::string& path,
+                            int status,
+                            std::uint64_t config_version) {
+  std::uint64_t left_out = 0;
+  if (!Take("request-unrouted", true, left_out))
+    return;
+  spdlog::info(
+      "event=request-unrouted id={} host={} path=\"{}\" status={} config={} "
+      "left_out={}",
+      request_id, host, path, status, config_version, left_out);
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/request_router.cc
@@ -0,0 +1,427 @@
+#include "modules/transport/mesh/request_router.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cstdio>
+#include <utility>
+
+#include "modules/coordination/load/run_outcome.h"
+#include "modules/protocol/malformed_message_error.h"
+#include "modules/state/mesh/routing_config.h"
+#include "modules/transport/async/async_connection_pool.h"
+#include "modules/transport/async/request_context.h"
+#include "modules/transport/http_errors.h"
+#include "modules/transport/mesh/config_follower.h"
+#include "modules/transport/mesh/connection_headers.h"
+#include "modules/transport/mesh/instance_chooser.h"
+#include "modules/transport/mesh/mesh_agent.h"
+#include "modules/transport/mesh/request_log.h"
+#include "modules/transport/mesh/router_metrics.h"
+#include "modules/transport/mesh/target_dialect.h"
+#include "modules/transport/mesh/target_gateway.h"
+
+namespace citrongrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr milliseconds kDefaultDeadline{5000};
+// A key that changes hands has its new owner in a few tens of milliseconds
+// once the work that runs on it has ended.
+constexpr milliseconds kAwaitOwner{450};
+constexpr milliseconds kRetryAfterNoOwner{300};
+constexpr milliseconds kShortestRetryAfter{40};
+// Callers come back within this part of their time, or not at all.
+constexpr int kRetryAfterPart = 3;
+// A try with less left is not worth one.
+constexpr milliseconds kLeastTimeLeft{40};
+// The answer's way from node to node.
+constexpr milliseconds kHopSlack{15};
+constexpr milliseconds kPeerIdle{4000};
+// Part of first tries that may be repeated. Half of what users allow: the calls
+// that a repeated request makes count as repeated as well.
+constexpr double kRetryShare = 0.1;
+// Tries that were proved not to have run cost no target anything; without a
+// bound a request could go round until its deadline.
+constexpr unsigned kMostTries = 12;
+constexpr int kServerError = 500;
+
+RunOutcome OutcomeForChooser(const WorkResult& result) {
+  if (result.has_answer()) {
+    return result.response.head.status >= kServerError ? RunOutcome::kUnknown
+                                                       : RunOutcome::kDone;
+  }
+  return result.outcome == RequestOutcome::kNotRun ? RunOutcome::kNotRun
+                                                   : RunOutcome::kUnknown;
+}
+
+std::string FormatSeconds(milliseconds duration) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f",
+                static_cast<double>(duration.count()) / 1000.0);
+  return text;
+}
+
+bool IsOverloaded(RequestErrorCode error) {
+  return error == RequestErrorCode::kOverloaded ||
+         error == RequestErrorCode::kTargetRefused;
+}
+
+}  // namespace
+
+// One request on its way through this node.
+struct RequestRouter::Attempt {
+  WorkOrder order;
+  bool is_divided = false;
+  Clock::TimePoint arrived;
+  Clock::TimePoint aim;
+  Clock::TimePoint deadline;
+  unsigned tries = 0;
+  // Tries that may have reached a target.
+  unsigned runs = 0;
+  // Members that could not run it.
+  std::set<std::string> excluded;
+};
+
+struct RequestRouter::Waiting {
+  explicit Waiting(boost::asio::io_context& loop) : timer(loop) {}
+  boost::asio::steady_timer timer;
+};
+
+RequestRouter::RequestRouter(const Dependencies& dependencies,
+                             std::string origin_service)
+    : m_dependencies(dependencies),
+      m_origin_service(std::move(origin_service)) {}
+
+void RequestRouter::SetRetryShare(double burst) {
+  if (burst == m_retry_burst)
+    return;
+  m_retry_burst = burst;
+  m_budgets.clear();
+}
+
+RetryBudget& RequestRouter::BudgetOf(const std::string& service) {
+  const auto found = m_budgets.find(service);
+  if (found != m_budgets.end())
+    return found->second;
+  RetryBudget::Parameters parameters;
+  parameters.share_of_first_tries = kRetryShare;
+  parameters.burst = m_retry_burst;
+  return m_budgets.emplace(service, RetryBudget(parameters)).first->second;
+}
+
+std::string RequestRouter::ChooseService(const RouteRule& route) {
+  if (route.destinations.size() == 1)
+    return route.destinations.front().service;
+  // Each gets its weight; the one that is owed most goes next. Exact after a
+  // few requests, where drawing at random would be off by a tenth for long.
+  std::map<std::string, double>& credits = m_credits[route.name];
+  double all = 0;
+  const RouteDestination* best = nullptr;
+  for (const RouteDestination& destination : route.destinations) {
+    if (destination.weight == 0)
+      continue;
+    all += destination.weight;
+    credits[destination.service] += destination.weight;
+    if (best == nullptr ||
+        credits[destination.service] > credits[best->service])
+      best = &destination;
+  }
+  if (best == nullptr)
+    return {};
+  credits[best->service] -= all;
+  return best->service;
+}
+
+Task<HttpResponse> RequestRouter::Handle(HttpRequest request,
+                                         RequestContext& context) {
+  const Clock& clock = m_dependencies.clock;
+  const CallerFacts facts = m_dependencies.dialect.ReadCaller(request);
+  const std::shared_ptr<const RoutingConfig> config =
+      m_dependencies.config.config();
+  Attempt attempt;
+  attempt.order.request_id = facts.request_id;
+  attempt.arrived = context.arrived();
+  const auto refuse_unrouted = [&](int status) {
+    m_dependencies.metrics.OnUnrouted(status);
+    m_dependencies.log.OnUnrouted(facts.request_id, facts.host, facts.path,
+                                  status, m_dependencies.config.version());
+    return RefuseEarly(status, attempt);
+  };
+  if (!config)
+    co_return refuse_unrouted(kUnavailable);
+  const RouteRule* found = config->FindRoute(facts.host, facts.path);
+  if (found == nullptr)
+    co_return refuse_unrouted(kNotFound);
+  const RouteRule& route = *found;
+  WorkOrder& order = attempt.order;
+  order.service = ChooseService(route);
+  order.is_idempotent = route.is_idempotent;
+  order.priority = route.priority;
+  order.kind = route.name;
+  order.origin_service = m_origin_service;
+  const RoutedService* service = config->FindService(order.service);
+  attempt.is_divided = service != nullptr && service->is_divided_by_key;
+  if (attempt.is_divided)
+    order.key = facts.key;
+  attempt.aim = attempt.arrived + route.target_latency;
+  attempt.deadline =
+      attempt.arrived +
+      std::min(facts.deadline.value_or(kDefaultDeadline), route.timeout);
+  StripConnectionHeaders(request.headers);
+  WorkResult result;
+  if (attempt.is_divided && !order.key) {
+    result = WorkResult::NotRun(RequestErrorCode::kMissingKey,
+                                "the request carries no key");
+  } else {
+    result = co_await Route(request, route, attempt, context);
+  }
+  m_dependencies.metrics.OnAnswered(route.name, result,
+                                    clock.Now() - attempt.arrived);
+  co_return Answer(std::move(result), attempt);
+}
+
+Task<WorkResult> RequestRouter::Route(HttpRequest& request,
+                                      const RouteRule& route,
+                                      Attempt& attempt,
+                                      RequestContext& context) {
+  const Clock& clock = m_dependencies.clock;
+  BudgetOf(attempt.order.service).OnFirstTry();
+  bool may_have_run = false;
+  while (true) {
+    WorkResult result;
+    const std::optional<std::string> member = FindMember(attempt);
+    if (member) {
+      const Clock::TimePoint started = clock.Now();
+      ++attempt.tries;
+      result = co_await Send(request, *member, attempt, context);
+      const auto took =
+          std::chrono::duration_cast<milliseconds>(clock.Now() - started);
+      m_dependencies.log.OnTry(attempt.order, *member, result, took,
+                               m_dependencies.agent.view().version());
+      if (!attempt.is_divided) {
+        m_dependencies.chooser.OnFinished(attempt.order.service, *member,
+                                          OutcomeForChooser(result),
+                                          clock.Now() - started);
+        attempt.excluded.insert(*member);
+      }
+    } else {
+      result = WorkResult::NotRun(RequestErrorCode::kNoOwner,
+                                  "nobody can run it now", kRetryAfterNoOwner);
+    }
+    if (result.has_answer() || result.outcome == RequestOutcome::kUnknown)
+      ++attempt.runs;
+    if (context.is_caller_gone())
+      co_return result;
+    if (!co_await MayTryAgain(result, route, attempt, context)) {
+      // What the last try proves, it proves of itself alone.
+      if (result.outcome == RequestOutcome::kNotRun && may_have_run)
+        result.outcome = RequestOutcome::kUnknown;
+      co_return result;
+    }
+    may_have_run |= result.outcome != RequestOutcome::kNotRun;
+    m_dependencies.metrics.OnRetried(attempt.order.service);
+  }
+}
+
+std::optional<std::string> RequestRouter::FindMember(
+    const Attempt& attempt) const {
+  const MeshView& view = m_dependencies.agent.view();
+  if (!attempt.is_divided) {
+    return m_dependencies.chooser.Choose(attempt.order.service,
+                                         attempt.excluded);
+  }
+  const KeyTable* table = view.FindTable(attempt.order.service);
+  if (table == nullptr || *attempt.order.key >= kKeyCount)
+    return std::nullopt;
+  const OwnedRun& run = table->Find(SlotOfKey(*attempt.order.key));
+  if (!run.has_owner() || view.FindMember(run.owner) == nullptr)
+    return std::nullopt;
+  return run.owner;
+}
+
+Task<WorkResult> RequestRouter::Send(const HttpRequest& request,
+                                     const std::string& member,
+                                     Attempt& attempt,
+                                     RequestContext& context) {
+  const Clock::TimePoint now = m_dependencies.clock.Now();
+  WorkOrder order = attempt.order;
+  order.time_left = std::chrono::floor<milliseconds>(attempt.deadline - now);
+  order.aim_left = std::chrono::floor<milliseconds>(attempt.aim - now);
+  if (order.time_left <= milliseconds(0)) {
+    co_return WorkResult::NotRun(RequestErrorCode::kDeadlinePassed,
+                                 "its time is over");
+  }
+  if (member == m_dependencies.agent.identity().address) {
+    WorkResult result =
+        co_await m_dependencies.gateway.Run(request, order, context);
+    co_return result;
+  }
+  const MeshMember* found = m_dependencies.agent.view().FindMember(member);
+  if (found == nullptr) {
+    co_return WorkResult::NotRun(RequestErrorCode::kNoOwner, "its node is gone",
+                                 kRetryAfterNoOwner);
+  }
+  const MeshMember target = *found;
+  co_return co_await Forward(request, target, order, context);
+}
+
+Task<WorkResult> RequestRouter::Forward(HttpRequest request,
+                                        const MeshMember& member,
+                                        WorkOrder order,
+                                        RequestContext& context) {
+  const Clock& clock = m_dependencies.clock;
+  const HttpAddress address = HttpAddress::Parse(member.data_address);
+  std::unique_ptr<AsyncHttpConnection> connection;
+  const Clock::TimePoint started = clock.Now();
+  try {
+    connection = co_await m_dependencies.peers.Take(address, kPeerIdle);
+  } catch (const HttpError& error) {
+    co_return WorkResult::NotRun(RequestErrorCode::kOwnerUnreachable,
+                                 error.what(), kRetryAfterNoOwner);
+  }
+  const auto spent = std::chrono::ceil<milliseconds>(clock.Now() - started);
+  order.time_left -= spent + kHopSlack;
+  order.aim_left -= spent + kHopSlack;
+  if (context.is_caller_gone() || order.time_left <= milliseconds(0)) {
+    m_dependencies.peers.GiveBack(address, std::move(connection));
+    co_return WorkResult::NotRun(RequestErrorCode::kDeadlinePassed,
+                                 "its time was over before it was passed on");
+  }
+  order.WriteTo(request);
+  context.SetStop([&connection] { connection->Close(); });
+  try {
+    HttpResponse response = co_await connection->Call(
+        std::move(request), order.time_left + kHopSlack);
+    context.ClearStop();
+    m_dependencies.peers.GiveBack(address, std::move(connection));
+    StripConnectionHeaders(response.head.headers);
+    co_return WorkResult::FromHop(std::move(response));
+  } catch (const ResponseTimeoutError& error) {
+    context.ClearStop();
+    co_return WorkResult::Unknown(RequestErrorCode::kTargetTimeout,
+                                  error.what());
+  } catch (const HttpError& error) {
+    context.ClearStop();
+    co_return WorkResult::Unknown(RequestErrorCode::kOwnerUnreachable,
+                                  error.what());
+  } catch (const MalformedMessageError& error) {
+    co_return WorkResult::Unknown(RequestErrorCode::kOwnerUnreachable,
+                                  error.what());
+  }
+}
+
+Task<bool> RequestRouter::MayTryAgain(const WorkResult& result,
+                                      const RouteRule& route,
+                                      Attempt& attempt,
+                                      RequestContext& context) {
+  const Clock::TimePoint now = m_dependencies.clock.Now();
+  const auto left = std::chrono::floor<milliseconds>(attempt.deadline - now);
+  if (left < kLeastTimeLeft || attempt.tries >= kMostTries)
+    co_return false;
+  const bool has_failed =
+      result.has_answer() && result.response.head.status >= kServerError;
+  if (result.has_answer() && !has_failed)
+    co_return false;
+  if (result.outcome == RequestOutcome::kNotRun) {
+    if (result.error == RequestErrorCode::kQuarantined ||
+        result.error == RequestErrorCode::kDeadlinePassed ||
+        result.error == RequestErrorCode::kCancelled)
+      co_return false;
+    if (!attempt.is_divided) {
+      // Another member, at once, as long as there is one.
+      co_return m_dependencies.chooser.HasOther(attempt.order.service,
+                                                attempt.excluded);
+    }
+    if (result.error && IsOverloaded(*result.error))
+      co_return false;
+    const KeyTable* table =
+        m_dependencies.agent.view().FindTable(attempt.order.service);
+    if (table == nullptr)
+      co_return false;
+    const milliseconds longest = std::min(kAwaitOwner, left / 2);
+    const Clock::TimePoint until = attempt.arrived + longest;
+    if (now >= until)
+      co_return false;
+    co_await AwaitView(std::chrono::ceil<milliseconds>(until - now), context);
+    co_return !context.is_caller_gone();
+  }
+  if (!route.is_idempotent || attempt.runs >= route.max_attempts)
+    co_return false;
+  if (result.error == RequestErrorCode::kTargetTimeout ||
+      result.error == RequestErrorCode::kCancelled)
+    co_return false;
+  if (!attempt.is_divided &&
+      !m_dependencies.chooser.HasOther(attempt.order.service, attempt.excluded))
+    attempt.excluded.clear();
+  co_return BudgetOf(attempt.order.service).TryRetry(RetryAllowance());
+}
+
+Task<> RequestRouter::AwaitView(milliseconds longest, RequestContext& context) {
+  auto waiting = std::make_shared<Waiting>(m_dependencies.loop);
+  waiting->timer.expires_after(longest);
+  m_waiting.insert(waiting);
+  context.SetStop([waiting] { waiting->timer.cancel(); });
+  boost::system::error_code ignored;
+  co_await waiting->timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  context.ClearStop();
+  m_waiting.erase(waiting);
+}
+
+void RequestRouter::OnViewChanged() {
+  for (const std::shared_ptr<Waiting>& waiting : m_waiting)
+    waiting->timer.cancel();
+}
+
+HttpResponse RequestRouter::Answer(WorkResult result, const Attempt& attempt) {
+  const Clock::TimePoint now = m_dependencies.clock.Now();
+  const auto took =
+      std::chrono::duration_cast<milliseconds>(now - attempt.arrived);
+  HttpResponse response;
+  if (result.has_answer()) {
+    response = std::move(result.response);
+    result.response = {};
+  } else if (result.outcome == RequestOutcome::kNotRun) {
+    const auto left = std::chrono::floor<milliseconds>(attempt.deadline - now);
+    const milliseconds longest =
+        std::max(left / kRetryAfterPart, milliseconds(0));
+    const milliseconds wanted =
+        std::max(result.retry_after, kShortestRetryAfter);
+    result.retry_after = std::min(wanted, longest);
+    response.head.status = kUnavailable;
+    response.head.headers.push_back(
+        {"Retry-After", FormatSeconds(result.retry_after)});
+  } else {
+    const bool timed_out = result.error == RequestErrorCode::kTargetTimeout ||
+                           result.error == RequestErrorCode::kDeadlinePassed;
+    response.head.status = timed_out ? kGatewayTimeout : kBadGateway;
+  }
+  m_dependencies.log.OnAnswered(attempt.order, response.head.status, result,
+                                attempt.tries, took,
+                                m_dependencies.config.version());
+  return response;
+}
+
+HttpResponse RequestRouter::RefuseEarly(int status,
+                                        const Attempt& /*attempt*/) {
+  HttpResponse response;
+  response.head.status = status;
+  if (status == kUnavailable) {
+    response.head.headers.push_back(
+        {"Retry-After", FormatSeconds(kRetryAfterNoOwner)});
+  }
+  return response;
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/target_gateway.cc
@@ -0,0 +1,394 @@
+#include "modules/transport/mesh/target_gateway.h"
+
+#define XXH_INLINE_ALL
+#include <spdlog/spdlog.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+#include <utility>
+
+#include "modules/coordination/load/poison_detector.h"
+#include "modules/state/mesh/key_slot.h"
+#include "modules/transport/async/async_connection_pool.h"
+#include "modules/transport/async/request_context.h"
+#include "modules/transport/http_errors.h"
+#include "modules/transport/mesh/connection_headers.h"
+#include "modules/transport/mesh/target_dialect.h"
+#include "modules/transport/mesh/target_keeper.h"
+
+namespace citrongrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A connection that was idle for longer may be closed by the target at the
+// moment that a request goes out on it, and nobody could tell whether it ran.
+constexpr milliseconds kIdleForOnce{900};
+constexpr milliseconds kIdleForIdempotent{4000};
+// For the answer's way back to the caller's node.
+constexpr milliseconds kWayBack{5};
+// Connections that break within this time broke for the same reason.
+constexpr milliseconds kOneCrash{1000};
+constexpr milliseconds kRetryAfterMove{60};
+constexpr milliseconds kRetryAfterTargetLoss{300};
+constexpr milliseconds kRetryAfterRefusal{100};
+
+std::uint64_t MarkOf(const HttpRequest& request) {
+  std::uint64_t mark =
+      XXH3_64bits(request.target.data(), request.target.size());
+  mark =
+      XXH3_64bits_withSeed(request.method.data(), request.method.size(), mark);
+  return XXH3_64bits_withSeed(request.body.data(), request.body.size(), mark);
+}
+
+}  // namespace
+
+// A request that waits its turn.
+struct TargetGateway::Pending {
+  explicit Pending(boost::asio::io_context& loop) : wakeup(loop) {}
+
+  boost::asio::steady_timer wakeup;
+  std::optional<TargetAdmission::Verdict> verdict;
+};
+
+// A place at the target, given back however the request ends.
+class TargetGateway::Admitted {
+ public:
+  Admitted(TargetGateway& gateway, RequestTicket ticket)
+      : m_gateway(gateway), m_ticket(ticket) {}
+  ~Admitted() {
+    m_gateway.m_running_marks.erase(m_ticket);
+    m_gateway.m_admission.OnFinished(m_ticket, m_work);
+    m_gateway.Resume();
+  }
+  Admitted(const Admitted&) = delete;
+  Admitted& operator=(const Admitted&) = delete;
+
+  void SetWork(Clock::Duration work) { m_work = work; }
+
+ private:
+  TargetGateway& m_gateway;
+  const RequestTicket m_ticket;
+  std::optional<Clock::Duration> m_work;
+};
+
+TargetGateway::TargetGateway(boost::asio::io_context& loop,
+                             const Clock& clock,
+                             const TargetDialect& dialect,
+                             TargetKeeper& keeper,
+                             AsyncConnectionPool& pool)
+    : m_loop(loop),
+      m_clock(clock),
+      m_dialect(dialect),
+      m_keeper(keeper),
+      m_pool(pool),
+      m_admission(clock, TargetAdmission::Parameters()),
+      m_poison(std::make_unique<PoisonDetector>(clock,
+                                                PoisonDetector::Parameters())) {
+}
+
+TargetGateway::~TargetGateway() = default;
+
+std::optional<WorkResult> TargetGateway::FindObstacle(
+    const WorkOrder& order) const {
+  if (m_keeper.service() != order.service) {
+    return WorkResult::NotRun(RequestErrorCode::kNoOwner,
+                              "this node's target is of another service",
+                              kRetryAfterMove);
+  }
+  if (!m_keeper.IsServing()) {
+    return WorkResult::NotRun(RequestErrorCode::kTargetUnavailable,
+                              "the target is gone or leaves",
+                              kRetryAfterTargetLoss);
+  }
+  if (!order.key)
+    return std::nullopt;
+  const std::uint32_t slot = SlotOfKey(*order.key);
+  if (!m_keeper.MayServe(slot)) {
+    return WorkResult::NotRun(RequestErrorCode::kLeaseLost,
+                              m_keeper.IsLeaving(slot)
+                                  ? "the key moves to another target"
+                                  : "the target does not hold the key",
+                              kRetryAfterMove);
+  }
+  return std::nullopt;
+}
+
+Task<WorkResult> TargetGateway::Run(HttpRequest request,
+                                    WorkOrder order,
+                                    RequestContext& context) {
+  ++m_counts.offered;
+  if (order.key)
+    ++m_arrivals[SlotOfKey(*order.key)];
+  const Clock::TimePoint now = m_clock.Now();
+  const Clock::TimePoint deadline = now + order.time_left;
+  if (auto obstacle = FindObstacle(order)) {
+    Count(*obstacle);
+    co_return *obstacle;
+  }
+  const std::uint64_t mark = MarkOf(request);
+  if (m_poison->IsQuarantined(RequestFingerprint(mark))) {
+    auto refusal = WorkResult::NotRun(RequestErrorCode::kQuarantined,
+                                      "its runs crashed targets");
+    Count(refusal);
+    co_return refusal;
+  }
+  m_admission.SetSlots(m_keeper.slots());
+  const RequestTicket ticket = m_next_ticket;
+  m_next_ticket = m_next_ticket.Next();
+  WorkResult turn = co_await AwaitTurn(order, ticket, context);
+  if (!turn.has_answer()) {
+    Count(turn);
+    co_return turn;
+  }
+  m_running_marks[ticket] = mark;
+  WorkResult result =
+      co_await Pass(std::move(request), order, deadline, ticket, context);
+  Count(result);
+  co_return result;
+}
+
+Task<WorkResult> TargetGateway::AwaitTurn(const WorkOrder& order,
+                                          RequestTicket ticket,
+                                          RequestContext& context) {
+  const Clock::TimePoint now = m_clock.Now();
+  TargetAdmission::Request request;
+  request.ticket = ticket;
+  request.kind = order.kind;
+  request.priority = order.priority;
+  request.aim = now + order.aim_left;
+  request.deadline = now + order.time_left;
+  TargetAdmission::Verdict verdict = m_admission.Offer(request);
+  if (verdict == TargetAdmission::Verdict::kWaits) {
+    auto pending = std::make_shared<Pending>(m_loop);
+    pending->wakeup.expires_after(order.time_left);
+    m_pending.emplace(ticket, pending);
+    context.SetStop([pending] { pending->wakeup.cancel(); });
+    boost::system::error_code ignored;
+    co_await pending->wakeup.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    context.ClearStop();
+    m_pending.erase(ticket);
+    if (!pending->verdict)
+      m_admission.Withdraw(ticket);
+    verdict = pending->verdict.value_or(TargetAdmission::Verdict::kRefused);
+  }
+  if (verdict == TargetAdmission::Verdict::kAdmitted) {
+    WorkResult admitted;
+    admitted.outcome = RequestOutcome::kDone;
+    co_return admitted;
+  }
+  co_return WorkResult::NotRun(
+      RequestErrorCode::kOverloaded, "it can't be done in time",
+      std::chrono::ceil<milliseconds>(m_admission.DrainTime()));
+}
+
+Task<WorkResult> TargetGateway::Pass(HttpRequest request,
+                                     const WorkOrder& order,
+                                     Clock::TimePoint deadline,
+                                     RequestTicket ticket,
+                                     RequestContext& context) {
+  Admitted place(*this, ticket);
+  const HttpAddress address = m_keeper.address();
+  std::unique_ptr<AsyncHttpConnection> connection;
+  try {
+    connection = co_await m_pool.Take(
+        address, order.is_idempotent ? kIdleForIdempotent : kIdleForOnce);
+  } catch (const ConnectRefusedError& error) {
+    m_keeper.OnRefused();
+    co_return WorkResult::NotRun(RequestErrorCode::kTargetUnavailable,
+                                 error.what(), kRetryAfterTargetLoss);
+  } catch (const ConnectError& error) {
+    m_keeper.OnCallEnded(false);
+    co_return WorkResult::NotRun(RequestErrorCode::kTargetUnavailable,
+                                 error.what(), kRetryAfterTargetLoss);
+  }
+  // It may have waited: much can have changed since it was let in.
+  if (context.is_caller_gone()) {
+    m_pool.GiveBack(address, std::move(connection));
+    co_return WorkResult::NotRun(RequestErrorCode::kCancelled,
+                                 "its caller is gone");
+  }
+  if (auto obstacle = FindObstacle(order)) {
+    m_pool.GiveBack(address, std::move(connection));
+    co_return *obstacle;
+  }
+  const Clock::TimePoint started = m_clock.Now();
+  const auto left =
+      std::chrono::floor<milliseconds>(deadline - started) - kWayBack;
+  if (left <= milliseconds(0)) {
+    m_pool.GiveBack(address, std::move(connection));
+    co_return WorkResult::NotRun(RequestErrorCode::kDeadlinePassed,
+                                 "its time was over before its turn");
+  }
+  TargetAddressing addressing;
+  addressing.request_id = order.request_id;
+  addressing.time_left = left;
+  addressing.expected_target = m_keeper.life().id;
+  addressing.origin_service = order.origin_service;
+  context.SetStop([&connection] { connection->Close(); });
+  try {
+    AsyncHttpConnection::IsAnswer is_answer =
+        [this, id = order.request_id](const HttpResponse& answer) {
+          const TargetAnswerFacts facts = m_dialect.ReadAnswer(answer);
+          return facts.request_id == id ||
+                 (facts.request_id.empty() && facts.did_not_run);
+        };
+    HttpRequest outgoing = m_dialect.ForTarget(std::move(request), addressing);
+    HttpResponse response = co_await connection->Call(std::move(outgoing), left,
+                                                      std::move(is_answer));
+    context.ClearStop();
+    m_keeper.OnCallEnded(true);
+    const TargetAnswerFacts facts = m_dialect.ReadAnswer(response);
+    if (!facts.did_not_run) {
+      place.SetWork(m_clock.Now() - started);
+      m_has_measured = true;
+      m_poison->OnEnded(RequestFingerprint(m_running_marks[ticket]));
+    }
+    m_pool.GiveBack(address, std::move(connection));
+    co_return Judge(std::move(response), facts);
+  } catch (const ResponseTimeoutError& error) {
+    context.ClearStop();
+    m_keeper.OnCallEnded(false);
+    co_return WorkResult::Unknown(RequestErrorCode::kTargetTimeout,
+                                  error.what());
+  } catch (const HttpError& error) {
+    context.ClearStop();
+    if (context.is_caller_gone()) {
+      co_return WorkResult::Unknown(RequestErrorCode::kCancelled,
+                                    "its caller is gone");
+    }
+    NoteBroken(m_running_marks[ticket]);
+    co_return WorkResult::Unknown(RequestErrorCode::kTargetFailed,
+                                  error.what());
+  }
+}
+
+WorkResult TargetGateway::Judge(HttpResponse response,
+                                const TargetAnswerFacts& facts) {
+  if (facts.did_not_run) {
+    return WorkResult::NotRun(
+        facts.is_misdirected ? RequestErrorCode::kLeaseLost
+                             : RequestErrorCode::kTargetRefused,
+        "the target refused it without running it", kRetryAfterRefusal);
+  }
+  if (!facts.is_genuine) {
+    return WorkResult::Unknown(RequestErrorCode::kTruncatedAnswer,
+                               "the answer lacks the target's mark");
+  }
+  StripConnectionHeaders(response.head.headers);
+  return WorkResult::Answered(std::move(response));
+}
+
+void TargetGateway::Resume() {
+  const TargetAdmission::Changes changes = m_admission.Poll();
+  const auto wake = [this](RequestTicket ticket,
+                           TargetAdmission::Verdict verdict) {
+    const auto found = m_pending.find(ticket);
+    if (found == m_pending.end()) {
+      // Its caller went at this very moment.
+      if (verdict == TargetAdmission::Verdict::kAdmitted)
+        m_admission.OnFinished(ticket, std::nullopt);
+      return;
+    }
+    found->second->verdict = verdict;
+    found->second->wakeup.cancel();
+  };
+  for (const RequestTicket ticket : changes.admitted)
+    wake(ticket, TargetAdmission::Verdict::kAdmitted);
+  for (const RequestTicket ticket : changes.refused)
+    wake(ticket, TargetAdmission::Verdict::kRefused);
+}
+
+void TargetGateway::Tick() {
+  Resume();
+}
+
+void TargetGateway::NoteBroken(std::uint64_t mark) {
+  const Clock::TimePoint now = m_clock.Now();
+  std::erase_if(m_broken, [now](const Broken& broken) {
+    return now - broken.when > kOneCrash;
+  });
+  if (m_broken.empty())
+    boost::asio::co_spawn(m_loop, ProbeTarget(), boost::asio::detached);
+  m_broken.push_back({mark, now});
+}
+
+Task<> TargetGateway::ProbeTarget() {
+  const HttpAddress address = m_keeper.address();
+  try {
+    auto connection = co_await m_pool.Take(address, Clock::Duration(0));
+    m_pool.GiveBack(address, std::move(connection));
+  } catch (const ConnectRefusedError&) {
+    m_keeper.OnRefused();
+  } catch (const ConnectError& error) {
+    spdlog::debug("event=target-probe-failed reason=\"{}\"", error.what());
+  }
+}
+
+void TargetGateway::OnTargetLost() {
+  std::vector<RequestFingerprint> suspects;
+  for (const Broken& broken : m_broken)
+    suspects.emplace_back(broken.mark);
+  m_broken.clear();
+  for (const auto& [ticket, mark] : m_running_marks)
+    suspects.emplace_back(mark);
+  m_poison->OnCrash(suspects);
+}
+
+std::vector<Heartbeat::SlotArrivals> TargetGateway::TakeArrivals() {
+  std::vector<Heartbeat::SlotArrivals> arrivals;
+  arrivals.reserve(m_arrivals.size());
+  for (const auto& [slot, count] : m_arrivals)
+    arrivals.push_back({slot, count});
+  m_arrivals.clear();
+  return arrivals;
+}
+
+std::vector<std::uint64_t> TargetGateway::TakeCrashSuspects() {
+  std::vector<std::uint64_t> marks;
+  for (const RequestFingerprint mark : m_poison->TakeReports())
+    marks.push_back(mark.value());
+  return marks;
+}
+
+void TargetGateway::MergeCrashSuspects(
+    const std::vector<std::uint64_t>& suspects) {
+  std::vector<RequestFingerprint> marks;
+  for (const std::uint64_t suspect : suspects)
+    marks.emplace_back(suspect);
+  m_poison->Merge(marks);
+}
+
+std::uint32_t TargetGateway::mean_work_us() const {
+  if (!m_has_measured)
+    return 0;
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          m_admission.mean_work())
+          .count());
+}
+
+void TargetGateway::Count(const WorkResult& result) {
+  switch (result.outcome) {
+    case RequestOutcome::kDone:
+      ++m_counts.answered;
+      break;
+    case RequestOutcome::kNotRun:
+      ++m_counts.not_run;
+      break;
+    case RequestOutcome::kUnknown:
+      ++m_counts.unknown;
+      break;
+  }
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/target_gateway.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "modules/coordination/clock.h"
+#include "modules/coordination/load/load_identifiers.h"
+#include "modules/coordination/load/target_admission.h"
+#include "modules/coordination/mesh/heartbeat.h"
+#include "modules/transport/async/task.h"
+#include "modules/transport/mesh/work_order.h"
+#include "modules/transport/mesh/work_result.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace citrongrade {
+
+class AsyncConnectionPool;
+class PoisonDetector;
+class RequestContext;
+class TargetDialect;
+class TargetKeeper;
+struct TargetAnswerFacts;
+
+// Gives requests to this node's own target: checks that it may serve them, lets
+// them wait their turn, passes them on, and judges the answer.
+//
+// A request is passed on at most once, and only as the very last step after its
+// key's hold was checked again. What it says not to have run never was written
+// to the target, or the target itself said so.
+//
+// On the event loop. Kin: TargetAdmission decides who waits; TargetKeeper knows
+// the target.
+class TargetGateway {
+ public:
+  struct Counts {
+    std::uint64_t offered = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t unknown = 0;
+  };
+
+  TargetGateway(boost::asio::io_context& loop,
+                const Clock& clock,
+                const TargetDialect& dialect,
+                TargetKeeper& keeper,
+                AsyncConnectionPool& pool);
+  ~TargetGateway();
+
+  Task<WorkResult> Run(HttpRequest request,
+                       WorkOrder order,
+                       RequestContext& context);
+
+  // Every 20 ms.
+  void Tick();
+  // The target's process is gone: what ran on it is suspect.
+  void OnTargetLost();
+
+  // Requests that came for slots since the last call.
+  std::vector<Heartbeat::SlotArrivals> TakeArrivals();
+  std::vector<std::uint64_t> TakeCrashSuspects();
+  void MergeCrashSuspects(const std::vector<std::uint64_t>& suspects);
+  std::uint32_t mean_work_us() const;
+  std::size_t running() const { return m_admission.running(); }
+  std::size_t waiting() const { return m_admission.waiting(); }
+  const Counts& counts() const { return m_counts; }
+
+ private:
+  struct Pending;
+  class Admitted;
+  struct Broken {
+    std::uint64_t mark = 0;
+    Clock::TimePoint when;
+  };
+
+  // Why it can't be passed on now; nothing when it can.
+  std::optional<WorkResult> FindObstacle(const WorkOrder& order) const;
+  Task<WorkResult> AwaitTurn(const WorkOrder& order,
+                             RequestTicket ticket,
+                             RequestContext& context);
+  Task<WorkResult> Pass(HttpRequest request,
+                        const WorkOrder& order,
+                        Clock::TimePoint deadline,
+                        RequestTicket ticket,
+                        RequestContext& context);
+  WorkResult Judge(HttpResponse response, const TargetAnswerFacts& facts);
+  // A request's connection broke. If the target's process is gone, the request
+  // may be why, and callers should not wait for others to find out.
+  void NoteBroken(std::uint64_t mark);
+  Task<> ProbeTarget();
+  void Resume();
+  void Count(const WorkResult& result);
+
+  boost::asio::io_context& m_loop;
+  const Clock& m_clock;
+  const TargetDialect& m_dialect;
+  TargetKeeper& m_keeper;
+  AsyncConnectionPool& m_pool;
+  TargetAdmission m_admission;
+  std::unique_ptr<PoisonDetector> m_poison;
+  std::map<RequestTicket, std::shared_ptr<Pending>> m_pending;
+  // Marks of the requests that the target runs now.
+  std::map<RequestTicket, std::uint64_t> m_running_marks;
+  std::vector<Broken> m_broken;
+  RequestTicket m_next_ticket{1};
+  std::map<std::uint32_t, std::uint32_t> m_arrivals;
+  bool m_has_measured = false;
+  Counts m_counts;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/target_keeper.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "modules/coordination/clock.h"
+#include "modules/coordination/mesh/heartbeat.h"
+#include "modules/coordination/mesh/heartbeat_reply.h"
+#include "modules/coordination/mesh/hold_book.h"
+#include "modules/state/mesh/mesh_view.h"
+#include "modules/transport/async/task.h"
+#include "modules/transport/http_address.h"
+#include "modules/transport/mesh/target_report.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace citrongrade {
+
+class AsyncConnectionPool;
+class TargetDialect;
+
+// The target beside this node: which life of it is there, whether it may get
+// work, and which keys it holds. Sends it grants and releases.
+//
+// The target's own reports say who it is and whether it leaves; that its
+// process is gone shows by a refused connection. A target that only falls
+// silent may still work and hold keys: it counts as gone when its holds have
+// run out.
+//
+// On the event loop. Kin: HoldBook decides about grants; TargetGateway gives it
+// requests.
+class TargetKeeper {
+ public:
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    // The leader should hear of it now.
+    virtual void OnTargetNews() = 0;
+    virtual void OnTargetLost() = 0;
+  };
+
+  struct Settings {
+    HttpAddress address;
+    // After it was confirmed that the target leaves, it gets no work from then.
+    std::chrono::milliseconds drain{1500};
+    // No sign of life for so long: it may be gone.
+    std::chrono::milliseconds silence{4000};
+  };
+
+  enum class ReportResult {
+    kTaken,
+    // From an earlier life, or overtaken by a later one.
+    kOutdated,
+  };
+
+  TargetKeeper(boost::asio::io_context& loop,
+               const Clock& clock,
+               const Settings& settings,
+               const TargetDialect& dialect,
+               AsyncConnectionPool& pool,
+               Listener& listener);
+
+  ReportResult OnReport(const TargetReport& report);
+  // It leaves without having said that it drains.
+  void OnLeave(const std::string& target_id);
+  // Its address refuses connections: its process is gone.
+  void OnRefused();
+  // Whether a call to it was answered.
+  void OnCallEnded(bool was_answered);
+
+  void OnView(const MeshView& view, const std::string& own_address);
+  void OnReleaseOrder(const HeartbeatReply::ReleaseOrder& order);
+  void SetLease(Clock::TimePoint until);
+
+  // Sends what is due; every 20 ms or so.
+  void Tick();
+
+  // It may be given work now, as far as its own state goes.
+  bool IsServing() const;
+  bool MayServe(std::uint32_t slot) const { return m_holds.MayServe(slot); }
+  bool IsLeaving(std::uint32_t slot) const { return m_holds.IsLeaving(slot); }
+  const TargetLife& life() const { return m_life; }
+  const std::string& service() const { return m_service; }
+  std::uint32_t slots() const { return m_slots; }
+  const HttpAddress& address() const { return m_settings.address; }
+  std::size_t held_range_count() const { return m_holds.range_count(); }
+  bool HasNothingToGiveBack() const { return m_holds.HasNothingToGiveBack(); }
+
+  Heartbeat::Target ForHeartbeat();
+  std::vector<Heartbeat::Released> ReleasedForHeartbeat();
+
+ private:
+  enum class State { kUnheard, kServing, kDraining, kGone };
+
+  Task<> SendGrant(HoldBook::Grant grant, std::uint64_t life_number);
+  Task<> SendRelease(HoldBook::Release release, std::uint64_t life_number);
+  bool IsLaterLife(const TargetReport& report) const;
+  void BeginLife(const TargetReport& report);
+  void SetState(State state, const char* reason);
+  void NoteSilence();
+
+  boost::asio::io_context& m_loop;
+  const Clock& m_clock;
+  const Settings m_settings;
+  const TargetDialect& m_dialect;
+  AsyncConnectionPool& m_pool;
+  Listener& m_listener;
+
+  State m_state = State::kUnheard;
+  TargetLife m_life;
+  // A call that was sent to an earlier life says nothing of this one.
+  std::uint64_t m_life_number = 0;
+  std::string m_service;
+  std::uint32_t m_slots = 1;
+  std::uint64_t m_sequence = 0;
+  Clock::TimePoint m_cold_until;
+  Clock::TimePoint m_drain_confirmed;
+  Clock::TimePoint m_last_sign;
+  Clock::TimePoint m_last_report;
+  // Ids of lives before this one.
+  std::vector<std::string> m_past_ids;
+  unsigned m_unanswered_calls = 0;
+  Clock::TimePoint m_lease_until;
+  HoldBook m_holds;
+  std::vector<OwnedRun> m_owned;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/work_handler.cc
@@ -0,0 +1,36 @@
+#include "modules/transport/mesh/work_handler.h"
+
+#include <utility>
+
+#include "modules/protocol/malformed_message_error.h"
+#include "modules/transport/async/request_context.h"
+#include "modules/transport/mesh/request_log.h"
+#include "modules/transport/mesh/target_gateway.h"
+#include "modules/transport/mesh/work_order.h"
+#include "modules/transport/mesh/work_result.h"
+
+namespace citrongrade {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+
+}  // namespace
+
+Task<HttpResponse> WorkHandler::Handle(HttpRequest request,
+                                       RequestContext& context) {
+  WorkOrder order;
+  try {
+    order = WorkOrder::TakeFrom(request);
+  } catch (const MalformedMessageError&) {
+    HttpResponse refusal;
+    refusal.head.status = kBadRequest;
+    co_return refusal;
+  }
+  const WorkResult result =
+      co_await m_gateway.Run(std::move(request), order, context);
+  m_log.OnRun(order, result, context.caller_ip());
+  co_return result.ToHop();
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/work_order.cc
@@ -0,0 +1,118 @@
+#include "modules/transport/mesh/work_order.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <vector>
+
+#include "modules/protocol/malformed_message_error.h"
+
+namespace citrongrade {
+
+namespace {
+
+constexpr std::string_view kHeader = "Mesh-Work";
+constexpr char kSeparator = ';';
+constexpr std::size_t kFieldCount = 9;
+constexpr std::string_view kHexDigits = "0123456789abcdef";
+
+void AppendText(std::string& out, std::string_view text) {
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    const bool is_plain = c != kSeparator && c != '%' && byte > ' ';
+    if (is_plain) {
+      out += c;
+      continue;
+    }
+    out += '%';
+    out += kHexDigits[byte >> 4U];
+    out += kHexDigits[byte & 15U];
+  }
+}
+
+std::string ReadText(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%' || i + 2 >= text.size()) {
+      out += text[i];
+      continue;
+    }
+    unsigned byte = 0;
+    std::from_chars(text.data() + i + 1, text.data() + i + 3, byte, 16);
+    out += static_cast<char>(byte);
+    i += 2;
+  }
+  return out;
+}
+
+std::int64_t ReadNumber(std::string_view text) {
+  std::int64_t number = 0;
+  const auto end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, number);
+  if (result.ec != std::errc() || result.ptr != end)
+    throw MalformedMessageError("not a number in a work order");
+  return number;
+}
+
+std::vector<std::string_view> Split(std::string_view text) {
+  std::vector<std::string_view> fields;
+  while (true) {
+    const std::size_t end = text.find(kSeparator);
+    fields.push_back(text.substr(0, end));
+    if (end == std::string_view::npos)
+      return fields;
+    text.remove_prefix(end + 1);
+  }
+}
+
+}  // namespace
+
+void WorkOrder::WriteTo(HttpRequest& request) const {
+  std::string text;
+  const auto add_text = [&text](const std::string& field) {
+    AppendText(text, field);
+    text += kSeparator;
+  };
+  const auto add_number = [&text](std::int64_t number) {
+    text += std::to_string(number);
+    text += kSeparator;
+  };
+  add_text(request_id);
+  add_text(service);
+  add_number(key ? std::int64_t{*key} : -1);
+  add_number(is_idempotent ? 1 : 0);
+  add_number(priority);
+  add_text(kind);
+  add_number(aim_left.count());
+  add_number(time_left.count());
+  AppendText(text, origin_service);
+  request.headers.push_back({std::string(kHeader), std::move(text)});
+}
+
+WorkOrder WorkOrder::TakeFrom(HttpRequest& request) {
+  const auto header = std::find_if(
+      request.headers.begin(), request.headers.end(),
+      [](const HttpHeader& one) { return SameHeaderName(one.name, kHeader); });
+  if (header == request.headers.end())
+    throw MalformedMessageError("a request without a work order");
+  const std::string text = header->value;
+  request.headers.erase(header);
+  const std::vector<std::string_view> fields = Split(text);
+  if (fields.size() != kFieldCount)
+    throw MalformedMessageError("a work order with too few or many fields");
+  WorkOrder order;
+  order.request_id = ReadText(fields[0]);
+  order.service = ReadText(fields[1]);
+  const std::int64_t key = ReadNumber(fields[2]);
+  if (key >= 0)
+    order.key = static_cast<std::uint32_t>(key);
+  order.is_idempotent = ReadNumber(fields[3]) != 0;
+  order.priority = static_cast<std::uint32_t>(ReadNumber(fields[4]));
+  order.kind = ReadText(fields[5]);
+  order.aim_left = std::chrono::milliseconds(ReadNumber(fields[6]));
+  order.time_left = std::chrono::milliseconds(ReadNumber(fields[7]));
+  order.origin_service = ReadText(fields[8]);
+  return order;
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/work_order.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "modules/transport/http_request.h"
+
+namespace citrongrade {
+
+// What the node beside a target has to know of a request that another node
+// passes on to it. Travels as one header, which it takes off again.
+struct WorkOrder {
+  std::string request_id;
+  std::string service;
+  std::optional<std::uint32_t> key;
+  bool is_idempotent = false;
+  std::uint32_t priority = 0;
+  // Requests of one kind take about as long as each other.
+  std::string kind;
+  // Left of the time within which an answer is worth most, and of the time
+  // after which nobody waits.
+  std::chrono::milliseconds aim_left{0};
+  std::chrono::milliseconds time_left{0};
+  std::string origin_service;
+
+  void WriteTo(HttpRequest& request) const;
+  // Takes it off the request. Throws MalformedMessageError.
+  static WorkOrder TakeFrom(HttpRequest& request);
+
+  friend auto operator<=>(const WorkOrder&, const WorkOrder&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/work_result.cc
@@ -0,0 +1,104 @@
+#include "modules/transport/mesh/work_result.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include "modules/protocol/malformed_message_error.h"
+
+namespace citrongrade {
+
+namespace {
+
+// "answered", or outcome, number of the error and retry time in ms.
+constexpr std::string_view kHeader = "Mesh-Result";
+constexpr std::string_view kAnswered = "answered";
+constexpr int kNotRunStatus = 503;
+constexpr int kUnknownStatus = 502;
+constexpr int kLastError =
+    static_cast<int>(RequestErrorCode::kRetryBudgetSpent);
+
+int ReadNumber(std::string_view& text) {
+  int number = 0;
+  const auto result =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (result.ec != std::errc())
+    throw MalformedMessageError("not a result of another node");
+  text.remove_prefix(static_cast<std::size_t>(result.ptr - text.data()));
+  if (!text.empty())
+    text.remove_prefix(1);
+  return number;
+}
+
+}  // namespace
+
+WorkResult WorkResult::Answered(HttpResponse response) {
+  WorkResult result;
+  result.outcome = RequestOutcome::kDone;
+  result.response = std::move(response);
+  return result;
+}
+
+WorkResult WorkResult::NotRun(RequestErrorCode error,
+                              std::string message,
+                              std::chrono::milliseconds retry_after) {
+  WorkResult result;
+  result.outcome = RequestOutcome::kNotRun;
+  result.error = error;
+  result.message = std::move(message);
+  result.retry_after = retry_after;
+  return result;
+}
+
+WorkResult WorkResult::Unknown(RequestErrorCode error, std::string message) {
+  WorkResult result;
+  result.outcome = RequestOutcome::kUnknown;
+  result.error = error;
+  result.message = std::move(message);
+  return result;
+}
+
+HttpResponse WorkResult::ToHop() const {
+  if (has_answer()) {
+    HttpResponse hop = response;
+    hop.head.headers.push_back({std::string(kHeader), std::string(kAnswered)});
+    return hop;
+  }
+  HttpResponse hop;
+  const bool not_run = outcome == RequestOutcome::kNotRun;
+  hop.head.status = not_run ? kNotRunStatus : kUnknownStatus;
+  hop.head.headers.push_back(
+      {std::string(kHeader), std::to_string(not_run ? 1 : 0) + " " +
+                                 std::to_string(static_cast<int>(*error)) +
+                                 " " + std::to_string(retry_after.count())});
+  hop.body = message;
+  return hop;
+}
+
+WorkResult WorkResult::FromHop(HttpResponse response) {
+  auto& headers = response.head.headers;
+  const auto header = std::find_if(
+      headers.begin(), headers.end(),
+      [](const HttpHeader& one) { return SameHeaderName(one.name, kHeader); });
+  if (header == headers.end())
+    throw MalformedMessageError("an answer without a result");
+  const std::string value = header->value;
+  headers.erase(header);
+  if (value == kAnswered)
+    return Answered(std::move(response));
+  std::string_view text = value;
+  const bool not_run = ReadNumber(text) != 0;
+  const int error = ReadNumber(text);
+  const int retry_ms = ReadNumber(text);
+  if (error < 0 || error > kLastError)
+    throw MalformedMessageError("not an error of another node");
+  WorkResult result;
+  result.outcome = not_run ? RequestOutcome::kNotRun : RequestOutcome::kUnknown;
+  result.error = static_cast<RequestErrorCode>(error);
+  result.message = std::move(response.body);
+  result.retry_after = std::chrono::milliseconds(retry_ms);
+  return result;
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/work_result.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <optional>
+#include <string>
+
+#include "modules/state/request_error_code.h"
+#include "modules/state/request_outcome.h"
+#include "modules/transport/http_response.h"
+
+namespace citrongrade {
+
+// How one attempt of a request ended: with the target's answer, or not.
+struct WorkResult {
+  RequestOutcome outcome = RequestOutcome::kNotRun;
+  // Nothing when the target answered.
+  std::optional<RequestErrorCode> error;
+  std::string message;
+  // When another try may do better; zero: not known.
+  std::chrono::milliseconds retry_after{0};
+  // The target's, when it answered.
+  HttpResponse response;
+
+  bool has_answer() const { return !error.has_value(); }
+
+  static WorkResult Answered(HttpResponse response);
+  // Only where nothing ran and nothing will.
+  static WorkResult NotRun(RequestErrorCode error,
+                           std::string message,
+                           std::chrono::milliseconds retry_after = {});
+  static WorkResult Unknown(RequestErrorCode error, std::string message);
+
+  // As another node gets it, and back.
+  HttpResponse ToHop() const;
+  // Throws MalformedMessageError.
+  static WorkResult FromHop(HttpResponse response);
+
+  friend auto operator<=>(const WorkResult&, const WorkResult&) = default;
+};
+
+}  // namespace citrongrade
--- /dev/null
+++ b/programs/citrongrade-router/main.cc
@@ -0,0 +1,87 @@
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+
+#include "platform/settings_file.h"
+#include "programs/citrongrade-router/router_node.h"
+#include "programs/citrongrade-router/router_settings.h"
+#include "programs/support/settings_error.h"
+#include "programs/support/settings_reader.h"
+
+namespace citrongrade {
+
+namespace {
+
+// Lines that wait for the log's thread. When it is full the oldest go: a node
+// must not wait for whoever reads its log.
+constexpr std::size_t kLogQueue = 256;
+
+void SetUpAsyncLogging(bool verbose) {
+  spdlog::init_thread_pool(kLogQueue, 1);
+  auto logger =
+      spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("router");
+  logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e level=%l %v");
+  logger->flush_on(spdlog::level::info);
+  if (verbose)
+    logger->set_level(spdlog::level::debug);
+  spdlog::set_default_logger(std::move(logger));
+}
+
+void AddSettings(SettingsReader& reader, RouterSettings& settings) {
+  const char* file = std::getenv(platform::kSettingsFileVariable);
+  if (file != nullptr)
+    settings.settings_file = file;
+  reader.Add("--settings-file", settings.settings_file,
+             "the platform's settings file; default: CITRONGRADE_NODE_FILE");
+  reader.AddRule([&settings] { return !settings.settings_file.empty(); },
+                 "--settings-file must be set");
+  reader.AddSwitch("--check-settings", settings.only_check,
+                   "read the settings, say what is wrong, and end");
+  reader.AddSwitch("--verbose", settings.verbose, "log debug events too");
+  reader.Add("--log-failures-per-second", settings.log_failures_per_second,
+             "lines for each event of requests that were not served");
+  reader.Add("--log-successes-per-second", settings.log_successes_per_second,
+             "lines for each event of requests that were served");
+  reader.Add("--settings-check-ms", settings.settings_check,
+             "how often the settings file is looked at");
+  reader.Add("--max-body-bytes", settings.max_body_bytes,
+             "longest body of a request; it is held in memory");
+}
+
+int Run(int argc, char** argv) {
+  SettingsReader reader("Router process beside one target of the platform");
+  RouterSettings settings;
+  AddSettings(reader, settings);
+  if (!reader.Read(argc, argv))
+    return EXIT_SUCCESS;
+  const auto file = platform::SettingsFile::Read(settings.settings_file);
+  if (settings.only_check) {
+    std::cout << "settings are well\n";
+    return EXIT_SUCCESS;
+  }
+  SetUpAsyncLogging(settings.verbose);
+  // A write to a connection that its peer closed would end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  RouterNode node(settings, file);
+  node.Run();
+  spdlog::shutdown();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+}  // namespace citrongrade
+
+int main(int argc, char** argv) {
+  try {
+    return citrongrade::Run(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "event=start-failed reason=\"" << error.what() << "\"\n";
+    return EXIT_FAILURE;
+  }
+}
--- /dev/null
+++ b/programs/citrongrade-router/report_handler.cc
@@ -0,0 +1,63 @@
+#include "programs/citrongrade-router/report_handler.h"
+
+#include <spdlog/spdlog.h>
+
+#include <string>
+
+#include "modules/transport/mesh/target_keeper.h"
+#include "platform/target_report_codec.h"
+
+namespace citrongrade {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+
+HttpResponse Respond(int status) {
+  HttpResponse response;
+  response.head.status = status;
+  response.head.headers.push_back({"Content-Type", "application/json"});
+  response.body = "{}";
+  return response;
+}
+
+}  // namespace
+
+Task<HttpResponse> ReportHandler::Handle(HttpRequest request,
+                                         RequestContext& /*context*/) {
+  const std::string id =
+      platform::TargetReportCodec::TargetIdOf(request.target);
+  if (id.empty())
+    co_return Respond(kNotFound);
+  if (request.method == "DELETE") {
+    m_keeper.OnLeave(id);
+    co_return Respond(kOk);
+  }
+  if (request.method != "PUT")
+    co_return Respond(kBadRequest);
+  co_return Take(id, request);
+}
+
+HttpResponse ReportHandler::Take(const std::string& id,
+                                 const HttpRequest& request) {
+  try {
+    const TargetReport report =
+        platform::TargetReportCodec::Decode(id, request.body);
+    // Only the target beside this node can be given work here.
+    if (report.address != m_keeper.address().ToString())
+      throw platform::InvalidReportError("Address: of another host");
+    if (m_keeper.OnReport(report) == TargetKeeper::ReportResult::kOutdated) {
+      spdlog::info("event=target-report-outdated target={} sequence={}", id,
+                   report.sequence);
+    }
+    return Respond(kOk);
+  } catch (const platform::InvalidReportError& error) {
+    spdlog::warn("event=target-report-unreadable target={} reason=\"{}\"", id,
+                 error.what());
+    return Respond(kBadRequest);
+  }
+}
+
+}  // namespace citrongrade
