--- /dev/null
+++ b/programs/citrongrade-router/router_node.cc
@@ -0,0 +1,469 @@
+#include "programs/citrongrade-router/router_node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "modules/coordination/mesh/mesh_timing.h"
+#include "modules/coordination/steady_clock.h"
+#include "modules/transport/async/async_connection_pool.h"
+#include "modules/transport/async/async_http_server.h"
+#include "modules/transport/mesh/config_follower.h"
+#include "modules/transport/mesh/instance_chooser.h"
+#include "modules/transport/mesh/mesh_agent.h"
+#include "modules/transport/mesh/request_log.h"
+#include "modules/transport/mesh/request_router.h"
+#include "modules/transport/mesh/router_metrics.h"
+#include "modules/transport/mesh/target_gateway.h"
+#include "modules/transport/mesh/target_keeper.h"
+#include "modules/transport/mesh/work_handler.h"
+#include "platform/config_document.h"
+#include "platform/platform_dialect.h"
+#include "platform/platform_store.h"
+#include "programs/citrongrade-router/report_handler.h"
+
+namespace citrongrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{25};
+constexpr int kTicksPerRefresh = 4;
+// Part of the time after a confirmed leave in which the target still gets work;
+// the rest is for requests on their way.
+constexpr double kDrainPart = 0.75;
+// Callers learn that this node stops by two readiness checks, a second apart.
+constexpr milliseconds kUnreadyBeforeClose{2300};
+// Keys that can't be given away by then are given up.
+constexpr milliseconds kLongestHandover{3600};
+constexpr milliseconds kBeforeKill{500};
+// This node's part of the mesh's retries; the rest is a reserve, as nodes do
+// not tell each other how many they have used.
+constexpr double kRetryPart = 0.5;
+constexpr std::size_t kStatusHeaderBytes = std::size_t{8} * 1024;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+HttpResponse Respond(int status, std::string body = {}) {
+  HttpResponse response;
+  response.head.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+// A handler made of a function, for what answers at once.
+class SimpleHandler final : public AsyncHttpServer::Handler {
+ public:
+  using Function = std::function<HttpResponse(const HttpRequest&)>;
+
+  explicit SimpleHandler(Function function) : m_function(std::move(function)) {}
+
+  Task<HttpResponse> Handle(HttpRequest request,
+                            RequestContext& /*context*/) override {
+    co_return m_function(request);
+  }
+
+ private:
+  const Function m_function;
+};
+
+AsyncHttpServer::Settings ServerAt(const HttpAddress& address) {
+  AsyncHttpServer::Settings settings;
+  settings.address = address;
+  return settings;
+}
+
+AsyncHttpServer::Settings CallerServer(const RouterSettings& settings,
+                                       const platform::SettingsFile& file) {
+  AsyncHttpServer::Settings server = ServerAt(file.callers);
+  server.max_body_bytes = settings.max_body_bytes;
+  return server;
+}
+
+AsyncHttpServer::Settings WorkServer(const platform::SettingsFile& file) {
+  AsyncHttpServer::Settings server = ServerAt(file.work);
+  // A caller's head and what nodes add to it.
+  server.max_header_bytes *= 2;
+  server.max_body_bytes *= 2;
+  return server;
+}
+
+AsyncHttpServer::Settings StatusServer(const HttpAddress& address) {
+  AsyncHttpServer::Settings server = ServerAt(address);
+  server.max_header_bytes = kStatusHeaderBytes;
+  return server;
+}
+
+HttpAddress OwnAddress(const platform::SettingsFile& file, int index) {
+  return {file.ip, static_cast<std::uint16_t>(file.first_own_port + index)};
+}
+
+TargetKeeper::Settings KeeperSettings(const platform::SettingsFile& file) {
+  TargetKeeper::Settings settings;
+  settings.address = file.target;
+  settings.drain =
+      std::chrono::duration_cast<milliseconds>(file.drain * kDrainPart);
+  return settings;
+}
+
+}  // namespace
+
+// The members stand in order of use: each uses only those above it, and the
+// listeners that this object itself is.
+class RouterNode::Implementation final : public ConfigFollower::Listener,
+                                         public TargetKeeper::Listener,
+                                         public MeshAgent::Listener {
+ public:
+  Implementation(const RouterSettings& settings,
+                 const platform::SettingsFile& file);
+
+  void Run();
+
+ private:
+  void OnConfig(const RoutingConfig& config) override;
+  void OnTargetNews() override;
+  void OnTargetLost() override;
+  void FillHeartbeat(Heartbeat& heartbeat) override;
+  void OnReply(const HeartbeatReply& reply) override;
+  void OnViewChanged() override;
+
+  Task<> TickLoop();
+  Task<> WatchSettings();
+  Task<> AwaitSignals();
+  Task<> Stop();
+  void Reload(const char* cause);
+  bool IsReady() const;
+  HttpResponse AnswerStatus(const HttpRequest& request) const;
+  std::string DumpState() const;
+  std::string DumpMetrics() const;
+
+  const RouterSettings m_settings;
+  platform::SettingsFile m_file;
+  const SteadyClock m_clock{};
+  const MeshTiming m_timing{};
+  boost::asio::io_context m_loop{1};
+  const platform::PlatformDialect m_dialect{};
+  const platform::ConfigDocument m_decoder{};
+  AsyncConnectionPool m_target_pool;
+  AsyncConnectionPool m_peer_pool;
+  AsyncConnectionPool m_store_pool;
+  platform::PlatformStore m_store;
+  ConfigFollower m_config;
+  TargetKeeper m_keeper;
+  TargetGateway m_gateway;
+  InstanceChooser m_chooser;
+  MeshAgent m_agent;
+  RouterMetrics m_metrics;
+  RequestLog m_log;
+  RequestRouter m_router;
+  WorkHandler m_work_handler;
+  ReportHandler m_report_handler;
+  SimpleHandler m_readiness_handler;
+  SimpleHandler m_status_handler;
+  AsyncHttpServer m_callers;
+  AsyncHttpServer m_work;
+  AsyncHttpServer m_peers;
+  AsyncHttpServer m_reports;
+  AsyncHttpServer m_readiness;
+  AsyncHttpServer m_status;
+  bool m_is_stopping = false;
+};
+
+RouterNode::Implementation::Implementation(const RouterSettings& settings,
+                                           const platform::SettingsFile& file)
+    : m_settings(settings),
+      m_file(file),
+      m_target_pool(m_loop, m_clock, {}),
+      m_peer_pool(m_loop, m_clock, {}),
+      m_store_pool(m_loop, m_clock, {}),
+      m_store(m_store_pool, {file.store}),
+      m_config(m_loop, m_clock, m_store, m_decoder, *this),
+      m_keeper(m_loop,
+               m_clock,
+               KeeperSettings(file),
+               m_dialect,
+               m_target_pool,
+               *this),
+      m_gateway(m_loop, m_clock, m_dialect, m_keeper, m_target_pool),
+      m_chooser(m_clock, file.zone),
+      m_agent(m_loop,
+              m_clock,
+              m_timing,
+              {OwnAddress(file, 0).ToString(), file.work.ToString(), file.zone},
+              m_store,
+              m_config,
+              m_peer_pool,
+              *this),
+      m_log(m_clock,
+            {settings.log_failures_per_second,
+             settings.log_successes_per_second}),
+      m_router({m_loop, m_clock, m_dialect, m_config, m_agent, m_gateway,
+                m_chooser, m_peer_pool, m_metrics, m_log},
+               file.service),
+      m_work_handler(m_gateway, m_log),
+      m_report_handler(m_keeper),
+      m_readiness_handler([this](const HttpRequest&) {
+        return Respond(IsReady() ? kOk : kUnavailable);
+      }),
+      m_status_handler(
+          [this](const HttpRequest& request) { return AnswerStatus(request); }),
+      m_callers(m_loop, m_clock, CallerServer(settings, file), m_router),
+      m_work(m_loop, m_clock, WorkServer(file), m_work_handler),
+      m_peers(m_loop, m_clock, ServerAt(OwnAddress(file, 0)), m_agent),
+      m_reports(m_loop, m_clock, StatusServer(file.reports), m_report_handler),
+      m_readiness(m_loop,
+                  m_clock,
+                  StatusServer(file.readiness),
+                  m_readiness_handler),
+      m_status(m_loop,
+               m_clock,
+               StatusServer(OwnAddress(file, 1)),
+               m_status_handler) {}
+
+void RouterNode::Implementation::Run() {
+  spdlog::info(
+      "event=started node={} zone={} service={} callers={} target={} store={}",
+      m_file.node_name, m_file.zone, m_file.service, m_file.callers.ToString(),
+      m_file.target.ToString(), m_file.store.ToString());
+  m_config.Start([this] { return m_agent.follows_store(); });
+  m_agent.Start();
+  boost::asio::co_spawn(m_loop, TickLoop(), boost::asio::detached);
+  boost::asio::co_spawn(m_loop, WatchSettings(), boost::asio::detached);
+  boost::asio::co_spawn(m_loop, AwaitSignals(), boost::asio::detached);
+  m_loop.run();
+}
+
+void RouterNode::Implementation::OnConfig(const RoutingConfig& config) {
+  std::set<std::string> divided;
+  for (const auto& [name, service] : config.services) {
+    if (service.is_divided_by_key)
+      divided.insert(name);
+  }
+  m_agent.SetDividedServices(std::move(divided));
+  m_callers.SetIdleTimeout(config.limits.idle_timeout);
+}
+
+void RouterNode::Implementation::OnTargetNews() {
+  m_agent.Urge();
+}
+
+void RouterNode::Implementation::OnTargetLost() {
+  m_gateway.OnTargetLost();
+}
+
+void RouterNode::Implementation::FillHeartbeat(Heartbeat& heartbeat) {
+  heartbeat.target = m_keeper.ForHeartbeat();
+  heartbeat.released = m_keeper.ReleasedForHeartbeat();
+  heartbeat.arrivals = m_gateway.TakeArrivals();
+  heartbeat.mean_work_us = m_gateway.mean_work_us();
+  heartbeat.crash_suspects = m_gateway.TakeCrashSuspects();
+}
+
+void RouterNode::Implementation::OnReply(const HeartbeatReply& reply) {
+  m_keeper.SetLease(m_agent.lease_until());
+  for (const HeartbeatReply::ReleaseOrder& order : reply.releases)
+    m_keeper.OnReleaseOrder(order);
+  if (!reply.releases.empty())
+    m_keeper.Tick();
+  if (!reply.crash_suspects.empty())
+    m_gateway.MergeCrashSuspects(reply.crash_suspects);
+}
+
+void RouterNode::Implementation::OnViewChanged() {
+  m_keeper.OnView(m_agent.view(), m_agent.identity().address);
+  m_chooser.Refresh(m_agent.view());
+  const std::size_t nodes =
+      std::max<std::size_t>(1, m_agent.view().members().size());
+  m_router.SetRetryShare(m_file.extra_retries * kRetryPart /
+                         static_cast<double>(nodes));
+  m_router.OnViewChanged();
+}
+
+Task<> RouterNode::Implementation::TickLoop() {
+  boost::asio::steady_timer timer(m_loop);
+  int ticks = 0;
+  while (true) {
+    timer.expires_after(kTick);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    m_keeper.OnView(m_agent.view(), m_agent.identity().address);
+    m_keeper.Tick();
+    m_gateway.Tick();
+    if (++ticks % kTicksPerRefresh != 0)
+      continue;
+    m_chooser.Refresh(m_agent.view());
+    m_target_pool.Sweep();
+    m_peer_pool.Sweep();
+    m_store_pool.Sweep();
+  }
+}
+
+Task<> RouterNode::Implementation::WatchSettings() {
+  boost::asio::steady_timer timer(m_loop);
+  while (true) {
+    timer.expires_after(m_settings.settings_check);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    Reload("file-changed");
+  }
+}
+
+void RouterNode::Implementation::Reload(const char* cause) {
+  try {
+    const auto file = platform::SettingsFile::Read(m_settings.settings_file);
+    if (file == m_file)
+      return;
+    spdlog::info("event=settings-reloaded cause={} service={}", cause,
+                 file.service);
+    // Addresses stay: they belong to the host, and sockets listen on them.
+    m_file.service = file.service;
+    m_file.extra_retries = file.extra_retries;
+    m_router.SetOriginService(file.service);
+  } catch (const platform::SettingsFileError& error) {
+    spdlog::error("event=settings-unreadable cause={} reason=\"{}\"", cause,
+                  error.what());
+  }
+}
+
+Task<> RouterNode::Implementation::AwaitSignals() {
+  boost::asio::signal_set signals(m_loop, SIGTERM, SIGINT, SIGHUP);
+  while (true) {
+    const int number = co_await signals.async_wait(boost::asio::use_awaitable);
+    if (number == SIGHUP) {
+      Reload("signal");
+      continue;
+    }
+    if (std::exchange(m_is_stopping, true))
+      continue;
+    spdlog::info("event=stopping signal={}", number);
+    boost::asio::co_spawn(m_loop, Stop(), boost::asio::detached);
+  }
+}
+
+Task<> RouterNode::Implementation::Stop() {
+  boost::asio::steady_timer timer(m_loop);
+  const Clock::TimePoint began = m_clock.Now();
+  m_agent.SetLeaving();
+  const auto passed = [this, began] { return m_clock.Now() - began; };
+  while (passed() < kUnreadyBeforeClose ||
+         (!m_keeper.HasNothingToGiveBack() && passed() < kLongestHandover)) {
+    timer.expires_after(kTick);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+  m_callers.Close();
+  m_work.Close();
+  const auto longest = m_file.grace - kBeforeKill;
+  while (m_callers.in_flight() + m_work.in_flight() > 0 && passed() < longest) {
+    timer.expires_after(kTick);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+  spdlog::info("event=stopped in_flight={} held_ranges={}",
+               m_callers.in_flight() + m_work.in_flight(),
+               m_keeper.held_range_count());
+  m_loop.stop();
+}
+
+bool RouterNode::Implementation::IsReady() const {
+  return !m_is_stopping && m_config.version() > 0 && m_agent.view().epoch() > 0;
+}
+
+HttpResponse RouterNode::Implementation::AnswerStatus(
+    const HttpRequest& request) const {
+  if (request.target == "/metrics")
+    return Respond(kOk, DumpMetrics());
+  if (request.target == "/state")
+    return Respond(kOk, DumpState());
+  return Respond(kNotFound);
+}
+
+std::string RouterNode::Implementation::DumpState() const {
+  using Json = nlohmann::json;
+  Json state;
+  state["node"] = m_file.node_name;
+  state["zone"] = m_file.zone;
+  state["is_leader"] = m_agent.is_leader();
+  state["leader"] = m_agent.leader_address();
+  state["epoch"] = m_agent.view().epoch();
+  state["view_version"] = m_agent.view().version();
+  state["lease_left_ms"] = std::chrono::duration_cast<milliseconds>(
+                               m_agent.lease_until() - m_clock.Now())
+                               .count();
+  state["config_version"] = m_config.version();
+  state["target"] = {{"id", m_keeper.life().id},
+                     {"service", m_keeper.service()},
+                     {"serves", m_keeper.IsServing()},
+                     {"held_ranges", m_keeper.held_range_count()},
+                     {"running", m_gateway.running()},
+                     {"waiting", m_gateway.waiting()}};
+  for (const MeshMember* member : m_agent.view().members()) {
+    state["members"].push_back({{"address", member->address},
+                                {"service", member->service},
+                                {"zone", member->zone},
+                                {"target", member->target.id},
+                                {"state", static_cast<int>(member->state)}});
+  }
+  for (const auto& [service, table] : m_agent.view().tables()) {
+    for (const OwnedRun& run : table.runs()) {
+      state["runs"][service].push_back(
+          {run.range.first_key(), run.range.last_key(), run.owner, run.fence});
+    }
+  }
+  return state.dump(2);
+}
+
+std::string RouterNode::Implementation::DumpMetrics() const {
+  std::string text = m_metrics.ToText();
+  const auto add = [&text](const char* name, double value) {
+    text += std::string(name) + " " + std::to_string(value) + "\n";
+  };
+  const TargetGateway::Counts& counts = m_gateway.counts();
+  add("citrongrade_target_offered_total", static_cast<double>(counts.offered));
+  add("citrongrade_target_answered_total",
+      static_cast<double>(counts.answered));
+  add("citrongrade_target_not_run_total", static_cast<double>(counts.not_run));
+  add("citrongrade_target_unknown_total", static_cast<double>(counts.unknown));
+  add("citrongrade_target_running", static_cast<double>(m_gateway.running()));
+  add("citrongrade_target_waiting", static_cast<double>(m_gateway.waiting()));
+  add("citrongrade_target_mean_work_seconds", m_gateway.mean_work_us() / 1e6);
+  add("citrongrade_target_connections_opened_total",
+      static_cast<double>(m_target_pool.opened()));
+  add("citrongrade_held_ranges",
+      static_cast<double>(m_keeper.held_range_count()));
+  add("citrongrade_is_leader", m_agent.is_leader() ? 1 : 0);
+  add("citrongrade_epoch", static_cast<double>(m_agent.view().epoch()));
+  add("citrongrade_lease_left_seconds",
+      std::chrono::duration<double>(m_agent.lease_until() - m_clock.Now())
+          .count());
+  add("citrongrade_config_version", static_cast<double>(m_config.version()));
+  add("citrongrade_store_calls_total",
+      static_cast<double>(m_store.counts().calls));
+  add("citrongrade_store_calls_failed_total",
+      static_cast<double>(m_store.counts().failed));
+  add("citrongrade_members",
+      static_cast<double>(m_agent.view().members().size()));
+  return text;
+}
+
+RouterNode::RouterNode(const RouterSettings& settings,
+                       const platform::SettingsFile& file)
+    : m_implementation(std::make_unique<Implementation>(settings, file)) {}
+
+RouterNode::~RouterNode() = default;
+
+void RouterNode::Run() {
+  m_implementation->Run();
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/programs/citrongrade-router/router_settings.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <string>
+
+namespace citrongrade {
+
+// Settings of the node's own. What the platform says stands in its file.
+struct RouterSettings {
+  std::string settings_file;
+  bool only_check = false;
+  bool verbose = false;
+  // Log lines a second for each event.
+  double log_failures_per_second = 40;
+  double log_successes_per_second = 2;
+  // How often the settings file is looked at for a change without a signal.
+  std::chrono::milliseconds settings_check{1000};
+  // A longer body is refused: bodies are held whole.
+  std::size_t max_body_bytes = std::size_t{8} << 20U;
+
+  friend auto operator<=>(const RouterSettings&,
+                          const RouterSettings&) = default;
+};
+
+}  // namespace citrongrade
