Publish what an owner loses at once, count retries that reach targets, read what has come before a stop

GONE: a request that was held up came together with its caller's close. BUDGET: tries after a target's own refusal were not counted. CONFIG: the leader and the one node that reads the store beside it were both turned away. LOST: requests that had come but were not read when a stopping node closed.

--- a/modules/coordination/mesh/heartbeat.h
+++ b/modules/coordination/mesh/heartbeat.h
@@ -80,6 +80,8 @@
   std::vector<SlotArrivals> arrivals;
   // Mean time that the target takes for a request; 0 when not known.
   std::uint32_t mean_work_us = 0;
+  // The operators' document, when it is newer than the leader's.
+  std::string config_document;
   // Marks of requests that were running when the target crashed.
   std::vector<std::uint64_t> crash_suspects;
 
--- a/modules/coordination/mesh/heartbeat_reply.h
+++ b/modules/coordination/mesh/heartbeat_reply.h
@@ -37,8 +37,9 @@
   ViewDelta view;
   std::vector<ReleaseOrder> releases;
   std::vector<std::uint64_t> crash_suspects;
-  // The operators' document, as stored, when it is newer than the node's.
+  // Of the leader's configuration.
   std::uint64_t config_version = 0;
+  // The operators' document, as stored, when it is newer than the node's.
   std::string config_document;
 
   friend auto operator<=>(const HeartbeatReply&,
--- a/modules/coordination/mesh/key_assigner.cc
+++ b/modules/coordination/mesh/key_assigner.cc
@@ -278,6 +278,10 @@
   return std::exchange(m_changes, {});
 }
 
+std::vector<KeyAssigner::Change> KeyAssigner::TakeWithdrawals() {
+  return std::exchange(m_withdrawals, {});
+}
+
 std::vector<const KeyAssigner::Member*> KeyAssigner::ReceiversOf(
     const std::string& service) const {
   std::vector<const Member*> receivers;
@@ -355,6 +359,10 @@
 void KeyAssigner::Record(const std::string& service, const OwnedRun& run) {
   m_tables[service].Assign(run);
   m_changes.push_back({service, run});
+  OwnedRun withdrawn = run;
+  withdrawn.owner.clear();
+  withdrawn.life = {};
+  m_withdrawals.push_back({service, withdrawn});
 }
 
 }  // namespace citrongrade
--- a/modules/coordination/mesh/key_assigner.h
+++ b/modules/coordination/mesh/key_assigner.h
@@ -67,6 +67,10 @@
       const std::string& address) const;
 
   std::vector<Change> TakeChanges();
+  // What its owner loses by the changes: to be published at once, before they
+  // are stored. Otherwise an owner that was taken for lost could come back and
+  // get a lease for keys that a stored change is about to give to another.
+  std::vector<Change> TakeWithdrawals();
   std::size_t orders_given() const { return m_orders_given; }
   bool has_changes() const { return !m_changes.empty(); }
   const std::map<std::string, KeyTable>& tables() const { return m_tables; }
@@ -108,6 +112,7 @@
   std::vector<Order> m_orders;
   std::size_t m_orders_given = 0;
   std::vector<Change> m_changes;
+  std::vector<Change> m_withdrawals;
   // By service and slot: requests in this round, and a second.
   std::map<std::string, std::vector<double>> m_counts;
   std::map<std::string, std::vector<double>> m_rates;
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -16,6 +16,8 @@
 constexpr double kColdCapacity = 0.5;
 // Crashes are told to every node once; older ones are known by then.
 constexpr std::size_t kMaxSuspects = 1024;
+// A node that is to read the store has its first answer within this.
+constexpr std::chrono::milliseconds kReaderTrial{600};
 // Keys stay where they are until most nodes have had time to report.
 constexpr std::chrono::milliseconds kFirstReports{700};
 
@@ -93,6 +95,32 @@
   }
   node.last = heartbeat;
   PublishMember(node);
+  PublishWithdrawals();
+}
+
+void MeshLeader::PublishWithdrawals() {
+  for (const KeyAssigner::Change& change : m_assigner.TakeWithdrawals())
+    m_view.Assign(change.service, change.run);
+}
+
+void MeshLeader::ChooseStoreReader() {
+  const Clock::TimePoint now = m_clock.Now();
+  const auto current = m_nodes.find(m_store_reader);
+  if (current != m_nodes.end() && !IsSilent(current->second) &&
+      (current->second.last.store_answers ||
+       now - m_reader_since < kReaderTrial))
+    return;
+  auto next = m_nodes.upper_bound(m_store_reader);
+  for (std::size_t i = 0; i < m_nodes.size(); ++i, ++next) {
+    if (next == m_nodes.end())
+      next = m_nodes.begin();
+    const Node& node = next->second;
+    if (next->first == m_self || IsSilent(node) || node.last.is_leaving)
+      continue;
+    m_store_reader = next->first;
+    m_reader_since = now;
+    return;
+  }
 }
 
 HeartbeatReply MeshLeader::MakeReply(const Heartbeat& heartbeat) {
@@ -113,7 +141,7 @@
   reply.lease_ms = static_cast<std::uint32_t>(m_timing.lease.count());
   node.lease_until = now + m_timing.lease + m_timing.drift;
   reply.releases = m_assigner.OrdersFor(heartbeat.address);
-  reply.follow_store = heartbeat.address == FindSuccessor();
+  reply.follow_store = heartbeat.address == m_store_reader;
   reply.crash_suspects.assign(
       m_crash_suspects.begin() +
           static_cast<std::ptrdiff_t>(node.suspects_seen),
@@ -215,8 +243,14 @@
 void MeshLeader::Tick() {
   for (const auto& [address, node] : m_nodes)
     PublishMember(node);
+  ChooseStoreReader();
   if (!HasAuthority())
     return;
+  MoveKeys();
+  PublishWithdrawals();
+}
+
+void MeshLeader::MoveKeys() {
   m_assigner.SetMembers(AssignableMembers());
   m_assigner.FreeLost([this](const OwnedRun& run) { return IsLost(run); });
   if (!IsSettled())
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -87,6 +87,10 @@
   bool IsSilent(const Node& node) const;
   MeshMember::State StateOf(const Node& node) const;
   void PublishMember(const Node& node);
+  void PublishWithdrawals();
+  void MoveKeys();
+  // Has another node read the store when the one that should can't.
+  void ChooseStoreReader();
   std::vector<KeyAssigner::Member> AssignableMembers() const;
   std::vector<std::string> WantedVoters() const;
   bool IsSettled() const;
@@ -107,6 +111,9 @@
   Clock::TimePoint m_round_began;
   bool m_has_resigned = false;
   std::string m_successor;
+  // The node that reads the store beside this one, and since when.
+  std::string m_store_reader;
+  Clock::TimePoint m_reader_since;
   std::vector<std::uint64_t> m_crash_suspects;
 };
 
--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -37,6 +37,7 @@
   arrivals @21 :List(UInt32);
   meanWorkUs @22 :UInt32;
   crashSuspects @23 :List(UInt64);
+  configDocument @24 :Data;
 
   struct Released {
     service @0 :Text;
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -57,7 +57,7 @@
   struct Released;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 10, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 10, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -341,6 +341,9 @@
   inline bool hasCrashSuspects() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashSuspects() const;
 
+  inline bool hasConfigDocument() const;
+  inline  ::capnp::Data::Reader getConfigDocument() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -475,6 +478,13 @@
   inline void adoptCrashSuspects(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCrashSuspects();
 
+  inline bool hasConfigDocument();
+  inline  ::capnp::Data::Builder getConfigDocument();
+  inline void setConfigDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initConfigDocument(unsigned int size);
+  inline void adoptConfigDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownConfigDocument();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1978,6 +1988,40 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool MeshHeartbeat::Reader::hasConfigDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasConfigDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader MeshHeartbeat::Reader::getConfigDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder MeshHeartbeat::Builder::getConfigDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::setConfigDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder MeshHeartbeat::Builder::initConfigDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeat::Builder::adoptConfigDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> MeshHeartbeat::Builder::disownConfigDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool MeshHeartbeat::Released::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -113,6 +113,16 @@
   return kj::arrayPtr(numbers.data(), numbers.size());
 }
 
+std::string ReadBytes(capnp::Data::Reader bytes) {
+  return std::string(reinterpret_cast<const char*>(bytes.begin()),
+                     bytes.size());
+}
+
+kj::ArrayPtr<const kj::byte> BytesOf(const std::string& bytes) {
+  return kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()),
+                      bytes.size());
+}
+
 void WriteReleased(const std::vector<Heartbeat::Released>& released,
                    rpc::MeshHeartbeat::Builder out) {
   auto list = out.initReleased(static_cast<unsigned>(released.size()));
@@ -174,6 +184,7 @@
     heartbeat.arrivals.push_back({arrivals[i], arrivals[i + 1]});
   heartbeat.mean_work_us = in.getMeanWorkUs();
   heartbeat.crash_suspects = ReadNumbers(in.getCrashSuspects());
+  heartbeat.config_document = ReadBytes(in.getConfigDocument());
   return heartbeat;
 }
 
@@ -199,9 +210,7 @@
   }
   reply.crash_suspects = ReadNumbers(in.getCrashSuspects());
   reply.config_version = in.getConfigVersion();
-  const auto document = in.getConfigDocument();
-  reply.config_document.assign(reinterpret_cast<const char*>(document.begin()),
-                               document.size());
+  reply.config_document = ReadBytes(in.getConfigDocument());
   return reply;
 }
 
@@ -245,6 +254,7 @@
   WriteArrivals(heartbeat.arrivals, out);
   out.setMeanWorkUs(heartbeat.mean_work_us);
   out.setCrashSuspects(NumbersOf(heartbeat.crash_suspects));
+  out.setConfigDocument(BytesOf(heartbeat.config_document));
   return Pack(message);
 }
 
@@ -277,9 +287,7 @@
   }
   out.setCrashSuspects(NumbersOf(reply.crash_suspects));
   out.setConfigVersion(reply.config_version);
-  out.setConfigDocument(kj::arrayPtr(
-      reinterpret_cast<const kj::byte*>(reply.config_document.data()),
-      reply.config_document.size()));
+  out.setConfigDocument(BytesOf(reply.config_document));
   return Pack(message);
 }
 
--- a/modules/transport/async/async_http_server.cc
+++ b/modules/transport/async/async_http_server.cc
@@ -97,6 +97,7 @@
         m_acceptor(loop) {}
 
   void Listen();
+  void StopKeeping() { m_keeps = false; }
   void Close();
   std::size_t in_flight() const { return m_in_flight; }
   std::size_t connection_count() const { return m_sessions.size(); }
@@ -124,6 +125,8 @@
   // False when the connection is to be closed.
   Task<bool> ServeOne(SessionPointer session);
   Task<> Refuse(SessionPointer session, int status);
+  static bool IsClosedByPeer(Session& session);
+  static bool HasUnread(Session& session);
   static void WatchForClose(const SessionPointer& session);
 
   asio::io_context& m_loop;
@@ -133,6 +136,7 @@
   tcp::acceptor m_acceptor;
   std::set<SessionPointer> m_sessions;
   std::size_t m_in_flight = 0;
+  bool m_keeps = true;
   bool m_is_closing = false;
 };
 
@@ -158,7 +162,9 @@
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
   for (const SessionPointer& session : m_sessions) {
-    if (session->is_idle)
+    // A request that has come but was not read yet is still to be answered.
+    if (session->is_idle && session->buffer.size() == 0 &&
+        !HasUnread(*session))
       session->stream.close();
   }
 }
@@ -204,7 +210,7 @@
 }
 
 Task<bool> AsyncHttpServer::Implementation::ServeOne(SessionPointer session) {
-  if (m_is_closing)
+  if (m_is_closing && session->served > 0)
     co_return false;
   Parser parser;
   parser.header_limit(static_cast<std::uint32_t>(m_settings.max_header_bytes));
@@ -252,6 +258,9 @@
   session->stream.expires_never();
   session->context = &context;
   ++session->served;
+  context.SetProbe([session] { return IsClosedByPeer(*session); });
+  if (context.LooksGone())
+    co_return false;
   WatchForClose(session);
   struct Uncover {
     Session& session;
@@ -262,7 +271,7 @@
   session->context = nullptr;
   if (context.is_caller_gone())
     co_return false;
-  const bool stays = keeps_alive && !m_is_closing;
+  const bool stays = keeps_alive && m_keeps && !m_is_closing;
   auto message = MakeMessage(std::move(response), stays);
   session->stream.expires_after(m_settings.read_timeout);
   co_await http::async_write(session->stream, message, asio::use_awaitable);
@@ -277,6 +286,19 @@
   co_await http::async_write(session->stream, message, asio::use_awaitable);
 }
 
+bool AsyncHttpServer::Implementation::HasUnread(Session& session) {
+  char byte = 0;
+  return recv(session.stream.socket().native_handle(), &byte, 1,
+              MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool AsyncHttpServer::Implementation::IsClosedByPeer(Session& session) {
+  char byte = 0;
+  const ssize_t count = recv(session.stream.socket().native_handle(), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void AsyncHttpServer::Implementation::WatchForClose(
     const SessionPointer& session) {
   const std::uint64_t served = session->served;
@@ -285,19 +307,9 @@
       [session, served](const boost::system::error_code& error) {
         if (session->context == nullptr || session->served != served)
           return;
-        char byte = 0;
-        const ssize_t count =
-            error ? 0
-                  : recv(session->stream.socket().native_handle(), &byte, 1,
-                         MSG_PEEK | MSG_DONTWAIT);
         // More bytes are the next request, which waits its turn.
-        if (count > 0)
-          return;
-        if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-          WatchForClose(session);
-          return;
-        }
-        session->context->OnCallerGone();
+        if (error || IsClosedByPeer(*session))
+          session->context->OnCallerGone();
       });
 }
 
@@ -318,6 +330,10 @@
   m_implementation->SetIdleTimeout(timeout);
 }
 
+void AsyncHttpServer::StopKeeping() {
+  m_implementation->StopKeeping();
+}
+
 void AsyncHttpServer::Close() {
   m_implementation->Close();
 }
--- a/modules/transport/async/async_http_server.h
+++ b/modules/transport/async/async_http_server.h
@@ -56,6 +56,9 @@
 
   void SetIdleTimeout(std::chrono::milliseconds timeout);
 
+  // Every answer from now on asks its client to use another connection.
+  void StopKeeping();
+
   // Takes no new connection, closes idle ones, and each other one after the
   // answer that it waits for.
   void Close();
--- a/modules/transport/async/request_context.h
+++ b/modules/transport/async/request_context.h
@@ -21,6 +21,13 @@
   Clock::TimePoint arrived() const { return m_arrived; }
   const std::string& caller_ip() const { return m_caller_ip; }
   bool is_caller_gone() const { return m_is_caller_gone; }
+  // Looks at the connection itself. The close of a caller whose request was
+  // held up on its way comes together with the request, before the event loop
+  // has told of it.
+  bool LooksGone() const {
+    return m_is_caller_gone || (m_probe && m_probe());
+  }
+  void SetProbe(std::function<bool()> probe) { m_probe = std::move(probe); }
 
   // `stop` is called, once, when the caller goes: it makes whatever the request
   // waits for fail. Replaces the one before.
@@ -38,6 +45,7 @@
   const std::string m_caller_ip;
   bool m_is_caller_gone = false;
   std::function<void()> m_stop;
+  std::function<bool()> m_probe;
 };
 
 }  // namespace citrongrade
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -211,6 +211,8 @@
   heartbeat.config_version = m_config.version();
   heartbeat.is_leaving = m_is_leaving;
   heartbeat.store_answers = m_config.store_answers();
+  if (m_config.version() > m_leader_config)
+    heartbeat.config_document = m_config.document();
   m_listener.FillHeartbeat(heartbeat);
   return heartbeat;
 }
@@ -310,6 +312,7 @@
   m_leader_nonce = reply.nonce;
   m_leader_stamp_ns = reply.stamp_ns;
   m_follow_store = reply.follow_store;
+  m_leader_config = reply.config_version;
   if (reply.lease_ms > 0)
     m_lease_until =
         std::max(m_lease_until, sent + milliseconds(reply.lease_ms));
@@ -317,9 +320,10 @@
     m_config.OnDocument(reply.config_document);
   const bool is_news = !reply.view.is_empty();
   m_view.Apply(reply.view);
-  m_listener.OnReply(reply);
+  // First what the node has lost: with the new lease it could hold on to it.
   if (is_news)
     m_listener.OnViewChanged();
+  m_listener.OnReply(reply);
 }
 
 HeartbeatReply MeshAgent::Reply(const Heartbeat& heartbeat) {
@@ -334,10 +338,9 @@
     return reply;
   }
   HeartbeatReply reply = m_leader->MakeReply(heartbeat);
-  if (reply.is_leader && m_config.version() > heartbeat.config_version) {
-    reply.config_version = m_config.version();
+  reply.config_version = m_config.version();
+  if (reply.is_leader && m_config.version() > heartbeat.config_version)
     reply.config_document = m_config.document();
-  }
   return reply;
 }
 
@@ -360,6 +363,8 @@
   const Heartbeat heartbeat = MeshMessageCodec::DecodeHeartbeat(request.body);
   if (m_leader) {
     m_leader->OnHeartbeat(heartbeat);
+    if (!heartbeat.config_document.empty())
+      m_config.OnDocument(heartbeat.config_document);
     if (heartbeat.is_urgent)
       Urge();
     const bool has_news = m_leader->HasNewsFor(heartbeat) ||
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -147,6 +147,8 @@
   Clock::TimePoint m_lease_until;
   MeshView m_view;
   bool m_follow_store = false;
+  // Version of the configuration that the leader has.
+  std::uint64_t m_leader_config = 0;
   bool m_is_leaving = false;
   bool m_was_named = false;
   std::uint64_t m_sequence = 0;
--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -341,7 +341,9 @@
     if (!attempt.is_divided) {
       // Another member, at once, as long as there is one.
       co_return m_dependencies.chooser.HasOther(attempt.order.service,
-                                                attempt.excluded);
+                                                attempt.excluded) &&
+          (!result.has_arrived ||
+           BudgetOf(attempt.order.service).TryRetry(RetryAllowance()));
     }
     if (result.error && IsOverloaded(*result.error))
       co_return false;
@@ -353,6 +355,9 @@
     const Clock::TimePoint until = attempt.arrived + longest;
     if (now >= until)
       co_return false;
+    if (result.has_arrived &&
+        !BudgetOf(attempt.order.service).TryRetry(RetryAllowance()))
+      co_return false;
     co_await AwaitView(std::chrono::ceil<milliseconds>(until - now), context);
     co_return !context.is_caller_gone();
   }
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -212,7 +212,7 @@
                                  error.what(), kRetryAfterTargetLoss);
   }
   // It may have waited: much can have changed since it was let in.
-  if (context.is_caller_gone()) {
+  if (context.LooksGone()) {
     m_pool.GiveBack(address, std::move(connection));
     co_return WorkResult::NotRun(RequestErrorCode::kCancelled,
                                  "its caller is gone");
@@ -275,10 +275,12 @@
 WorkResult TargetGateway::Judge(HttpResponse response,
                                 const TargetAnswerFacts& facts) {
   if (facts.did_not_run) {
-    return WorkResult::NotRun(
+    WorkResult refused = WorkResult::NotRun(
         facts.is_misdirected ? RequestErrorCode::kLeaseLost
                              : RequestErrorCode::kTargetRefused,
         "the target refused it without running it", kRetryAfterRefusal);
+    refused.has_arrived = true;
+    return refused;
   }
   if (!facts.is_genuine) {
     return WorkResult::Unknown(RequestErrorCode::kTruncatedAnswer,
--- a/modules/transport/mesh/work_result.cc
+++ b/modules/transport/mesh/work_result.cc
@@ -11,7 +11,8 @@
 
 namespace {
 
-// "answered", or outcome, number of the error and retry time in ms.
+// "answered", or outcome, number of the error, retry time in ms, and whether
+// the request came to a target.
 constexpr std::string_view kHeader = "Mesh-Result";
 constexpr std::string_view kAnswered = "answered";
 constexpr int kNotRunStatus = 503;
@@ -36,6 +37,7 @@
 WorkResult WorkResult::Answered(HttpResponse response) {
   WorkResult result;
   result.outcome = RequestOutcome::kDone;
+  result.has_arrived = true;
   result.response = std::move(response);
   return result;
 }
@@ -54,6 +56,7 @@
 WorkResult WorkResult::Unknown(RequestErrorCode error, std::string message) {
   WorkResult result;
   result.outcome = RequestOutcome::kUnknown;
+  result.has_arrived = true;
   result.error = error;
   result.message = std::move(message);
   return result;
@@ -71,7 +74,8 @@
   hop.head.headers.push_back(
       {std::string(kHeader), std::to_string(not_run ? 1 : 0) + " " +
                                  std::to_string(static_cast<int>(*error)) +
-                                 " " + std::to_string(retry_after.count())});
+                                 " " + std::to_string(retry_after.count()) + " " +
+                                 std::to_string(has_arrived ? 1 : 0)});
   hop.body = message;
   return hop;
 }
@@ -91,6 +95,7 @@
   const bool not_run = ReadNumber(text) != 0;
   const int error = ReadNumber(text);
   const int retry_ms = ReadNumber(text);
+  const bool has_arrived = ReadNumber(text) != 0;
   if (error < 0 || error > kLastError)
     throw MalformedMessageError("not an error of another node");
   WorkResult result;
@@ -98,6 +103,7 @@
   result.error = static_cast<RequestErrorCode>(error);
   result.message = std::move(response.body);
   result.retry_after = std::chrono::milliseconds(retry_ms);
+  result.has_arrived = has_arrived;
   return result;
 }
 
--- a/modules/transport/mesh/work_result.h
+++ b/modules/transport/mesh/work_result.h
@@ -19,6 +19,8 @@
   std::string message;
   // When another try may do better; zero: not known.
   std::chrono::milliseconds retry_after{0};
+  // The request came to a target, whether it ran or not.
+  bool has_arrived = false;
   // The target's, when it answered.
   HttpResponse response;
 
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -255,6 +255,9 @@
   }
   m_agent.SetDividedServices(std::move(divided));
   m_callers.SetIdleTimeout(config.limits.idle_timeout);
+  // The leader may not have it yet.
+  if (m_agent.follows_store())
+    m_agent.Urge();
 }
 
 void RouterNode::Implementation::OnTargetNews() {
@@ -357,6 +360,7 @@
   const Clock::TimePoint began = m_clock.Now();
   m_agent.SetLeaving();
   const auto passed = [this, began] { return m_clock.Now() - began; };
+  m_callers.StopKeeping();
   while (passed() < kUnreadyBeforeClose ||
          (!m_keeper.HasNothingToGiveBack() && passed() < kLongestHandover)) {
     timer.expires_after(kTick);
@@ -365,7 +369,10 @@
   m_callers.Close();
   m_work.Close();
   const auto longest = m_file.grace - kBeforeKill;
-  while (m_callers.in_flight() + m_work.in_flight() > 0 && passed() < longest) {
+  const auto connections = [this] {
+    return m_callers.connection_count() + m_work.connection_count();
+  };
+  while (connections() > 0 && passed() < longest) {
     timer.expires_after(kTick);
     co_await timer.async_wait(boost::asio::use_awaitable);
   }
