Refuse where nobody may be chosen instead of looking again without a pause

Cause: with no member that may be chosen, the router tried again at once until the request's time was over: the event loop stood still for up to 1.2 s, its lease and heartbeats with it.

--- a/modules/coordination/mesh/hold_book.cc
+++ b/modules/coordination/mesh/hold_book.cc
@@ -226,6 +226,11 @@
          m_clock.Now() < hold->serve_until;
 }
 
+bool HoldBook::IsComing(std::uint32_t slot) const {
+  const Hold* hold = FindHold(slot);
+  return hold != nullptr && hold->state == State::kWanted;
+}
+
 bool HoldBook::IsLeaving(std::uint32_t slot) const {
   const Hold* hold = FindHold(slot);
   return hold != nullptr &&
--- a/modules/coordination/mesh/hold_book.h
+++ b/modules/coordination/mesh/hold_book.h
@@ -82,6 +82,8 @@
   void OnReleaseUnanswered(std::uint64_t id);
 
   bool MayServe(std::uint32_t slot) const;
+  // The view gives it to this target, which has not confirmed a grant yet.
+  bool IsComing(std::uint32_t slot) const;
   // It is about to be served elsewhere.
   bool IsLeaving(std::uint32_t slot) const;
   std::vector<ReturnedRange> Returned();
--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -39,6 +39,8 @@
 // A key that changes hands has its new owner in a few tens of milliseconds
 // once the work that runs on it has ended.
 constexpr milliseconds kAwaitOwner{450};
+constexpr milliseconds kAwaitMember{150};
+constexpr milliseconds kFirstLook{20};
 constexpr milliseconds kRetryAfterNoOwner{300};
 constexpr milliseconds kShortestRetryAfter{40};
 // Callers come back within this part of their time, or not at all.
@@ -201,9 +203,9 @@
   while (true) {
     WorkResult result;
     const std::optional<std::string> member = FindMember(attempt);
+    ++attempt.tries;
     if (member) {
       const Clock::TimePoint started = clock.Now();
-      ++attempt.tries;
       result = co_await Send(request, *member, attempt, context);
       const auto took =
           std::chrono::duration_cast<milliseconds>(clock.Now() - started);
@@ -339,6 +341,11 @@
         result.error == RequestErrorCode::kCancelled)
       co_return false;
     if (!attempt.is_divided) {
+      // Nobody may be chosen: those who come back, or come new, show in a view.
+      if (result.error == RequestErrorCode::kNoOwner) {
+        co_await AwaitView(std::min(kAwaitMember, left / 4), context);
+        co_return attempt.tries == 1 && !context.is_caller_gone();
+      }
       // Another member, at once, as long as there is one.
       co_return m_dependencies.chooser.HasOther(attempt.order.service,
                                                 attempt.excluded) &&
@@ -347,10 +354,6 @@
     }
     if (result.error && IsOverloaded(*result.error))
       co_return false;
-    const KeyTable* table =
-        m_dependencies.agent.view().FindTable(attempt.order.service);
-    if (table == nullptr)
-      co_return false;
     const milliseconds longest = std::min(kAwaitOwner, left / 2);
     const Clock::TimePoint until = attempt.arrived + longest;
     if (now >= until)
@@ -358,7 +361,11 @@
     if (result.has_arrived &&
         !BudgetOf(attempt.order.service).TryRetry(RetryAllowance()))
       co_return false;
-    co_await AwaitView(std::chrono::ceil<milliseconds>(until - now), context);
+    // The owner may be ahead of this node's view, or behind it: another look
+    // after a while, or as soon as the key's owner is another.
+    const milliseconds pause = kFirstLook * (1 << std::min(attempt.tries, 3U));
+    const Clock::TimePoint next = std::min(until, now + pause);
+    co_await AwaitOwner(attempt, next, context);
     co_return !context.is_caller_gone();
   }
   if (!route.is_idempotent || attempt.runs >= route.max_attempts)
@@ -372,6 +379,28 @@
   co_return BudgetOf(attempt.order.service).TryRetry(RetryAllowance());
 }
 
+std::uint64_t RequestRouter::FenceOf(const Attempt& attempt) const {
+  const KeyTable* table =
+      m_dependencies.agent.view().FindTable(attempt.order.service);
+  if (table == nullptr || *attempt.order.key >= kKeyCount)
+    return 0;
+  const OwnedRun& run = table->Find(SlotOfKey(*attempt.order.key));
+  return run.has_owner() ? run.fence : 0;
+}
+
+Task<> RequestRouter::AwaitOwner(const Attempt& attempt,
+                                 Clock::TimePoint until,
+                                 RequestContext& context) {
+  const std::uint64_t fence = FenceOf(attempt);
+  while (!context.is_caller_gone() &&
+         (FenceOf(attempt) == fence || FenceOf(attempt) == 0)) {
+    const Clock::TimePoint now = m_dependencies.clock.Now();
+    if (now >= until)
+      co_return;
+    co_await AwaitView(std::chrono::ceil<milliseconds>(until - now), context);
+  }
+}
+
 Task<> RequestRouter::AwaitView(milliseconds longest, RequestContext& context) {
   auto waiting = std::make_shared<Waiting>(m_dependencies.loop);
   waiting->timer.expires_after(longest);
--- a/modules/transport/mesh/request_router.h
+++ b/modules/transport/mesh/request_router.h
@@ -92,6 +92,11 @@
                          const RouteRule& route,
                          Attempt& attempt,
                          RequestContext& context);
+  // Fencing token under which the request's key is owned; 0: by nobody.
+  std::uint64_t FenceOf(const Attempt& attempt) const;
+  Task<> AwaitOwner(const Attempt& attempt,
+                    Clock::TimePoint until,
+                    RequestContext& context);
   Task<> AwaitView(std::chrono::milliseconds longest, RequestContext& context);
   std::string ChooseService(const RouteRule& route);
   RetryBudget& BudgetOf(const std::string& service);
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -37,6 +37,10 @@
 constexpr milliseconds kWayBack{5};
 // Connections that break within this time broke for the same reason.
 constexpr milliseconds kOneCrash{1000};
+// A target confirms a grant in a few milliseconds; one that leaves it
+// unanswered is asked again after HoldBook::kCallTimeout.
+constexpr milliseconds kAwaitGrant{150};
+constexpr milliseconds kGrantPoll{8};
 constexpr milliseconds kRetryAfterMove{60};
 constexpr milliseconds kRetryAfterTargetLoss{300};
 constexpr milliseconds kRetryAfterRefusal{100};
@@ -113,10 +117,13 @@
     return std::nullopt;
   const std::uint32_t slot = SlotOfKey(*order.key);
   if (!m_keeper.MayServe(slot)) {
-    return WorkResult::NotRun(RequestErrorCode::kLeaseLost,
-                              m_keeper.IsLeaving(slot)
-                                  ? "the key moves to another target"
-                                  : "the target does not hold the key",
+    if (m_keeper.IsLeaving(slot)) {
+      return WorkResult::NotRun(RequestErrorCode::kLeaseLost,
+                                "the key moves to another target",
+                                kRetryAfterMove);
+    }
+    return WorkResult::NotRun(RequestErrorCode::kNoOwner,
+                              "the target does not hold the key",
                               kRetryAfterMove);
   }
   return std::nullopt;
@@ -130,6 +137,8 @@
     ++m_arrivals[SlotOfKey(*order.key)];
   const Clock::TimePoint now = m_clock.Now();
   const Clock::TimePoint deadline = now + order.time_left;
+  if (order.key && m_keeper.IsComing(SlotOfKey(*order.key)))
+    co_await AwaitGrant(order);
   if (auto obstacle = FindObstacle(order)) {
     Count(*obstacle);
     co_return *obstacle;
@@ -156,6 +165,17 @@
   co_return result;
 }
 
+Task<> TargetGateway::AwaitGrant(const WorkOrder& order) {
+  const std::uint32_t slot = SlotOfKey(*order.key);
+  const Clock::TimePoint give_up =
+      m_clock.Now() + std::min(kAwaitGrant, order.time_left / 3);
+  boost::asio::steady_timer timer(m_loop);
+  while (m_keeper.IsComing(slot) && m_clock.Now() < give_up) {
+    timer.expires_after(kGrantPoll);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+}
+
 Task<WorkResult> TargetGateway::AwaitTurn(const WorkOrder& order,
                                           RequestTicket ticket,
                                           RequestContext& context) {
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -78,6 +78,8 @@
     Clock::TimePoint when;
   };
 
+  // Waits a little for a grant that is on its way to the target.
+  Task<> AwaitGrant(const WorkOrder& order);
   // Why it can't be passed on now; nothing when it can.
   std::optional<WorkResult> FindObstacle(const WorkOrder& order) const;
   Task<WorkResult> AwaitTurn(const WorkOrder& order,
--- a/modules/transport/mesh/target_keeper.h
+++ b/modules/transport/mesh/target_keeper.h
@@ -85,6 +85,7 @@
   // It may be given work now, as far as its own state goes.
   bool IsServing() const;
   bool MayServe(std::uint32_t slot) const { return m_holds.MayServe(slot); }
+  bool IsComing(std::uint32_t slot) const { return m_holds.IsComing(slot); }
   bool IsLeaving(std::uint32_t slot) const { return m_holds.IsLeaving(slot); }
   const TargetLife& life() const { return m_life; }
   const std::string& service() const { return m_service; }
--- a/programs/citrongrade-router/main.cc
+++ b/programs/citrongrade-router/main.cc
@@ -26,7 +26,6 @@
   auto logger =
       spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("router");
   logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e level=%l %v");
-  logger->flush_on(spdlog::level::info);
   if (verbose)
     logger->set_level(spdlog::level::debug);
   spdlog::set_default_logger(std::move(logger));
--- a/programs/citrongrade-router/router_settings.h
+++ b/programs/citrongrade-router/router_settings.h
@@ -13,8 +13,8 @@
   bool only_check = false;
   bool verbose = false;
   // Log lines a second for each event.
-  double log_failures_per_second = 40;
-  double log_successes_per_second = 2;
+  double log_failures_per_second = 10;
+  double log_successes_per_second = 1;
   // How often the settings file is looked at for a change without a signal.
   std::chrono::milliseconds settings_check{1000};
   // A longer body is refused: bodies are held whole.
