--- a/modules/coordination/mesh/hold_book.cc
+++ b/modules/coordination/mesh/hold_book.cc
@@ -15,6 +15,9 @@
 constexpr milliseconds kServeMargin{15};
 // What a clock that runs slow adds to the longest hold.
 constexpr milliseconds kClockSlack{40};
+// Grants that an earlier process of this node left without an answer may hold
+// for so long after its end: as long as a lease lasts.
+constexpr milliseconds kEarlierProcess{2000};
 // A hold for less is not worth a call.
 constexpr milliseconds kShortestHold{60};
 
@@ -26,7 +29,8 @@
 
 }  // namespace
 
-HoldBook::HoldBook(const Clock& clock) : m_clock(clock) {}
+HoldBook::HoldBook(const Clock& clock)
+    : m_clock(clock), m_earlier_until(clock.Now() + kEarlierProcess) {}
 
 void HoldBook::SplitAt(std::uint32_t slot) {
   for (std::size_t i = 0; i < m_holds.size(); ++i) {
@@ -81,6 +85,7 @@
       hold.fence = run.fence;
       hold.handover = run.handover;
       hold.next_call = m_clock.Now();
+      hold.unanswered_until = m_earlier_until;
       next.push_back(std::move(hold));
     };
     for (Hold& hold : m_holds) {
@@ -114,11 +119,8 @@
     if (!range.Contains(hold.range) || hold.fence != fence ||
         hold.state == State::kReleasing || hold.state == State::kReturned)
       continue;
-    const bool was_never_granted = hold.call_sent == Clock::TimePoint();
-    hold.state = was_never_granted ? State::kReturned : State::kReleasing;
-    // Nobody has touched the keys since: what the last holder gave still fits.
-    if (was_never_granted)
-      hold.returned_handover = hold.handover;
+    // Also what this process has never granted: an earlier one may have.
+    hold.state = State::kReleasing;
     hold.next_call = m_clock.Now();
   }
 }
@@ -203,7 +205,9 @@
 void HoldBook::OnReleased(std::uint64_t id, const std::string& handover) {
   ForCall(id, [&handover](Hold& hold) {
     hold.is_released = true;
-    hold.returned_handover = handover;
+    // A target that held nothing hands nothing over, and nobody has touched the
+    // keys since the holder before.
+    hold.returned_handover = handover.empty() ? hold.handover : handover;
   });
 }
 
--- a/modules/coordination/mesh/hold_book.h
+++ b/modules/coordination/mesh/hold_book.h
@@ -123,6 +123,8 @@
   void ForCall(std::uint64_t id, Change change);
 
   const Clock& m_clock;
+  // What an earlier process of this node granted may hold until then.
+  const Clock::TimePoint m_earlier_until;
   // In the order of their slots.
   std::vector<Hold> m_holds;
   std::uint64_t m_next_id = 1;
