--- /dev/null
+++ b/modules/coordination/load/target_admission_test.cc
@@ -0,0 +1,218 @@
+#include "modules/coordination/load/target_admission.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <random>
+
+#include "modules/coordination/manual_clock.h"
+
+namespace citrongrade {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kSlots = 8;
+constexpr milliseconds kWork{100};
+
+// A target that takes `work` for each request, and the callers' view of it.
+class Player {
+ public:
+  struct Outcome {
+    int in_aim = 0;
+    int late = 0;
+    int refused = 0;
+    // Refused only after it had waited for long.
+    int refused_late = 0;
+  };
+
+  Player() {
+    TargetAdmission::Parameters parameters;
+    parameters.slots = kSlots;
+    parameters.assumed_work = kWork;
+    m_admission = std::make_unique<TargetAdmission>(m_clock, parameters);
+  }
+
+  void Arrive(const std::string& kind,
+              std::uint32_t priority,
+              milliseconds aim,
+              milliseconds deadline,
+              milliseconds work) {
+    TargetAdmission::Request request;
+    request.ticket = m_next;
+    m_next = m_next.Next();
+    request.kind = kind;
+    request.priority = priority;
+    request.aim = m_clock.Now() + aim;
+    request.deadline = m_clock.Now() + deadline;
+    m_requests.emplace(request.ticket, Entry{request, work, m_clock.Now(), {}});
+    switch (m_admission->Offer(request)) {
+      case TargetAdmission::Verdict::kAdmitted:
+        Start(request.ticket);
+        break;
+      case TargetAdmission::Verdict::kRefused:
+        Refuse(request.ticket);
+        break;
+      case TargetAdmission::Verdict::kWaits:
+        break;
+    }
+  }
+
+  void Step(milliseconds step) {
+    m_clock.Advance(step);
+    std::vector<RequestTicket> ended;
+    for (const auto& [ticket, ends] : m_running) {
+      if (ends <= m_clock.Now())
+        ended.push_back(ticket);
+    }
+    for (const RequestTicket ticket : ended)
+      Finish(ticket);
+    Apply(m_admission->Poll());
+  }
+
+  const Outcome& of(const std::string& kind) { return m_outcomes[kind]; }
+  TargetAdmission& admission() { return *m_admission; }
+  ManualClock& clock() { return m_clock; }
+
+ private:
+  struct Entry {
+    TargetAdmission::Request request;
+    milliseconds work{0};
+    Clock::TimePoint arrived;
+    Clock::TimePoint started;
+  };
+
+  void Start(RequestTicket ticket) {
+    Entry& entry = m_requests.at(ticket);
+    entry.started = m_clock.Now();
+    m_running[ticket] = m_clock.Now() + entry.work;
+  }
+
+  void Refuse(RequestTicket ticket) {
+    const Entry& entry = m_requests.at(ticket);
+    Outcome& outcome = m_outcomes[entry.request.kind];
+    ++outcome.refused;
+    const auto waited = m_clock.Now() - entry.arrived;
+    outcome.refused_late +=
+        waited > (entry.request.deadline - entry.arrived) * 3 / 4 ? 1 : 0;
+    m_requests.erase(ticket);
+  }
+
+  void Finish(RequestTicket ticket) {
+    const Entry entry = m_requests.at(ticket);
+    Outcome& outcome = m_outcomes[entry.request.kind];
+    ++(m_clock.Now() <= entry.request.aim ? outcome.in_aim : outcome.late);
+    m_requests.erase(ticket);
+    m_running.erase(ticket);
+    m_admission->OnFinished(ticket, m_clock.Now() - entry.started);
+    Apply(m_admission->Poll());
+  }
+
+  void Apply(const TargetAdmission::Changes& changes) {
+    for (const RequestTicket ticket : changes.admitted)
+      Start(ticket);
+    for (const RequestTicket ticket : changes.refused)
+      Refuse(ticket);
+  }
+
+  ManualClock m_clock;
+  std::unique_ptr<TargetAdmission> m_admission;
+  RequestTicket m_next{1};
+  std::map<RequestTicket, Entry> m_requests;
+  std::map<RequestTicket, Clock::TimePoint> m_running;
+  std::map<std::string, Outcome> m_outcomes;
+};
+
+constexpr milliseconds kAim{400};
+constexpr milliseconds kDeadline{1000};
+
+}  // namespace
+
+// A burst: three times the capacity for a second, then half of it. First come
+// first served would make every answer late until the excess has drained.
+TEST_CASE("a burst leaves those in time who still can be") {
+  Player player;
+  for (int i = 0; i < 250; ++i) {
+    player.Arrive("read", 1, kAim, kDeadline, kWork);
+    player.Step(milliseconds(4));
+  }
+  for (int i = 0; i < 120; ++i) {
+    player.Arrive("read", 1, kAim, kDeadline, kWork);
+    player.Step(milliseconds(25));
+  }
+  const Player::Outcome outcome = player.of("read");
+  CHECK(outcome.in_aim >= 180);
+  // 80 a second can be done in the burst, and all 120 that come after it; some
+  // 35 more wait until after the burst.
+  CHECK(outcome.in_aim + outcome.late >= 230);
+  CHECK(outcome.refused <= 140);
+  CHECK(outcome.refused_late <= 15);
+}
+
+// Saturation at 1.5 times the capacity by two kinds: the urgent one is served
+// as if the other were not there, and the other gets what is left.
+TEST_CASE("urgent requests go before others, and others are not starved") {
+  Player player;
+  for (int i = 0; i < 1500; ++i) {
+    if (i % 3 == 0)
+      player.Arrive("lock", 1, kAim, kDeadline, kWork);
+    else
+      player.Arrive("read", 2, kAim, kDeadline, kWork);
+    player.Step(milliseconds(8));
+  }
+  CHECK(player.of("lock").in_aim >= 480);
+  CHECK(player.of("lock").refused <= 5);
+  CHECK(player.of("read").in_aim + player.of("read").late >= 350);
+}
+
+// Long work among short: a kind's own time decides whether it can still be
+// done.
+TEST_CASE("work that can't be done in time is refused at once") {
+  Player player;
+  for (std::size_t i = 0; i < kSlots; ++i)
+    player.Arrive("long", 1, kAim, milliseconds(5000), milliseconds(2000));
+  player.Step(milliseconds(2000));
+  player.Step(milliseconds(1));
+  REQUIRE(player.of("long").in_aim + player.of("long").late == kSlots);
+  for (int i = 0; i < 8; ++i) {
+    player.Arrive("long", 1, kAim, milliseconds(900), milliseconds(2000));
+  }
+  CHECK(player.of("long").refused == 0);
+  player.Arrive("late", 1, kAim, milliseconds(15), kWork);
+  CHECK(player.of("late").refused == 1);
+}
+
+// A target that turned slow: what waits is given up when that shows, not at its
+// deadline, so that its caller can try elsewhere or later.
+TEST_CASE("what has become hopeless is refused before its deadline") {
+  Player player;
+  for (int i = 0; i < 40; ++i)
+    player.Arrive("read", 1, kAim, kDeadline, milliseconds(900));
+  for (int i = 0; i < 130; ++i)
+    player.Step(milliseconds(10));
+  CHECK(player.of("read").refused >= 20);
+  CHECK(player.of("read").refused_late <= 16);
+}
+
+TEST_CASE("a request that is withdrawn leaves its place to the next") {
+  Player player;
+  for (std::size_t i = 0; i < kSlots + 2; ++i)
+    player.Arrive("read", 1, kAim, kDeadline, kWork);
+  REQUIRE(player.admission().waiting() == 2);
+  CHECK(player.admission().Withdraw(RequestTicket(kSlots + 1)));
+  CHECK_FALSE(player.admission().Withdraw(RequestTicket(kSlots + 1)));
+  CHECK(player.admission().waiting() == 1);
+}
+
+TEST_CASE("what waits at saturation drains within the time told to callers") {
+  Player player;
+  for (std::size_t i = 0; i < kSlots * 3; ++i)
+    player.Arrive("read", 1, kAim, kDeadline, kWork);
+  const auto drain = player.admission().DrainTime();
+  CHECK(drain >= milliseconds(100));
+  CHECK(drain <= milliseconds(300));
+}
+
+}  // namespace citrongrade
--- a/modules/coordination/mesh/key_assigner.cc
+++ b/modules/coordination/mesh/key_assigner.cc
@@ -1,5 +1,7 @@
 #include "modules/coordination/mesh/key_assigner.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -9,7 +11,7 @@
 
 // Part of a rate that one round of counting replaces. With rounds of 250 ms a
 // hot spot shows in half a second, and noise of a few requests does not.
-constexpr double kRoundShare = 0.3;
+constexpr float kRoundShare = 0.3F;
 // Weight of a slot without arrivals, as part of the mean of all.
 constexpr double kIdleWeight = 0.1;
 // A fence holds the leader's epoch above a count of its grants.
@@ -37,20 +39,21 @@
     const std::vector<Heartbeat::SlotArrivals>& arrivals) {
   if (arrivals.empty())
     return;
-  std::vector<double>& counts = m_counts[service];
+  std::vector<float>& counts = m_counts[service];
   counts.resize(kSlotCount, 0);
   for (const Heartbeat::SlotArrivals& slot : arrivals) {
     if (slot.slot < kSlotCount)
-      counts[slot.slot] += slot.count;
+      counts[slot.slot] += static_cast<float>(slot.count);
   }
 }
 
 void KeyAssigner::EndRound(double seconds) {
   for (auto& [service, counts] : m_counts) {
-    std::vector<double>& rates = m_rates[service];
+    std::vector<float>& rates = m_rates[service];
     rates.resize(kSlotCount, 0);
     for (std::uint32_t slot = 0; slot < kSlotCount; ++slot) {
-      rates[slot] += kRoundShare * (counts[slot] / seconds - rates[slot]);
+      const auto rate = static_cast<float>(counts[slot] / seconds);
+      rates[slot] += kRoundShare * (rate - rates[slot]);
       counts[slot] = 0;
     }
   }
@@ -112,18 +115,10 @@
 
 void KeyAssigner::PlaceRun(const std::string& service, const OwnedRun& run) {
   const std::vector<const Member*> receivers = ReceiversOf(service);
-  const std::vector<double> weights = WeightsOf(service);
-  const KeyTable planned = PlannedTable(service);
-  std::map<std::string, double> loads;
-  double all = 0;
-  for (const OwnedRun& owned : planned.runs()) {
-    for (std::uint32_t s = owned.range.first; s <= owned.range.last; ++s) {
-      loads[owned.owner] += weights[s];
-      all += weights[s];
-    }
-  }
+  const std::vector<float> weights = WeightsOf(service);
+  Loads loads = LoadsOf(PlannedTable(service), weights);
   const double piece_weight =
-      all / static_cast<double>(receivers.size()) * kPieceShare;
+      loads.all / static_cast<double>(receivers.size()) * kPieceShare;
   std::uint32_t next = run.range.first;
   while (next <= run.range.last) {
     // What one holder gave back goes on together: its handover is for all.
@@ -133,14 +128,8 @@
       weight += weights[s];
     while (end < run.range.last && weight + weights[end + 1] <= piece_weight)
       weight += weights[++end];
-    const auto best = std::min_element(
-        receivers.begin(), receivers.end(),
-        [&](const Member* left, const Member* right) {
-          return (loads[left->address] + weight) / left->capacity <
-                 (loads[right->address] + weight) / right->capacity;
-        });
-    loads[(*best)->address] += weight;
-    Give(service, {next, end}, **best, run.handover);
+    const Member& best = LeastBusy(receivers, loads, weight);
+    Give(service, {next, end}, best, run.handover);
     next = end + 1;
   }
 }
@@ -159,18 +148,10 @@
   const std::vector<const Member*> receivers = ReceiversOf(giver.service);
   if (receivers.empty())
     return;
-  const std::vector<double> weights = WeightsOf(giver.service);
-  const KeyTable planned = PlannedTable(giver.service);
-  std::map<std::string, double> loads;
-  double all = 0;
-  for (const OwnedRun& run : planned.runs()) {
-    for (std::uint32_t s = run.range.first; s <= run.range.last; ++s) {
-      loads[run.owner] += weights[s];
-      all += weights[s];
-    }
-  }
+  const std::vector<float> weights = WeightsOf(giver.service);
+  Loads loads = LoadsOf(PlannedTable(giver.service), weights);
   const double piece_weight =
-      all / static_cast<double>(receivers.size()) * kPieceShare;
+      loads.all / static_cast<double>(receivers.size()) * kPieceShare;
   const std::vector<OwnedRun> runs = found->second.runs();
   for (const OwnedRun& run : runs) {
     if (run.owner != giver.address)
@@ -188,14 +169,8 @@
              !IsOrdered(giver.service, {end + 1, end + 1})) {
         weight += weights[++end];
       }
-      const auto best = std::min_element(
-          receivers.begin(), receivers.end(),
-          [&](const Member* left, const Member* right) {
-            return (loads[left->address] + weight) / left->capacity <
-                   (loads[right->address] + weight) / right->capacity;
-          });
-      loads[(*best)->address] += weight;
-      AddOrders(giver.service, run, {next, end}, (*best)->address);
+      const Member& best = LeastBusy(receivers, loads, weight);
+      AddOrders(giver.service, run, {next, end}, best.address);
       next = end + 1;
     }
   }
@@ -217,6 +192,11 @@
             .first->second;
     const std::vector<KeyBalancer::Move> moves =
         balancer.Plan(PlannedTable(service), rates->second, targets);
+    if (!moves.empty()) {
+      spdlog::info(
+          "event=keys-to-move service={} moves={} under_way={} runs={}",
+          service, moves.size(), m_orders.size(), table.runs().size());
+    }
     const KeyTable current = table;
     for (const KeyBalancer::Move& move : moves) {
       for (const OwnedRun& run : current.runs()) {
@@ -278,6 +258,10 @@
   return std::exchange(m_changes, {});
 }
 
+std::set<std::string> KeyAssigner::TakeOrderedNodes() {
+  return std::exchange(m_ordered_nodes, {});
+}
+
 std::vector<KeyAssigner::Change> KeyAssigner::TakeWithdrawals() {
   return std::exchange(m_withdrawals, {});
 }
@@ -302,16 +286,47 @@
   return nullptr;
 }
 
-std::vector<double> KeyAssigner::WeightsOf(const std::string& service) const {
+KeyAssigner::Loads KeyAssigner::LoadsOf(
+    const KeyTable& table,
+    const std::vector<float>& weights) const {
+  Loads loads;
+  for (const OwnedRun& run : table.runs()) {
+    double sum = 0;
+    for (std::uint32_t s = run.range.first; s <= run.range.last; ++s)
+      sum += weights[s];
+    loads.by_owner[run.owner] += sum;
+    loads.all += sum;
+  }
+  return loads;
+}
+
+const KeyAssigner::Member& KeyAssigner::LeastBusy(
+    const std::vector<const Member*>& receivers,
+    Loads& loads,
+    double weight) {
+  const auto use = [&](const Member* member) {
+    return (loads.by_owner[member->address] + weight) / member->capacity;
+  };
+  const Member* best =
+      *std::min_element(receivers.begin(), receivers.end(),
+                        [&use](const Member* left, const Member* right) {
+                          return use(left) < use(right);
+                        });
+  loads.by_owner[best->address] += weight;
+  return *best;
+}
+
+std::vector<float> KeyAssigner::WeightsOf(const std::string& service) const {
   const auto rates = m_rates.find(service);
   if (rates == m_rates.end())
-    return std::vector<double>(kSlotCount, 1.0);
+    return std::vector<float>(kSlotCount, 1.0F);
   double sum = 0;
-  for (const double rate : rates->second)
+  for (const float rate : rates->second)
     sum += rate;
-  const double idle = sum > 0 ? kIdleWeight * sum / kSlotCount : 1.0;
-  std::vector<double> weights = rates->second;
-  for (double& weight : weights)
+  const auto idle =
+      static_cast<float>(sum > 0 ? kIdleWeight * sum / kSlotCount : 1.0);
+  std::vector<float> weights = rates->second;
+  for (float& weight : weights)
     weight += idle;
   return weights;
 }
@@ -334,7 +349,7 @@
                             SlotRange range,
                             const std::string& to) {
   m_orders.push_back({service, range, run.owner, to, run.fence});
-  ++m_orders_given;
+  m_ordered_nodes.insert(run.owner);
 }
 
 bool KeyAssigner::IsOrdered(const std::string& service, SlotRange range) const {
--- a/modules/coordination/mesh/key_assigner.h
+++ b/modules/coordination/mesh/key_assigner.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,7 +72,8 @@
   // are stored. Otherwise an owner that was taken for lost could come back and
   // get a lease for keys that a stored change is about to give to another.
   std::vector<Change> TakeWithdrawals();
-  std::size_t orders_given() const { return m_orders_given; }
+  // Nodes that have got an order since the last call.
+  std::set<std::string> TakeOrderedNodes();
   bool has_changes() const { return !m_changes.empty(); }
   const std::map<std::string, KeyTable>& tables() const { return m_tables; }
 
@@ -89,7 +91,16 @@
                              const std::string& address) const;
   // Arrivals by slot, with a little added to each: keys without any load now
   // are spread as well.
-  std::vector<double> WeightsOf(const std::string& service) const;
+  std::vector<float> WeightsOf(const std::string& service) const;
+  struct Loads {
+    std::map<std::string, double> by_owner;
+    double all = 0;
+  };
+  Loads LoadsOf(const KeyTable& table, const std::vector<float>& weights) const;
+  // The receiver that is least busy once it has `weight` more.
+  static const Member& LeastBusy(const std::vector<const Member*>& receivers,
+                                 Loads& loads,
+                                 double weight);
   KeyTable PlannedTable(const std::string& service) const;
   void SpreadAll(const std::string& service);
   void PlaceRun(const std::string& service, const OwnedRun& run);
@@ -110,12 +121,12 @@
   std::map<std::string, KeyTable> m_tables;
   std::vector<Member> m_members;
   std::vector<Order> m_orders;
-  std::size_t m_orders_given = 0;
+  std::set<std::string> m_ordered_nodes;
   std::vector<Change> m_changes;
   std::vector<Change> m_withdrawals;
   // By service and slot: requests in this round, and a second.
-  std::map<std::string, std::vector<double>> m_counts;
-  std::map<std::string, std::vector<double>> m_rates;
+  std::map<std::string, std::vector<float>> m_counts;
+  std::map<std::string, std::vector<float>> m_rates;
   std::map<std::string, KeyBalancer> m_balancers;
 };
 
--- a/modules/coordination/mesh/key_balancer.h
+++ b/modules/coordination/mesh/key_balancer.h
@@ -20,8 +20,11 @@
 // A target's use is the arrivals at its slots divided by what it can do. The
 // most used gives to the least used until all are within `band` of the mean.
 // Single slots that are hot go one by one, so that neighbours of a hot slot can
-// be spread; even load is cut off at the edge of a run, so that targets keep
-// few runs. A slot that has just moved stays for `rest_rounds`.
+// be spread, also to a target that has no room below the mean, as long as it
+// stays below the giver: with 49 targets near the mean none has room for a slot
+// that takes a fifth of a target. Even load is cut off at the edge of a run, so
+// that targets keep few runs. A slot that has just moved stays for
+// `rest_rounds`.
 //
 // Moves are cheap here, as the old holder hands its state over, and a hot spot
 // is dear, so it moves early: the institute's moves of all keys cost 0.3 % of a
@@ -32,10 +35,15 @@
  public:
   struct Parameters {
     // Above the mean use by more than this factor a target gives keys away.
-    double band = 1.12;
-    // In addition: use below which nobody is worth relieving.
-    double idle_use = 0.30;
-    std::size_t max_moves = 10;
+    double band = 1.15;
+    // Below this use a target needs no relief: its callers hardly wait, and
+    // moves by the noise of few requests would go on for ever. (Quiet day: all
+    // keys moved 4 times with 0.35, 1.3 times before stuck givers were passed
+    // over.)
+    double busy_use = 0.55;
+    // Unless somebody has less than this part of the mean: one that joined.
+    double empty_share = 0.4;
+    std::size_t max_moves = 16;
     std::uint32_t rest_rounds = 8;
 
     friend auto operator<=>(const Parameters&, const Parameters&) = default;
@@ -64,7 +72,7 @@
   // `arrivals`: requests a second for each slot. `table`: as it will be once
   // the moves under way are done.
   std::vector<Move> Plan(const KeyTable& table,
-                         const std::vector<double>& arrivals,
+                         const std::vector<float>& arrivals,
                          const std::vector<Target>& targets);
 
  private:
@@ -75,13 +83,16 @@
   };
 
   std::vector<Load> Measure(const KeyTable& table,
-                            const std::vector<double>& arrivals,
+                            const std::vector<float>& arrivals,
                             const std::vector<Target>& targets) const;
-  // Slots of `from` with about `amount` arrivals, never more than that by half.
+  // Slots of `from`: one with `hot` to `most` arrivals, or else about `amount`
+  // of even load. Empty (first after last) when there are none.
   SlotRange Choose(const KeyTable& table,
-                   const std::vector<double>& arrivals,
+                   const std::vector<float>& arrivals,
                    const std::string& from,
-                   double amount) const;
+                   double amount,
+                   double hot,
+                   double most) const;
   bool Rests(std::uint32_t slot) const;
 
   const Parameters m_parameters;
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -101,6 +101,9 @@
 void MeshLeader::PublishWithdrawals() {
   for (const KeyAssigner::Change& change : m_assigner.TakeWithdrawals())
     m_view.Assign(change.service, change.run);
+  // An order does not change the view; it is told with the next version.
+  for (const std::string& giver : m_assigner.TakeOrderedNodes())
+    m_concerned[giver] = m_view.version() + 1;
 }
 
 void MeshLeader::ChooseStoreReader() {
@@ -141,6 +144,9 @@
   reply.lease_ms = static_cast<std::uint32_t>(m_timing.lease.count());
   node.lease_until = now + m_timing.lease + m_timing.drift;
   reply.releases = m_assigner.OrdersFor(heartbeat.address);
+  const auto concerned = m_concerned.find(heartbeat.address);
+  if (concerned != m_concerned.end() && concerned->second > m_view.version())
+    m_concerned.erase(concerned);
   reply.follow_store = heartbeat.address == m_store_reader;
   reply.crash_suspects.assign(
       m_crash_suspects.begin() +
@@ -151,10 +157,13 @@
 }
 
 bool MeshLeader::HasNewsFor(const Heartbeat& heartbeat) const {
-  if (m_has_resigned || heartbeat.is_urgent)
+  if (m_has_resigned || heartbeat.is_urgent ||
+      heartbeat.epoch != m_view.epoch())
     return true;
-  return heartbeat.epoch != m_view.epoch() ||
-         heartbeat.view_version != m_view.version();
+  // What concerns the node itself can't wait for the next news for all.
+  const auto concerned = m_concerned.find(heartbeat.address);
+  return concerned != m_concerned.end() &&
+         concerned->second > heartbeat.view_version;
 }
 
 bool MeshLeader::HasAuthority() const {
@@ -323,8 +332,10 @@
   for (const auto& [address, node] : m_nodes) {
     if (address == m_self || IsSilent(node) || node.last.is_leaving)
       continue;
-    if (best == nullptr ||
-        (node.last.store_answers && !best->last.store_answers))
+    const auto merit = [](const Node& one) {
+      return std::pair(one.last.store_answers, one.last.cpu_share_milli);
+    };
+    if (best == nullptr || merit(node) > merit(*best))
       best = &node;
   }
   return best == nullptr ? std::string() : best->last.address;
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -46,7 +46,8 @@
   void OnVote(const std::string& voter, Clock::TimePoint asked);
   void OnHeartbeat(const Heartbeat& heartbeat);
   HeartbeatReply MakeReply(const Heartbeat& heartbeat);
-  // Something that the node should hear at once.
+  // Something that the node should hear at once: its own keys, an order. Other
+  // news is told to all together, now and then.
   bool HasNewsFor(const Heartbeat& heartbeat) const;
 
   void Tick();
@@ -65,8 +66,6 @@
   // is any; empty when there is none.
   std::string FindSuccessor() const;
   bool SuccessorHasStore() const;
-  // How many release orders have been given so far.
-  std::size_t orders_given() const { return m_assigner.orders_given(); }
 
   const MeshView& view() const { return m_view; }
   // Members of the record that have not been heard of.
@@ -115,6 +114,8 @@
   std::string m_store_reader;
   Clock::TimePoint m_reader_since;
   std::vector<std::uint64_t> m_crash_suspects;
+  // By node: the view version from which on it knows what concerns itself.
+  std::map<std::string, std::uint64_t> m_concerned;
 };
 
 }  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -0,0 +1,227 @@
+#include "modules/coordination/mesh/mesh_leader.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+
+#include "modules/coordination/manual_clock.h"
+
+namespace citrongrade {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint64_t kNonce = 7;
+
+// A leader, and nodes that answer it whenever Step() is called.
+class Fixture {
+ public:
+  Fixture() {
+    MeshRecord record;
+    record.epoch = 1;
+    record.leader = "a";
+    record.voters = {"a"};
+    leader = std::make_unique<MeshLeader>(clock, timing, "a", kNonce, record);
+    leader->SetDividedServices({"divided"});
+  }
+
+  Heartbeat& Node(const std::string& address) {
+    const auto [found, is_new] = nodes.try_emplace(address);
+    Heartbeat& heartbeat = found->second;
+    if (is_new) {
+      heartbeat.address = address;
+      heartbeat.data_address = "data-" + address;
+      heartbeat.incarnation = 1;
+      heartbeat.target.state = Heartbeat::TargetState::kServing;
+      heartbeat.target.life = {"t-" + address, 0};
+      heartbeat.target.service = "divided";
+      heartbeat.target.slots = 8;
+    }
+    return heartbeat;
+  }
+
+  void Beat(const std::string& address) {
+    Heartbeat& heartbeat = Node(address);
+    ++heartbeat.sequence;
+    leader->OnHeartbeat(heartbeat);
+    const HeartbeatReply reply = leader->MakeReply(heartbeat);
+    heartbeat.promises = true;
+    heartbeat.leader_nonce = reply.nonce;
+    heartbeat.leader_stamp_ns = reply.stamp_ns;
+    heartbeat.epoch = reply.view.epoch;
+    heartbeat.view_version = reply.view.version;
+    heartbeat.released.clear();
+    heartbeat.arrivals.clear();
+    replies[address] = reply;
+  }
+
+  // All nodes but `silent` beat; the store answers at once.
+  void Step(milliseconds step, const std::string& silent = {}) {
+    clock.Advance(step);
+    for (const auto& [address, heartbeat] : nodes) {
+      if (address != silent)
+        Beat(address);
+    }
+    leader->Tick();
+    if (stores && leader->RecordToStore())
+      leader->OnStored();
+  }
+
+  void Run(milliseconds duration, const std::string& silent = {}) {
+    for (milliseconds t{0}; t < duration; t += milliseconds(50))
+      Step(milliseconds(50), silent);
+  }
+
+  std::uint32_t SlotsOf(const std::string& address) const {
+    const KeyTable* table = leader->view().FindTable("divided");
+    return table == nullptr ? 0 : table->CountOwnedBy(address);
+  }
+
+  ManualClock clock;
+  MeshTiming timing;
+  std::unique_ptr<MeshLeader> leader;
+  std::map<std::string, Heartbeat> nodes;
+  std::map<std::string, HeartbeatReply> replies;
+  bool stores = true;
+};
+
+}  // namespace
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a new mesh waits for its targets and shares the keys") {
+  for (const char* address : {"a", "b", "c", "d"})
+    Node(address);
+  Run(milliseconds(1000));
+  CHECK(SlotsOf("b") == 0);
+  Run(milliseconds(2000));
+  for (const char* address : {"a", "b", "c", "d"})
+    CHECK(SlotsOf(address) == kSlotCount / 4);
+}
+
+// A node dies. Its target may hold keys until the lease that the leader granted
+// last has run out; nobody gets them before, and somebody soon after.
+TEST_CASE_FIXTURE(Fixture,
+                  "keys of a lost node wait for its lease, not longer") {
+  for (const char* address : {"a", "b", "c"})
+    Node(address);
+  Run(milliseconds(4000));
+  REQUIRE(SlotsOf("b") > 0);
+  const Clock::TimePoint last_beat = clock.Now();
+  while (SlotsOf("b") > 0 && clock.Now() - last_beat < milliseconds(5000))
+    Step(milliseconds(10), "b");
+  const auto took = clock.Now() - last_beat;
+  CHECK(took > timing.lease);
+  CHECK(took < milliseconds(2100));
+}
+
+// A change that takes keys away waits for the store. Its old owner comes back
+// meanwhile: with a lease for the published owner it would hold keys that the
+// store is about to give to another.
+TEST_CASE_FIXTURE(
+    Fixture,
+    "what is taken from a lost node is published before it is stored") {
+  for (const char* address : {"a", "b", "c"})
+    Node(address);
+  Run(milliseconds(4000));
+  stores = false;
+  Run(milliseconds(2500), "b");
+  CHECK(SlotsOf("b") == 0);
+  const KeyTable* table = leader->view().FindTable("divided");
+  CHECK(table->HasUnowned());
+  Run(milliseconds(500));
+  CHECK(SlotsOf("b") == 0);
+  stores = true;
+  leader->OnStored();
+  Run(milliseconds(200));
+  CHECK_FALSE(leader->view().FindTable("divided")->HasUnowned());
+}
+
+TEST_CASE_FIXTURE(
+    Fixture,
+    "a target that began a new life gets its keys by a higher fence") {
+  for (const char* address : {"a", "b"})
+    Node(address);
+  Run(milliseconds(4000));
+  const std::uint64_t fence =
+      leader->view().FindTable("divided")->Find(0).fence;
+  Node("a").target.life = {"t-a", 99};
+  Node("b").target.life = {"t-b", 99};
+  Run(milliseconds(500));
+  const OwnedRun& run = leader->view().FindTable("divided")->Find(0);
+  CHECK(run.has_owner());
+  CHECK(run.life.started_unix_ms == 99);
+  CHECK(run.fence > fence);
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a target that drains is told to give its keys back, and "
+                  "they go on with its handover") {
+  for (const char* address : {"a", "b", "c"})
+    Node(address);
+  Run(milliseconds(4000));
+  Node("b").target.state = Heartbeat::TargetState::kDraining;
+  Run(milliseconds(100));
+  const auto orders = replies["b"].releases;
+  REQUIRE_FALSE(orders.empty());
+  for (const auto& order : orders)
+    Node("b").released.push_back(
+        {"divided", order.range, order.fence, "token"});
+  Run(milliseconds(100));
+  CHECK(SlotsOf("b") == 0);
+  CHECK(leader->view()
+            .FindTable("divided")
+            ->Find(orders[0].range.first)
+            .handover == "token");
+}
+
+TEST_CASE_FIXTURE(
+    Fixture,
+    "without the votes of more than half nothing is granted or moved") {
+  for (const char* address : {"a", "b", "c", "d", "e"})
+    Node(address);
+  Run(milliseconds(4000));
+  REQUIRE(leader->HasAuthority());
+  nodes.erase("c");
+  nodes.erase("d");
+  nodes.erase("e");
+  Run(milliseconds(3000));
+  CHECK_FALSE(leader->HasAuthority());
+  CHECK(replies["b"].lease_ms == 0);
+  CHECK(SlotsOf("c") > 0);
+}
+
+TEST_CASE_FIXTURE(
+    Fixture,
+    "another node reads the store when the one that should can't") {
+  for (const char* address : {"a", "b", "c"})
+    Node(address);
+  Run(milliseconds(500));
+  const std::string first = replies["b"].follow_store ? "b" : "c";
+  const std::string second = first == "b" ? "c" : "b";
+  CHECK(replies[first].follow_store);
+  Run(milliseconds(700));
+  CHECK(replies[second].follow_store);
+  Node(second).store_answers = true;
+  Run(milliseconds(2000));
+  CHECK(replies[second].follow_store);
+  CHECK(leader->SuccessorHasStore());
+  CHECK(leader->FindSuccessor() == second);
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a heartbeat that was overtaken does not bring old news") {
+  for (const char* address : {"a", "b"})
+    Node(address);
+  Run(milliseconds(4000));
+  Heartbeat old = Node("b");
+  Node("b").target.state = Heartbeat::TargetState::kServing;
+  Beat("b");
+  old.target.state = Heartbeat::TargetState::kGone;
+  leader->OnHeartbeat(old);
+  Run(milliseconds(100));
+  CHECK(SlotsOf("b") > 0);
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/coordination/mesh/ownership_model_test.cc
@@ -0,0 +1,556 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "modules/coordination/manual_clock.h"
+#include "modules/coordination/mesh/hold_book.h"
+#include "modules/coordination/mesh/mesh_leader.h"
+#include "modules/coordination/mesh/vote_promise.h"
+
+// Random schedules of failures over the real leader, votes and hold books, with
+// a fake store, fake targets and a fake network in virtual time. Nodes are
+// killed, frozen and cut off, targets crash and are born again, orders and
+// messages come late or never, the store fails, leaders are deposed.
+//
+// Checked after each step: no two targets hold the same slot. Each safeguard is
+// shown to be needed by a run without it that must be reported.
+
+namespace citrongrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStep{10};
+constexpr std::size_t kNodes = 5;
+// Checked slots: spread over the table, so that a step costs little.
+constexpr std::uint32_t kProbes = 64;
+
+struct Options {
+  MeshTiming timing;
+  // Safeguards, to be switched off one at a time.
+  bool abstains_after_start = true;
+  bool waits_for_unanswered = true;
+  bool claims_on_condition = true;
+};
+
+// What a target holds by the grants that it has carried out.
+class FakeTarget {
+ public:
+  struct Hold {
+    SlotRange range;
+    std::uint64_t fence = 0;
+    Clock::TimePoint until;
+  };
+
+  void Grant(const HoldBook::Grant& grant,
+             Clock::TimePoint arrived,
+             Clock::TimePoint now) {
+    for (const Hold& hold : m_holds) {
+      if (hold.range.Overlaps(grant.range) && hold.fence > grant.fence)
+        return;
+    }
+    // Its clock may run 2 % slow.
+    const auto length =
+        std::chrono::duration_cast<Clock::Duration>(grant.hold * 1.02);
+    if (arrived + length > now)
+      m_holds.push_back({grant.range, grant.fence, arrived + length});
+  }
+
+  void Release(const SlotRange& range) {
+    std::vector<Hold> kept;
+    for (const Hold& hold : m_holds) {
+      if (!hold.range.Overlaps(range)) {
+        kept.push_back(hold);
+        continue;
+      }
+      if (hold.range.first < range.first)
+        kept.push_back(
+            {{hold.range.first, range.first - 1}, hold.fence, hold.until});
+      if (hold.range.last > range.last)
+        kept.push_back(
+            {{range.last + 1, hold.range.last}, hold.fence, hold.until});
+    }
+    m_holds = std::move(kept);
+  }
+
+  bool Holds(std::uint32_t slot, Clock::TimePoint now) const {
+    return std::any_of(m_holds.begin(), m_holds.end(), [&](const Hold& hold) {
+      return hold.range.Contains(slot) && now < hold.until;
+    });
+  }
+
+  void Expire(Clock::TimePoint now) {
+    std::erase_if(m_holds,
+                  [now](const Hold& hold) { return now >= hold.until; });
+  }
+
+ private:
+  std::vector<Hold> m_holds;
+};
+
+struct FakeStore {
+  std::optional<MeshRecord> record;
+  std::uint64_t end = 0;
+  bool is_down = false;
+};
+
+struct Node {
+  explicit Node(const Clock& clock, const Options& options)
+      : promise(clock,
+                options.abstains_after_start
+                    ? Clock::Duration(options.timing.promise)
+                    : Clock::Duration(0)),
+        book(clock) {}
+
+  VotePromise promise;
+  HoldBook book;
+  MeshView view;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  std::uint64_t leader_nonce = 0;
+  std::int64_t leader_stamp_ns = 0;
+  std::string leader;
+  Clock::TimePoint leader_answered;
+  Clock::TimePoint lease_until;
+  Clock::TimePoint next_beat;
+  std::shared_ptr<MeshLeader> leading;
+  std::uint64_t record_end = 0;
+  // On its way to the store.
+  std::optional<MeshRecord> writing;
+};
+
+struct Late {
+  Clock::TimePoint at;
+  std::function<void()> deliver;
+};
+
+class Model {
+ public:
+  Model(std::uint64_t seed, const Options& options)
+      : m_options(options), m_random(seed) {
+    for (std::size_t i = 0; i < kNodes; ++i)
+      Start(i);
+    m_frozen_until.resize(kNodes);
+    m_cut_until.resize(kNodes);
+    m_down_until.resize(kNodes);
+  }
+
+  // The number of steps at which two targets held one slot.
+  int Run(milliseconds duration) {
+    int violations = 0;
+    for (milliseconds t{0}; t < duration; t += kStep) {
+      m_clock.Advance(kStep);
+      if (t > milliseconds(6000))
+        Trouble();
+      Deliver();
+      for (std::size_t i = 0; i < kNodes; ++i)
+        StepNode(i);
+      violations += Check() ? 0 : 1;
+      m_served += Serves(0) ? 1 : 0;
+    }
+    return violations;
+  }
+
+  int served_steps() const { return m_served; }
+
+ private:
+  static std::string Name(std::size_t index) {
+    return "10.0.0." + std::to_string(index) + ":1";
+  }
+  static std::size_t IndexOf(const std::string& name) {
+    return static_cast<std::size_t>(name[7] - '0');
+  }
+  bool Chance(double probability) {
+    return std::uniform_real_distribution<>(0, 1)(m_random) < probability;
+  }
+  milliseconds Between(int least, int most) {
+    return milliseconds(std::uniform_int_distribution<>(least, most)(m_random));
+  }
+
+  void Start(std::size_t i) {
+    auto node = std::make_unique<Node>(m_clock, m_options);
+    node->incarnation = ++m_incarnations;
+    node->leader_answered = m_clock.Now();
+    if (m_nodes.size() <= i)
+      m_nodes.resize(kNodes), m_targets.resize(kNodes),
+          m_lives.resize(kNodes, 1);
+    m_nodes[i] = std::move(node);
+  }
+
+  bool IsUp(std::size_t i) const {
+    return m_nodes[i] != nullptr && m_clock.Now() >= m_frozen_until[i];
+  }
+  bool Reaches(std::size_t a, std::size_t b) const {
+    return m_clock.Now() >= m_cut_until[a] && m_clock.Now() >= m_cut_until[b];
+  }
+  bool StoreAnswers(std::size_t i) const {
+    return !m_store.is_down && m_clock.Now() >= m_cut_until[i];
+  }
+
+  void Trouble() {
+    const Clock::TimePoint now = m_clock.Now();
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      if (m_nodes[i] == nullptr && now >= m_down_until[i])
+        Start(i);
+      if (Chance(0.0008)) {
+        m_nodes[i] = nullptr;
+        m_down_until[i] = now + Between(200, 4000);
+      }
+      if (Chance(0.0006))
+        m_frozen_until[i] = now + Between(200, 5000);
+      if (Chance(0.0006))
+        m_cut_until[i] = now + Between(500, 8000);
+      if (Chance(0.0004)) {
+        // Its target crashes and is back at once, holding nothing.
+        m_targets[i] = FakeTarget();
+        ++m_lives[i];
+        if (m_nodes[i])
+          m_nodes[i]->book.Clear();
+      }
+    }
+    if (Chance(0.0003)) {
+      for (auto& node : m_nodes)
+        node = nullptr;
+      for (auto& until : m_down_until)
+        until = now + Between(200, 2500);
+    }
+    if (Chance(0.0005))
+      m_store_down_until = now + Between(500, 9000);
+    m_store.is_down = now < m_store_down_until;
+  }
+
+  void Later(milliseconds delay, std::function<void()> deliver) {
+    m_late.push_back({m_clock.Now() + delay, std::move(deliver)});
+  }
+
+  void Deliver() {
+    std::vector<Late> due;
+    for (auto it = m_late.begin(); it != m_late.end();) {
+      if (it->at > m_clock.Now()) {
+        ++it;
+        continue;
+      }
+      due.push_back(std::move(*it));
+      it = m_late.erase(it);
+    }
+    for (const Late& late : due)
+      late.deliver();
+  }
+
+  Heartbeat Compose(std::size_t i, bool promises) {
+    Node& node = *m_nodes[i];
+    Heartbeat heartbeat;
+    heartbeat.address = Name(i);
+    heartbeat.incarnation = node.incarnation;
+    heartbeat.sequence = ++node.sequence;
+    heartbeat.promises = promises;
+    heartbeat.leader_nonce = node.leader_nonce;
+    heartbeat.leader_stamp_ns = node.leader_stamp_ns;
+    heartbeat.epoch = node.view.epoch();
+    heartbeat.view_version = node.view.version();
+    heartbeat.target.state = Heartbeat::TargetState::kServing;
+    heartbeat.target.life = {"t" + std::to_string(i), m_lives[i]};
+    heartbeat.target.service = "divided";
+    heartbeat.target.slots = 8;
+    for (const HoldBook::ReturnedRange& range : node.book.Returned())
+      heartbeat.released.push_back(
+          {"divided", range.range, range.fence, range.handover});
+    if (Chance(0.3)) {
+      const auto slot = static_cast<std::uint32_t>(m_random() % kSlotCount);
+      heartbeat.arrivals.push_back({slot, 40});
+    }
+    return heartbeat;
+  }
+
+  void OnReply(std::size_t i,
+               std::uint64_t incarnation,
+               const HeartbeatReply& reply,
+               Clock::TimePoint sent) {
+    if (!IsUp(i) || m_nodes[i]->incarnation != incarnation || !reply.is_leader)
+      return;
+    Node& node = *m_nodes[i];
+    if (reply.view.epoch < node.view.epoch())
+      return;
+    node.leader_answered = m_clock.Now();
+    node.leader_nonce = reply.nonce;
+    node.leader_stamp_ns = reply.stamp_ns;
+    node.view.Apply(reply.view);
+    if (reply.lease_ms > 0)
+      node.lease_until =
+          std::max(node.lease_until, sent + milliseconds(reply.lease_ms));
+    Own(i);
+    for (const auto& order : reply.releases)
+      node.book.OrderRelease(order.range, order.fence);
+  }
+
+  void Own(std::size_t i) {
+    std::vector<OwnedRun> owned;
+    const KeyTable* table = m_nodes[i]->view.FindTable("divided");
+    const TargetLife life{"t" + std::to_string(i), m_lives[i]};
+    if (table != nullptr) {
+      for (const OwnedRun& run : table->runs()) {
+        if (run.owner == Name(i) && run.life == life)
+          owned.push_back(run);
+      }
+    }
+    m_nodes[i]->book.SetOwned(owned);
+  }
+
+  void StepNode(std::size_t i) {
+    m_targets[i].Expire(m_clock.Now());
+    if (!IsUp(i))
+      return;
+    Node& node = *m_nodes[i];
+    if (node.leading)
+      Lead(i);
+    else if (m_clock.Now() >= node.next_beat)
+      Follow(i);
+    if (m_nodes[i])
+      SendOrders(i);
+  }
+
+  void Follow(std::size_t i) {
+    Node& node = *m_nodes[i];
+    node.next_beat = m_clock.Now() + m_options.timing.heartbeat;
+    if (node.leader.empty() ||
+        m_clock.Now() - node.leader_answered > milliseconds(1300)) {
+      FindLeader(i);
+      return;
+    }
+    const std::size_t to = IndexOf(node.leader);
+    const bool promises = node.promise.Grant(node.leader);
+    const Clock::TimePoint sent = m_clock.Now();
+    const std::uint64_t incarnation = node.incarnation;
+    Heartbeat heartbeat = Compose(i, promises);
+    if (!Reaches(i, to) || Chance(0.02))
+      return;
+    const milliseconds there =
+        Chance(0.03) ? Between(100, 900) : Between(1, 15);
+    Later(there, [this, i, to, sent, incarnation, heartbeat] {
+      if (!IsUp(to) || !m_nodes[to]->leading)
+        return;
+      m_nodes[to]->leading->OnHeartbeat(heartbeat);
+      const HeartbeatReply reply = m_nodes[to]->leading->MakeReply(heartbeat);
+      const milliseconds back =
+          Chance(0.03) ? Between(100, 900) : Between(1, 15);
+      Later(back, [this, i, incarnation, reply, sent] {
+        OnReply(i, incarnation, reply, sent);
+      });
+    });
+  }
+
+  void FindLeader(std::size_t i) {
+    Node& node = *m_nodes[i];
+    node.leader.clear();
+    if (!StoreAnswers(i))
+      return;
+    if (!m_store.record) {
+      MeshRecord record;
+      record.voters = {Name(i)};
+      Claim(i, record, m_store.end, {});
+      return;
+    }
+    const MeshRecord record = *m_store.record;
+    const std::uint64_t end = m_store.end;
+    const std::size_t named = IndexOf(record.leader);
+    if (named != i && IsUp(named) && m_nodes[named]->leading &&
+        Reaches(i, named)) {
+      node.leader = record.leader;
+      node.leader_answered = m_clock.Now();
+      return;
+    }
+    if (!Chance(0.3) || !node.promise.Grant(Name(i)))
+      return;
+    std::set<std::string> votes;
+    const Clock::TimePoint asked = m_clock.Now();
+    for (const std::string& voter : record.voters) {
+      const std::size_t v = IndexOf(voter);
+      if (v == i || (IsUp(v) && Reaches(i, v) && !m_nodes[v]->leading &&
+                     m_nodes[v]->promise.Grant(Name(i))))
+        votes.insert(voter);
+    }
+    if (votes.size() < record.voters.size() / 2 + 1) {
+      for (const std::string& voter : votes) {
+        if (m_nodes[IndexOf(voter)])
+          m_nodes[IndexOf(voter)]->promise.GiveBack(Name(i));
+      }
+      return;
+    }
+    // The claim may be slow: others may have claimed meanwhile.
+    const std::uint64_t incarnation = node.incarnation;
+    Later(Between(1, 300), [this, i, incarnation, record, end, votes, asked] {
+      if (!IsUp(i) || m_nodes[i]->incarnation != incarnation ||
+          m_nodes[i]->leading || !StoreAnswers(i))
+        return;
+      Claim(i, record, end, votes);
+      if (!m_nodes[i]->leading)
+        return;
+      for (const std::string& voter : votes)
+        m_nodes[i]->leading->OnVote(voter, asked);
+    });
+  }
+
+  void Claim(std::size_t i,
+             MeshRecord record,
+             std::uint64_t end,
+             const std::set<std::string>& /*votes*/) {
+    if (m_options.claims_on_condition && end != m_store.end)
+      return;
+    ++record.epoch;
+    record.leader = Name(i);
+    m_store.record = record;
+    m_nodes[i]->record_end = ++m_store.end;
+    m_nodes[i]->leading = std::make_shared<MeshLeader>(
+        m_clock, m_options.timing, Name(i), ++m_incarnations, record);
+    m_nodes[i]->leading->SetDividedServices({"divided"});
+    m_nodes[i]->leader_answered = m_clock.Now();
+    m_nodes[i]->writing.reset();
+  }
+
+  void Lead(std::size_t i) {
+    Node& node = *m_nodes[i];
+    node.promise.Grant(Name(i));
+    const Heartbeat heartbeat = Compose(i, false);
+    node.leading->OnHeartbeat(heartbeat);
+    node.leading->Tick();
+    if (node.leading->HasAuthority())
+      node.leader_answered = m_clock.Now();
+    const auto leading = node.leading;
+    OnReply(i, node.incarnation, leading->MakeReply(heartbeat), m_clock.Now());
+    if (m_clock.Now() - node.leader_answered > milliseconds(1500)) {
+      node.leading.reset();
+      node.promise.GiveBack(Name(i));
+      return;
+    }
+    Store(i);
+  }
+
+  void Store(std::size_t i) {
+    const auto leading = m_nodes[i]->leading;
+    std::optional<MeshRecord>& writing = m_nodes[i]->writing;
+    if (auto record = leading->RecordToStore())
+      writing = *record;
+    if (!writing || !StoreAnswers(i) || Chance(0.5))
+      return;
+    if (m_store.end != m_nodes[i]->record_end) {
+      // Somebody else has claimed the mesh.
+      m_nodes[i]->leading.reset();
+      return;
+    }
+    m_store.record = *std::exchange(writing, std::nullopt);
+    m_nodes[i]->record_end = ++m_store.end;
+    leading->OnStored();
+  }
+
+  void SendOrders(std::size_t i) {
+    Node& node = *m_nodes[i];
+    for (const HoldBook::Grant& grant : node.book.DueGrants(node.lease_until)) {
+      if (Chance(0.05)) {
+        // Left without an answer, and carried out late.
+        const Clock::TimePoint arrived = m_clock.Now();
+        const std::int64_t life = m_lives[i];
+        Later(Between(500, 4000), [this, i, grant, arrived, life] {
+          if (m_lives[i] == life)
+            m_targets[i].Grant(grant, arrived, m_clock.Now());
+        });
+        if (m_options.waits_for_unanswered)
+          node.book.OnGrantUnanswered(grant.id);
+        else
+          node.book.OnGranted(grant.id);
+        continue;
+      }
+      m_targets[i].Grant(grant, m_clock.Now(), m_clock.Now());
+      node.book.OnGranted(grant.id);
+    }
+    for (const HoldBook::Release& release : node.book.DueReleases()) {
+      m_targets[i].Release(release.range);
+      if (Chance(0.05))
+        node.book.OnReleaseUnanswered(release.id);
+      else
+        node.book.OnReleased(release.id, "h");
+    }
+  }
+
+  bool Check() const {
+    for (std::uint32_t probe = 0; probe < kProbes; ++probe) {
+      const std::uint32_t slot = probe * (kSlotCount / kProbes) + probe;
+      int holders = 0;
+      for (const FakeTarget& target : m_targets)
+        holders += target.Holds(slot, m_clock.Now()) ? 1 : 0;
+      if (holders > 1)
+        return false;
+    }
+    return true;
+  }
+
+  bool Serves(std::uint32_t slot) const {
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      if (IsUp(i) && m_nodes[i]->book.MayServe(slot))
+        return true;
+    }
+    return false;
+  }
+
+  const Options m_options;
+  std::mt19937_64 m_random;
+  ManualClock m_clock;
+  std::uint64_t m_incarnations = 0;
+  std::vector<std::unique_ptr<Node>> m_nodes;
+  std::vector<FakeTarget> m_targets;
+  std::vector<std::int64_t> m_lives;
+  std::vector<Clock::TimePoint> m_frozen_until;
+  std::vector<Clock::TimePoint> m_cut_until;
+  std::vector<Clock::TimePoint> m_down_until;
+  FakeStore m_store;
+  Clock::TimePoint m_store_down_until;
+  std::vector<Late> m_late;
+  int m_served = 0;
+};
+
+constexpr milliseconds kPlayed{40'000};
+
+int CountViolations(std::uint64_t seeds, const Options& options) {
+  int violations = 0;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    violations += Model(seed, options).Run(kPlayed) > 0 ? 1 : 0;
+  return violations;
+}
+
+}  // namespace
+
+TEST_CASE("no two targets hold one key, whatever fails") {
+  int served = 0;
+  constexpr std::uint64_t kSeeds = 40;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Model model(seed, Options());
+    CHECK_MESSAGE(model.Run(kPlayed) == 0, "seed ", seed);
+    served += model.served_steps();
+  }
+  // Safety alone could be had by serving nobody. Half of the time is what was
+  // left, with margin, in a mesh whose nodes fail every few seconds.
+  CHECK(served > static_cast<int>(kSeeds) * (kPlayed / kStep) / 2);
+}
+
+TEST_CASE("the model reports a leader that does not wait for old leases") {
+  Options options;
+  options.timing.drift = milliseconds(-1200);
+  CHECK(CountViolations(30, options) > 0);
+}
+
+TEST_CASE("the model reports grants whose late arrival nobody waits for") {
+  Options options;
+  options.waits_for_unanswered = false;
+  CHECK(CountViolations(40, options) > 0);
+}
+
+}  // namespace citrongrade
--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -38,6 +38,7 @@
   meanWorkUs @22 :UInt32;
   crashSuspects @23 :List(UInt64);
   configDocument @24 :Data;
+  cpuShareMilli @25 :UInt32;
 
   struct Released {
     service @0 :Text;
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -57,7 +57,7 @@
   struct Released;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 10, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 11, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -344,6 +344,8 @@
   inline bool hasConfigDocument() const;
   inline  ::capnp::Data::Reader getConfigDocument() const;
 
+  inline  ::uint32_t getCpuShareMilli() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -485,6 +487,9 @@
   inline void adoptConfigDocument(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownConfigDocument();
 
+  inline  ::uint32_t getCpuShareMilli();
+  inline void setCpuShareMilli( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2022,6 +2027,20 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t MeshHeartbeat::Reader::getCpuShareMilli() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshHeartbeat::Builder::getCpuShareMilli() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setCpuShareMilli( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MeshHeartbeat::Released::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -162,6 +162,7 @@
   heartbeat.address = in.getAddress();
   heartbeat.data_address = in.getDataAddress();
   heartbeat.zone = in.getZone();
+  heartbeat.cpu_share_milli = in.getCpuShareMilli();
   heartbeat.incarnation = in.getIncarnation();
   heartbeat.sequence = in.getSequence();
   heartbeat.promises = in.getPromises();
@@ -233,6 +234,7 @@
   out.setAddress(heartbeat.address);
   out.setDataAddress(heartbeat.data_address);
   out.setZone(heartbeat.zone);
+  out.setCpuShareMilli(heartbeat.cpu_share_milli);
   out.setIncarnation(heartbeat.incarnation);
   out.setSequence(heartbeat.sequence);
   out.setPromises(heartbeat.promises);
--- a/modules/state/mesh/key_slot.h
+++ b/modules/state/mesh/key_slot.h
@@ -8,7 +8,8 @@
 // Keys of a divided service are numbers from 0 to kKeyCount - 1. What is owned
 // and moved are slots: runs of kKeysPerSlot neighbouring keys. Busy keys lie
 // side by side, so slots are narrow: 60 hot neighbours fall into 8 slots, which
-// 8 targets can share.
+// as many targets can share. Narrower ones cost more: 2 keys to a slot made
+// single moves too many and the table ten times as long.
 inline constexpr std::uint32_t kKeyCount = 65'536;
 inline constexpr std::uint32_t kKeysPerSlot = 8;
 inline constexpr std::uint32_t kSlotCount = kKeyCount / kKeysPerSlot;
--- a/modules/state/mesh/key_table.cc
+++ b/modules/state/mesh/key_table.cc
@@ -51,9 +51,9 @@
   std::vector<OwnedRun> changed;
   changed.reserve(m_runs.size() + 2);
   bool placed = false;
-  for (const OwnedRun& old : m_runs) {
+  for (OwnedRun& old : m_runs) {
     if (!old.range.Overlaps(run.range)) {
-      AppendJoined(changed, old);
+      AppendJoined(changed, std::move(old));
       continue;
     }
     if (old.range.first < run.range.first) {
--- a/modules/transport/async/async_http_server.cc
+++ b/modules/transport/async/async_http_server.cc
@@ -163,8 +163,7 @@
   m_acceptor.close(ignored);
   for (const SessionPointer& session : m_sessions) {
     // A request that has come but was not read yet is still to be answered.
-    if (session->is_idle && session->buffer.size() == 0 &&
-        !HasUnread(*session))
+    if (session->is_idle && session->buffer.size() == 0 && !HasUnread(*session))
       session->stream.close();
   }
 }
--- /dev/null
+++ b/modules/transport/async/async_http_test.cc
@@ -0,0 +1,229 @@
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "modules/coordination/steady_clock.h"
+#include "modules/transport/async/async_connection_pool.h"
+#include "modules/transport/async/async_http_connection.h"
+#include "modules/transport/async/async_http_server.h"
+#include "modules/transport/async/request_context.h"
+#include "modules/transport/http_errors.h"
+
+namespace citrongrade {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+const HttpAddress kServer{"127.0.3.1", 18300};
+const HttpAddress kRawServer{"127.0.3.2", 18301};
+constexpr milliseconds kTimeout{1500};
+
+// Answers "echo:" and the body; "/slow" waits until its caller goes.
+class EchoHandler final : public AsyncHttpServer::Handler {
+ public:
+  explicit EchoHandler(asio::io_context& loop) : m_loop(loop) {}
+
+  Task<HttpResponse> Handle(HttpRequest request,
+                            RequestContext& context) override {
+    HttpResponse response;
+    response.head.status = 200;
+    response.body = "echo:" + request.body;
+    if (request.target == "/slow") {
+      asio::steady_timer timer(m_loop);
+      for (int i = 0; i < 100 && !context.is_caller_gone(); ++i) {
+        timer.expires_after(milliseconds(10));
+        co_await timer.async_wait(asio::use_awaitable);
+      }
+      saw_caller_go = context.is_caller_gone();
+    }
+    ++handled;
+    co_return response;
+  }
+
+  int handled = 0;
+  bool saw_caller_go = false;
+
+ private:
+  asio::io_context& m_loop;
+};
+
+// Sends `answer` once it has read a request's head, then does what `after`
+// says.
+Task<> ServeRaw(tcp::acceptor& acceptor,
+                std::string answer,
+                std::function<void(tcp::socket&)> after) {
+  tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+  std::string head;
+  co_await asio::async_read_until(socket, asio::dynamic_buffer(head),
+                                  "\r\n\r\n", asio::use_awaitable);
+  co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+  if (after)
+    after(socket);
+  asio::steady_timer timer(acceptor.get_executor(), milliseconds(300));
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+// Runs `task` on a loop of its own until it has ended.
+template <typename MakeTask>
+void RunTask(asio::io_context& loop, MakeTask make_task) {
+  std::exception_ptr failure;
+  asio::co_spawn(loop, make_task(), [&](std::exception_ptr error) {
+    failure = error;
+    loop.stop();
+  });
+  loop.run();
+  if (failure)
+    std::rethrow_exception(failure);
+}
+
+enum class CallEnd { kAnswered, kTimedOut, kClosed, kTruncated, kMalformed };
+
+Task<> CallRaw(asio::io_context& loop, CallEnd& end, std::string& body) {
+  auto connection =
+      co_await AsyncHttpConnection::Open(loop, kRawServer, kTimeout);
+  HttpRequest request;
+  try {
+    HttpResponse response =
+        co_await connection->Call(request, milliseconds(200));
+    body = response.body;
+    end = CallEnd::kAnswered;
+  } catch (const ResponseTimeoutError&) {
+    end = CallEnd::kTimedOut;
+  } catch (const ConnectionClosedError&) {
+    end = CallEnd::kClosed;
+  } catch (const TruncatedBodyError&) {
+    end = CallEnd::kTruncated;
+  } catch (const MalformedResponseError&) {
+    end = CallEnd::kMalformed;
+  }
+}
+
+CallEnd CallAgainst(const std::string& answer,
+                    std::function<void(tcp::socket&)> after,
+                    std::string* body = nullptr) {
+  asio::io_context loop;
+  tcp::acceptor acceptor(
+      loop, {asio::ip::make_address(kRawServer.ip), kRawServer.port});
+  asio::co_spawn(loop, ServeRaw(acceptor, answer, std::move(after)),
+                 asio::detached);
+  CallEnd end = CallEnd::kAnswered;
+  std::string text;
+  RunTask(loop, [&] { return CallRaw(loop, end, text); });
+  if (body != nullptr)
+    *body = text;
+  return end;
+}
+
+void Shut(tcp::socket& socket) {
+  socket.close();
+}
+
+void Reset(tcp::socket& socket) {
+  socket.set_option(asio::socket_base::linger(true, 0));
+  socket.close();
+}
+
+}  // namespace
+
+TEST_CASE("a kept connection serves one call after another") {
+  asio::io_context loop;
+  const SteadyClock clock;
+  EchoHandler handler(loop);
+  AsyncHttpServer::Settings settings;
+  settings.address = kServer;
+  AsyncHttpServer server(loop, clock, settings, handler);
+  AsyncConnectionPool pool(loop, clock, {});
+  const auto calls = [&]() -> Task<> {
+    for (int i = 0; i < 3; ++i) {
+      auto connection = co_await pool.Take(kServer, kTimeout);
+      HttpRequest request;
+      request.method = "POST";
+      request.body = std::string(100'000, 'x');
+      HttpResponse response = co_await connection->Call(request, kTimeout);
+      CHECK(response.body.size() == 100'005);
+      pool.GiveBack(kServer, std::move(connection));
+    }
+  };
+  RunTask(loop, calls);
+  CHECK(handler.handled == 3);
+  CHECK(pool.opened() == 1);
+}
+
+// A caller leaves while its request is served: its work has to stop, and the
+// server must not wait for the handler to find out by writing.
+TEST_CASE("a caller that goes is noticed while its request is served") {
+  asio::io_context loop;
+  const SteadyClock clock;
+  EchoHandler handler(loop);
+  AsyncHttpServer::Settings settings;
+  settings.address = kServer;
+  AsyncHttpServer server(loop, clock, settings, handler);
+  const auto call = [&]() -> Task<> {
+    auto connection =
+        co_await AsyncHttpConnection::Open(loop, kServer, kTimeout);
+    HttpRequest request;
+    request.target = "/slow";
+    try {
+      co_await connection->Call(request, milliseconds(100));
+    } catch (const ResponseTimeoutError&) {
+    }
+    asio::steady_timer timer(loop, milliseconds(200));
+    co_await timer.async_wait(asio::use_awaitable);
+  };
+  RunTask(loop, call);
+  CHECK(handler.saw_caller_go);
+}
+
+TEST_CASE(
+    "a connection that nobody listens for is refused, as a type of its own") {
+  asio::io_context loop;
+  bool was_refused = false;
+  const auto call = [&]() -> Task<> {
+    const HttpAddress nobody{"127.0.3.3", 18309};
+    try {
+      co_await AsyncHttpConnection::Open(loop, nobody, kTimeout);
+    } catch (const ConnectRefusedError&) {
+      was_refused = true;
+    }
+  };
+  RunTask(loop, call);
+  CHECK(was_refused);
+}
+
+// An answer that ends early must not look complete, whichever way it ends.
+TEST_CASE("answers that break off, or are none, are told apart") {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
+  CHECK(CallAgainst(head + "0123456789", nullptr) == CallEnd::kAnswered);
+  CHECK(CallAgainst(head + "0123", Shut) == CallEnd::kTruncated);
+  CHECK(CallAgainst(head + "0123", Reset) == CallEnd::kTruncated);
+  CHECK(CallAgainst(head + "0123", nullptr) == CallEnd::kTimedOut);
+  CHECK(CallAgainst("", Shut) == CallEnd::kClosed);
+  CHECK(CallAgainst("", Reset) == CallEnd::kClosed);
+  CHECK(CallAgainst("garbage\r\n\r\n", nullptr) == CallEnd::kMalformed);
+}
+
+TEST_CASE(
+    "an answer without a length ends with its connection, unless that is "
+    "reset") {
+  const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+  std::string body;
+  CHECK(CallAgainst(head + "whole", Shut, &body) == CallEnd::kAnswered);
+  CHECK(body == "whole");
+  CHECK(CallAgainst(head + "part", Reset) == CallEnd::kTruncated);
+}
+
+}  // namespace citrongrade
--- a/modules/transport/async/request_context.h
+++ b/modules/transport/async/request_context.h
@@ -24,9 +24,7 @@
   // Looks at the connection itself. The close of a caller whose request was
   // held up on its way comes together with the request, before the event loop
   // has told of it.
-  bool LooksGone() const {
-    return m_is_caller_gone || (m_probe && m_probe());
-  }
+  bool LooksGone() const { return m_is_caller_gone || (m_probe && m_probe()); }
   void SetProbe(std::function<bool()> probe) { m_probe = std::move(probe); }
 
   // `stop` is called, once, when the caller goes: it makes whatever the request
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -37,6 +37,13 @@
 // Two nodes that campaign at once split the votes; by rank they start apart.
 constexpr milliseconds kRankStep{70};
 constexpr milliseconds kLongestRankDelay{500};
+// Nodes with less than an ample share of a core stand back for others: a
+// leader of 61 nodes with a tenth of a core answered them seconds late.
+constexpr double kAmpleShare = 0.5;
+constexpr milliseconds kMeritDelay{250};
+// News for all is told at most this often for each node: an answer to all of a
+// large mesh takes a leader as long as many answers to the few concerned.
+constexpr std::chrono::microseconds kNewsPause{1500};
 constexpr milliseconds kPauseAfterFailure{120};
 constexpr milliseconds kLeaderStep{40};
 constexpr milliseconds kStoreRetry{120};
@@ -64,6 +71,8 @@
 struct MeshAgent::Waiting {
   explicit Waiting(boost::asio::io_context& loop) : timer(loop) {}
   boost::asio::steady_timer timer;
+  // The one that waits for an answer; nothing for this node's own pauses.
+  const Heartbeat* heartbeat = nullptr;
 };
 
 struct MeshAgent::VoteCount {
@@ -201,6 +210,8 @@
   heartbeat.address = m_identity.address;
   heartbeat.data_address = m_identity.data_address;
   heartbeat.zone = m_identity.zone;
+  heartbeat.cpu_share_milli =
+      static_cast<std::uint32_t>(m_identity.cpu_share * 1000);
   heartbeat.incarnation = m_incarnation;
   heartbeat.sequence = ++m_sequence;
   heartbeat.promises = promises;
@@ -371,6 +382,7 @@
                           m_config.version() > heartbeat.config_version;
     if (!has_news) {
       auto waiting = std::make_shared<Waiting>(m_loop);
+      waiting->heartbeat = &heartbeat;
       waiting->timer.expires_after(m_timing.heartbeat);
       m_waiting.insert(waiting);
       boost::system::error_code ignored;
@@ -448,7 +460,14 @@
   co_await Campaign(record, stored.end, std::exchange(m_was_named, false));
 }
 
+milliseconds MeshAgent::MeritDelay() {
+  const double lack = std::max(0.0, 1 - m_identity.cpu_share / kAmpleShare);
+  return milliseconds(static_cast<std::int64_t>(lack * kMeritDelay.count())) +
+         milliseconds(m_random() % kRankStep.count());
+}
+
 Task<> MeshAgent::ClaimNewMesh(std::uint64_t end) {
+  co_await Pause(MeritDelay());
   MeshRecord record;
   record.voters = {m_identity.address};
   if (co_await Claim(record, end))
@@ -563,7 +582,7 @@
       rank += order(voter) < order(m_identity.address) ? 1 : 0;
     const milliseconds delay =
         std::min(kLongestRankDelay, kRankStep * static_cast<int>(rank));
-    co_await Pause(delay + milliseconds(m_random() % kRankStep.count()));
+    co_await Pause(delay + MeritDelay());
   }
   if (!m_leader_address.empty() || !m_promise.Grant(m_identity.address))
     co_return;
@@ -711,18 +730,25 @@
 }
 
 void MeshAgent::NotifyWaiting() {
+  bool is_for_all = true;
   if (m_leader && !m_leader->has_resigned()) {
     const std::uint64_t version = m_leader->view().version();
-    const std::size_t orders = m_leader->orders_given();
-    if (version == m_notified_version && orders == m_notified_orders &&
-        m_config.version() == m_notified_config)
-      return;
-    m_notified_version = version;
-    m_notified_orders = orders;
-    m_notified_config = m_config.version();
+    const Clock::TimePoint now = m_clock.Now();
+    const bool is_config = m_config.version() != m_notified_config;
+    const bool is_due =
+        version != m_notified_version &&
+        now - m_notified_at >= kNewsPause * m_leader->node_count();
+    is_for_all = is_config || is_due;
+    if (is_for_all) {
+      m_notified_at = now;
+      m_notified_version = version;
+      m_notified_config = m_config.version();
+    }
+  }
+  for (const std::shared_ptr<Waiting>& waiting : m_waiting) {
+    if (is_for_all || m_leader->HasNewsFor(*waiting->heartbeat))
+      waiting->timer.cancel();
   }
-  for (const std::shared_ptr<Waiting>& waiting : m_waiting)
-    waiting->timer.cancel();
 }
 
 }  // namespace citrongrade
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -58,6 +58,8 @@
     std::string address;
     std::string data_address;
     std::string zone;
+    // Cores that the host gives this node: a leader needs most of them.
+    double cpu_share = 1;
   };
 
   MeshAgent(boost::asio::io_context& loop,
@@ -120,7 +122,10 @@
   HeartbeatReply Reply(const Heartbeat& heartbeat);
   Task<HttpResponse> HandleHeartbeat(const HttpRequest& request);
   HttpResponse HandleVote(const HttpRequest& request);
+  // Answers waiting heartbeats: those of nodes that news concern, and all when
+  // there is news for all and the last was some time ago.
   void NotifyWaiting();
+  std::chrono::milliseconds MeritDelay();
   void ForgetLeader();
   Task<> Pause(std::chrono::milliseconds duration);
   Task<std::string> Ask(std::string peer,
@@ -167,7 +172,7 @@
   Clock::TimePoint m_last_hello;
   std::uint64_t m_notified_version = 0;
   std::uint64_t m_notified_config = 0;
-  std::size_t m_notified_orders = 0;
+  Clock::TimePoint m_notified_at;
 
   struct Waiting;
   // Heartbeats that the leader answers when there is news.
--- /dev/null
+++ b/modules/transport/mesh/work_order_test.cc
@@ -0,0 +1,69 @@
+#include "modules/transport/mesh/work_order.h"
+
+#include <doctest/doctest.h>
+
+#include "modules/protocol/malformed_message_error.h"
+#include "modules/transport/mesh/work_result.h"
+
+namespace citrongrade {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("a work order comes out as it went in, and leaves no trace") {
+  WorkOrder order;
+  order.request_id = "id;with%odd bytes";
+  order.service = "sorteio";
+  order.key = 65'535;
+  order.is_idempotent = true;
+  order.priority = 2;
+  order.kind = "r-1";
+  order.aim_left = milliseconds(-5);
+  order.time_left = milliseconds(900);
+  order.origin_service = "";
+  HttpRequest request;
+  request.headers.push_back({"X-Other", "kept"});
+  order.WriteTo(request);
+  CHECK(WorkOrder::TakeFrom(request) == order);
+  REQUIRE(request.headers.size() == 1);
+  CHECK(request.headers[0].name == "X-Other");
+}
+
+TEST_CASE("a work order that is missing or broken is refused") {
+  HttpRequest request;
+  CHECK_THROWS_AS(WorkOrder::TakeFrom(request), MalformedMessageError);
+  for (const char* text :
+       {"", ";;;;", "a;b;x;0;0;k;1;1;o", "a;b;1;0;0;k;1;1"}) {
+    request.headers = {{"Mesh-Work", text}};
+    CHECK_THROWS_AS(WorkOrder::TakeFrom(request), MalformedMessageError);
+  }
+}
+
+TEST_CASE("a result comes out as it went in") {
+  WorkResult refused = WorkResult::NotRun(RequestErrorCode::kOverloaded, "full",
+                                          milliseconds(70));
+  refused.has_arrived = true;
+  CHECK(WorkResult::FromHop(refused.ToHop()) == refused);
+  const WorkResult unknown =
+      WorkResult::Unknown(RequestErrorCode::kTargetFailed, "closed");
+  CHECK(WorkResult::FromHop(unknown.ToHop()) == unknown);
+  HttpResponse response;
+  response.head.status = 500;
+  response.head.headers.push_back({"X", "1"});
+  response.body = "boom";
+  const WorkResult answered = WorkResult::Answered(response);
+  CHECK(WorkResult::FromHop(answered.ToHop()).response == response);
+}
+
+// What another process, or another version, answers must never pass for the
+// target's answer.
+TEST_CASE("an answer without a result is no result") {
+  HttpResponse response;
+  response.head.status = 200;
+  CHECK_THROWS_AS(WorkResult::FromHop(response), MalformedMessageError);
+  for (const char* text : {"", "1", "1 999 5 0", "x 1 1 1", "1 20"}) {
+    response.head.headers = {{"Mesh-Result", text}};
+    CHECK_THROWS_AS(WorkResult::FromHop(response), MalformedMessageError);
+  }
+}
+
+}  // namespace citrongrade
--- a/modules/transport/mesh/work_result.cc
+++ b/modules/transport/mesh/work_result.cc
@@ -74,8 +74,8 @@
   hop.head.headers.push_back(
       {std::string(kHeader), std::to_string(not_run ? 1 : 0) + " " +
                                  std::to_string(static_cast<int>(*error)) +
-                                 " " + std::to_string(retry_after.count()) + " " +
-                                 std::to_string(has_arrived ? 1 : 0)});
+                                 " " + std::to_string(retry_after.count()) +
+                                 " " + std::to_string(has_arrived ? 1 : 0)});
   hop.body = message;
   return hop;
 }
