Send orders on connections of their own, read the store at two nodes beside the leader

A target's late second answer to a request came where the answer to a release was due, on a connection that had served requests, and passed for it. CONFIG (port, mix): the leader and the one other reader were cut from the store one after the other, and the third began to read 2.7 s later.

--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -106,23 +106,32 @@
     m_concerned[giver] = m_view.version() + 1;
 }
 
-void MeshLeader::ChooseStoreReader() {
+bool MeshLeader::ReadsStore(const std::string& address) const {
+  return std::any_of(m_store_readers.begin(), m_store_readers.end(),
+                     [&address](const StoreReader& reader) {
+                       return reader.address == address;
+                     });
+}
+
+void MeshLeader::ChooseStoreReaders() {
   const Clock::TimePoint now = m_clock.Now();
-  const auto current = m_nodes.find(m_store_reader);
-  if (current != m_nodes.end() && !IsSilent(current->second) &&
-      (current->second.last.store_answers ||
-       now - m_reader_since < kReaderTrial))
-    return;
-  auto next = m_nodes.upper_bound(m_store_reader);
-  for (std::size_t i = 0; i < m_nodes.size(); ++i, ++next) {
-    if (next == m_nodes.end())
-      next = m_nodes.begin();
-    const Node& node = next->second;
-    if (next->first == m_self || IsSilent(node) || node.last.is_leaving)
+  for (StoreReader& reader : m_store_readers) {
+    const auto current = m_nodes.find(reader.address);
+    if (current != m_nodes.end() && !IsSilent(current->second) &&
+        (current->second.last.store_answers ||
+         now - reader.since < kReaderTrial))
       continue;
-    m_store_reader = next->first;
-    m_reader_since = now;
-    return;
+    auto next = m_nodes.upper_bound(reader.address);
+    for (std::size_t i = 0; i < m_nodes.size(); ++i, ++next) {
+      if (next == m_nodes.end())
+        next = m_nodes.begin();
+      const Node& node = next->second;
+      if (next->first == m_self || IsSilent(node) || node.last.is_leaving ||
+          ReadsStore(next->first))
+        continue;
+      reader = {next->first, now};
+      break;
+    }
   }
 }
 
@@ -147,7 +156,7 @@
   const auto concerned = m_concerned.find(heartbeat.address);
   if (concerned != m_concerned.end() && concerned->second > m_view.version())
     m_concerned.erase(concerned);
-  reply.follow_store = heartbeat.address == m_store_reader;
+  reply.follow_store = ReadsStore(heartbeat.address);
   reply.crash_suspects.assign(
       m_crash_suspects.begin() +
           static_cast<std::ptrdiff_t>(node.suspects_seen),
@@ -252,7 +261,7 @@
 void MeshLeader::Tick() {
   for (const auto& [address, node] : m_nodes)
     PublishMember(node);
-  ChooseStoreReader();
+  ChooseStoreReaders();
   if (!HasAuthority())
     return;
   MoveKeys();
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -88,8 +89,9 @@
   void PublishMember(const Node& node);
   void PublishWithdrawals();
   void MoveKeys();
-  // Has another node read the store when the one that should can't.
-  void ChooseStoreReader();
+  // Has other nodes read the store when those that should can't.
+  void ChooseStoreReaders();
+  bool ReadsStore(const std::string& address) const;
   std::vector<KeyAssigner::Member> AssignableMembers() const;
   std::vector<std::string> WantedVoters() const;
   bool IsSettled() const;
@@ -110,9 +112,14 @@
   Clock::TimePoint m_round_began;
   bool m_has_resigned = false;
   std::string m_successor;
-  // The node that reads the store beside this one, and since when.
-  std::string m_store_reader;
-  Clock::TimePoint m_reader_since;
+  // Nodes that read the store beside this one, and since when. Two: with one,
+  // a leader and a reader that lost the store one after the other left a new
+  // configuration unread for 2.7 s.
+  struct StoreReader {
+    std::string address;
+    Clock::TimePoint since;
+  };
+  std::array<StoreReader, 2> m_store_readers;
   std::vector<std::uint64_t> m_crash_suspects;
   // By node: the view version from which on it knows what concerns itself.
   std::map<std::string, std::uint64_t> m_concerned;
--- a/modules/transport/mesh/config_follower.cc
+++ b/modules/transport/mesh/config_follower.cc
@@ -20,7 +20,7 @@
 
 // One wait for a new document. A connection to the store that went silent is
 // found after it; configuration has to be in force within 2 s.
-constexpr milliseconds kWait{1100};
+constexpr milliseconds kWait{900};
 // After a call that failed.
 constexpr milliseconds kPauseAfterFailure{250};
 // How soon it is noticed that the store is to be followed.
--- a/modules/transport/mesh/target_dialect.h
+++ b/modules/transport/mesh/target_dialect.h
@@ -70,6 +70,9 @@
 
   virtual HttpRequest MakeGrant(const HoldBook::Grant& grant) const = 0;
   virtual HttpRequest MakeRelease(const HoldBook::Release& release) const = 0;
+  // False for the answer to a request: a target may send a second one, late,
+  // where the answer to an order is due.
+  virtual bool IsOrderAnswer(const HttpResponse& response) const = 0;
   // What the last holder hands over, in the answer to a release.
   virtual std::string ReadHandover(const HttpResponse& response) const = 0;
 };
--- a/modules/transport/mesh/target_keeper.cc
+++ b/modules/transport/mesh/target_keeper.cc
@@ -46,9 +46,15 @@
       m_settings(settings),
       m_dialect(dialect),
       m_pool(pool),
+      m_order_pool(std::make_unique<AsyncConnectionPool>(
+          loop,
+          clock,
+          AsyncConnectionPool::Settings())),
       m_listener(listener),
       m_holds(clock) {}
 
+TargetKeeper::~TargetKeeper() = default;
+
 void TargetKeeper::SetState(State state, const char* reason) {
   constexpr const char* kNames[] = {"unheard", "serving", "draining", "gone"};
   if (state == m_state)
@@ -75,6 +81,7 @@
   m_sequence = 0;
   m_unanswered_calls = 0;
   m_pool.Forget(m_settings.address);
+  m_order_pool->Forget(m_settings.address);
   spdlog::info("event=target-started target={} started_unix_ms={} service={}",
                m_life.id, m_life.started_unix_ms, m_service);
 }
@@ -135,6 +142,7 @@
   m_owned.clear();
   ++m_life_number;
   m_pool.Forget(m_settings.address);
+  m_order_pool->Forget(m_settings.address);
   SetState(State::kGone, "connection-refused");
   m_listener.OnTargetLost();
 }
@@ -207,19 +215,31 @@
   }
 }
 
+Task<HttpResponse> TargetKeeper::SendOrder(HttpRequest order,
+                                           Clock::Duration timeout) {
+  const Clock::TimePoint started = m_clock.Now();
+  auto connection = co_await m_order_pool->Take(m_settings.address, kOrderIdle);
+  const Clock::Duration left = timeout - (m_clock.Now() - started);
+  AsyncHttpConnection::IsAnswer is_answer =
+      [this](const HttpResponse& response) {
+        return m_dialect.IsOrderAnswer(response);
+      };
+  HttpResponse response =
+      co_await connection->Call(std::move(order), left, std::move(is_answer));
+  m_order_pool->GiveBack(m_settings.address, std::move(connection));
+  co_return response;
+}
+
 Task<> TargetKeeper::SendGrant(HoldBook::Grant grant,
                                std::uint64_t life_number) {
   const std::uint64_t id = grant.id;
   try {
-    const auto started = m_clock.Now();
-    auto connection = co_await m_pool.Take(m_settings.address, kOrderIdle);
-    const auto left = HoldBook::kCallTimeout - (m_clock.Now() - started);
+    HttpRequest order = m_dialect.MakeGrant(grant);
     const HttpResponse response =
-        co_await connection->Call(m_dialect.MakeGrant(grant), left);
+        co_await SendOrder(std::move(order), HoldBook::kCallTimeout);
     if (life_number != m_life_number)
       co_return;
     OnCallEnded(true);
-    m_pool.GiveBack(m_settings.address, std::move(connection));
     if (response.head.status == kOk) {
       m_holds.OnGranted(id);
     } else if (response.head.status == kConflict) {
@@ -248,13 +268,12 @@
 Task<> TargetKeeper::SendRelease(HoldBook::Release release,
                                  std::uint64_t life_number) {
   try {
-    auto connection = co_await m_pool.Take(m_settings.address, kOrderIdle);
-    const HttpResponse response = co_await connection->Call(
-        m_dialect.MakeRelease(release), kReleaseTimeout);
+    HttpRequest order = m_dialect.MakeRelease(release);
+    const HttpResponse response =
+        co_await SendOrder(std::move(order), kReleaseTimeout);
     if (life_number != m_life_number)
       co_return;
     OnCallEnded(true);
-    m_pool.GiveBack(m_settings.address, std::move(connection));
     if (response.head.status == kOk) {
       m_holds.OnReleased(release.id, m_dialect.ReadHandover(response));
       m_listener.OnTargetNews();
--- a/modules/transport/mesh/target_keeper.h
+++ b/modules/transport/mesh/target_keeper.h
@@ -15,6 +15,8 @@
 #include "modules/state/mesh/mesh_view.h"
 #include "modules/transport/async/task.h"
 #include "modules/transport/http_address.h"
+#include "modules/transport/http_request.h"
+#include "modules/transport/http_response.h"
 #include "modules/transport/mesh/target_report.h"
 
 namespace boost::asio {
@@ -66,6 +68,7 @@
                const TargetDialect& dialect,
                AsyncConnectionPool& pool,
                Listener& listener);
+  ~TargetKeeper();
 
   ReportResult OnReport(const TargetReport& report);
   // It leaves without having said that it drains.
@@ -100,6 +103,8 @@
  private:
   enum class State { kUnheard, kServing, kDraining, kGone };
 
+  // One order on a connection that has carried nothing but orders.
+  Task<HttpResponse> SendOrder(HttpRequest order, Clock::Duration timeout);
   Task<> SendGrant(HoldBook::Grant grant, std::uint64_t life_number);
   Task<> SendRelease(HoldBook::Release release, std::uint64_t life_number);
   bool IsLaterLife(const TargetReport& report) const;
@@ -112,6 +117,9 @@
   const Settings m_settings;
   const TargetDialect& m_dialect;
   AsyncConnectionPool& m_pool;
+  // Apart from those of requests: a late second answer to a request, taken for
+  // the answer to a release, gave keys away on which work still ran.
+  std::unique_ptr<AsyncConnectionPool> m_order_pool;
   Listener& m_listener;
 
   State m_state = State::kUnheard;
