--- a/modules/transport/async/async_http_connection.cc
+++ b/modules/transport/async/async_http_connection.cc
@@ -182,6 +182,11 @@
     HttpRequest request,
     Clock::Duration timeout,
     IsAnswer is_answer) {
+  // Opening the connection, or a pause of the process, may have taken all the
+  // time. Sent now it would arrive when its sender has given it up: a grant
+  // would hold keys that are another's by then.
+  if (timeout <= Clock::Duration(0))
+    throw ResponseTimeoutError(m_host + ": no time is left");
   const auto self = shared_from_this();
   const std::shared_ptr<Outgoing> outgoing =
       MakeOutgoing(std::move(request), m_host);
--- a/modules/transport/async/async_http_connection.h
+++ b/modules/transport/async/async_http_connection.h
@@ -37,7 +37,8 @@
   // Sends the request and reads its answer whole. The peer may answer before it
   // has read the whole body. Throws ResponseTimeoutError,
   // ConnectionClosedError (before any byte of an answer), TruncatedBodyError
-  // (after some), MalformedResponseError; also after Close().
+  // (after some), MalformedResponseError; also after Close(). With no time
+  // left nothing is sent.
   Task<HttpResponse> Call(HttpRequest request,
                           Clock::Duration timeout,
                           IsAnswer is_answer = nullptr);
