--- a/modules/transport/async/async_http_test.cc
+++ b/modules/transport/async/async_http_test.cc
@@ -189,6 +189,33 @@
   CHECK(handler.saw_caller_go);
 }
 
+// A grant waits for its connection while its node is paused. Sent after that it
+// would count from then, and two targets would hold the same keys.
+TEST_CASE("a call whose time is over is not sent") {
+  asio::io_context loop;
+  const SteadyClock clock;
+  EchoHandler handler(loop);
+  AsyncHttpServer::Settings settings;
+  settings.address = kServer;
+  AsyncHttpServer server(loop, clock, settings, handler);
+  bool has_timed_out = false;
+  const auto call = [&]() -> Task<> {
+    auto connection =
+        co_await AsyncHttpConnection::Open(loop, kServer, kTimeout);
+    HttpRequest request;
+    try {
+      co_await connection->Call(request, milliseconds(-1));
+    } catch (const ResponseTimeoutError&) {
+      has_timed_out = true;
+    }
+    asio::steady_timer timer(loop, milliseconds(100));
+    co_await timer.async_wait(asio::use_awaitable);
+  };
+  RunTask(loop, call);
+  CHECK(has_timed_out);
+  CHECK(handler.handled == 0);
+}
+
 TEST_CASE(
     "a connection that nobody listens for is refused, as a type of its own") {
   asio::io_context loop;
