Publish of a stored change only what still stands; a target that joins gets work at once

The balancer's test showed that a target which joins seven evenly used ones got nothing, as none was beyond the band.

--- a/modules/coordination/mesh/key_balancer.cc
+++ b/modules/coordination/mesh/key_balancer.cc
@@ -125,10 +125,12 @@
         taker = it;
     }
     if (taker == loads.end() || taker == giver ||
-        giver->use() < mean * m_parameters.band)
+        giver->use() < m_parameters.idle_use)
       break;
-    if (giver->use() < m_parameters.busy_use &&
-        taker->use() > m_parameters.empty_share * mean)
+    const bool is_taker_empty = taker->use() < m_parameters.empty_share * mean;
+    const bool needs_relief = giver->use() > m_parameters.busy_use &&
+                              giver->use() > mean * m_parameters.band;
+    if (!needs_relief && !(is_taker_empty && giver->use() > mean))
       break;
     const double over = giver->arrivals - mean * giver->target.capacity;
     const double room = mean * taker->target.capacity - taker->arrivals;
--- a/modules/coordination/mesh/key_balancer.h
+++ b/modules/coordination/mesh/key_balancer.h
@@ -41,8 +41,11 @@
     // keys moved 4 times with 0.35, 1.3 times before stuck givers were passed
     // over.)
     double busy_use = 0.55;
-    // Unless somebody has less than this part of the mean: one that joined.
+    // Unless somebody has less than this part of the mean: one that joined. It
+    // gets work from any that has more than the mean.
     double empty_share = 0.4;
+    // Below this use not even then.
+    double idle_use = 0.05;
     std::size_t max_moves = 16;
     std::uint32_t rest_rounds = 8;
 
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -328,7 +328,22 @@
   m_stored = *std::exchange(m_storing, std::nullopt);
   m_lease.SetVoters(m_stored.voters);
   for (const KeyAssigner::Change& change : std::exchange(m_storing_changes, {}))
-    m_view.Assign(change.service, change.run);
+    PublishStored(change);
+}
+
+void MeshLeader::PublishStored(const KeyAssigner::Change& change) {
+  // Only what still stands: its owner may have been lost while it was being
+  // stored, and would hold keys that the next change gives to another.
+  const KeyTable& current = m_assigner.tables().at(change.service);
+  for (OwnedRun run : current.runs()) {
+    if (!run.range.Overlaps(change.run.range) ||
+        !run.SameAssignment(change.run))
+      continue;
+    run.range.first = std::max(run.range.first, change.run.range.first);
+    run.range.last = std::min(run.range.last, change.run.range.last);
+    m_view.Assign(change.service, run);
+    m_concerned[run.owner] = m_view.version();
+  }
 }
 
 void MeshLeader::Resign(const std::string& successor) {
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -88,6 +88,7 @@
   MeshMember::State StateOf(const Node& node) const;
   void PublishMember(const Node& node);
   void PublishWithdrawals();
+  void PublishStored(const KeyAssigner::Change& change);
   void MoveKeys();
   // Has other nodes read the store when those that should can't.
   void ChooseStoreReaders();
--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -192,6 +192,26 @@
   CHECK(SlotsOf("c") > 0);
 }
 
+// Keys are given to a node; while that is being stored the node is lost, and
+// the keys are to go to a third. Published when it is stored after all, the
+// first change would have the node, back by then, hold what the next gives
+// away.
+TEST_CASE_FIXTURE(Fixture, "a change that was overtaken is not published") {
+  for (const char* address : {"a", "b", "c", "d", "e"})
+    Node(address);
+  Run(milliseconds(4000));
+  stores = false;
+  Run(milliseconds(2500), "b");
+  REQUIRE(leader->RecordToStore().has_value());
+  const std::uint32_t before = SlotsOf("c");
+  nodes.erase("b");
+  Run(milliseconds(2500), "c");
+  REQUIRE(SlotsOf("c") == 0);
+  leader->OnStored();
+  CHECK(before > 0);
+  CHECK(SlotsOf("c") == 0);
+}
+
 // Those that should read the store can't: without others a new configuration
 // would stay unread.
 TEST_CASE_FIXTURE(Fixture,
