--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -280,7 +280,11 @@
     return;
   m_round_began = m_clock.Now();
   m_assigner.EndRound(std::chrono::duration<double>(round).count());
-  m_assigner.OrderBalance();
+  // Keys that are given back can't be given on while the store is away: they
+  // would be nobody's until it is back.
+  const auto self = m_nodes.find(m_self);
+  if (self != m_nodes.end() && self->second.last.store_answers)
+    m_assigner.OrderBalance();
 }
 
 std::vector<std::string> MeshLeader::WantedVoters() const {
--- a/modules/coordination/mesh/ownership_model_test.cc
+++ b/modules/coordination/mesh/ownership_model_test.cc
@@ -254,6 +254,7 @@
     heartbeat.incarnation = node.incarnation;
     heartbeat.sequence = ++node.sequence;
     heartbeat.promises = promises;
+    heartbeat.store_answers = StoreAnswers(i);
     heartbeat.leader_nonce = node.leader_nonce;
     heartbeat.leader_stamp_ns = node.leader_stamp_ns;
     heartbeat.epoch = node.view.epoch();
