Take out what the election and the store write never used

BecomeLeader took votes that no caller passed, and a flag in StoreOnce was always set where it was read. Behaviour as before. Run: three process tests of leader loss, total loss and stop, and the linter on the file; not the whole check.

--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -492,11 +492,11 @@
                  error.what());
     co_return false;
   }
-  BecomeLeader(record, nullptr);
+  BecomeLeader(record);
   co_return true;
 }
 
-void MeshAgent::BecomeLeader(const MeshRecord& record, const VoteCount* votes) {
+void MeshAgent::BecomeLeader(const MeshRecord& record) {
   spdlog::info("event=leads epoch={} voters={} services={}", record.epoch,
                record.voters.size(), record.tables.size());
   const std::uint64_t nonce = m_random();
@@ -506,10 +506,6 @@
   m_leader_address.clear();
   m_is_storing = false;
   m_notified_version = 0;
-  if (votes == nullptr)
-    return;
-  for (const std::string& voter : votes->granted)
-    m_leader->OnVote(voter, votes->asked);
 }
 
 void MeshAgent::StepDown(const char* reason) {
@@ -671,13 +667,12 @@
 
 Task<bool> MeshAgent::StoreOnce(const std::string& bytes,
                                 const std::shared_ptr<MeshLeader>& leader) {
-  bool is_conflict = false;
   try {
     m_record_end = co_await m_store.WriteRecord(bytes, m_record_end);
     leader->OnStored();
     co_return true;
   } catch (const StoreConflictError&) {
-    is_conflict = true;
+    // Looked into below: a handler can't wait for the store.
   }
   // Either an earlier try of this write took effect without an answer, or
   // another node has claimed the mesh.
@@ -697,7 +692,7 @@
     }
   }
   m_record_end = stored.end;
-  co_return !is_conflict;
+  co_return false;
 }
 
 Task<> MeshAgent::StoreRecord(MeshRecord record,
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -106,7 +106,7 @@
   Task<> GiveVotesBack(std::shared_ptr<VoteCount> count);
   Task<> ClaimNewMesh(std::uint64_t end);
   Task<bool> Claim(MeshRecord record, std::uint64_t end);
-  void BecomeLeader(const MeshRecord& record, const VoteCount* votes);
+  void BecomeLeader(const MeshRecord& record);
   void StepDown(const char* reason);
   void Resign(const std::string& successor, const std::string& why);
   Task<> StoreRecord(MeshRecord record, std::shared_ptr<MeshLeader> leader);
