--- a/modules/coordination/mesh/heartbeat_reply.h
+++ b/modules/coordination/mesh/heartbeat_reply.h
@@ -5,22 +5,12 @@
 #include <string>
 #include <vector>
 
-#include "modules/state/mesh/key_slot.h"
 #include "modules/state/mesh/mesh_view.h"
 
 namespace citrongrade {
 
 // The leader's answer to a heartbeat.
 struct HeartbeatReply {
-  // The target is to give these keys back.
-  struct ReleaseOrder {
-    std::string service;
-    SlotRange range;
-    std::uint64_t fence = 0;
-
-    friend auto operator<=>(const ReleaseOrder&, const ReleaseOrder&) = default;
-  };
-
   // False: the one asked does not lead, and the rest says nothing but who may.
   bool is_leader = false;
   // Whom to ask instead; empty when not known.
@@ -35,7 +25,6 @@
   // in case the leader can't.
   bool follow_store = false;
   ViewDelta view;
-  std::vector<ReleaseOrder> releases;
   std::vector<std::uint64_t> crash_suspects;
   // Of the leader's configuration.
   std::uint64_t config_version = 0;
--- a/modules/coordination/mesh/hold_book.cc
+++ b/modules/coordination/mesh/hold_book.cc
@@ -69,34 +69,69 @@
   m_holds = std::move(joined);
 }
 
+void HoldBook::BeginRelease(Hold& hold, Clock::TimePoint now) {
+  if (hold.state == State::kReleasing || hold.state == State::kReturned)
+    return;
+  // Also what this process has never granted: an earlier one may have.
+  hold.state = State::kReleasing;
+  hold.next_call = now;
+}
+
+void HoldBook::TakeRun(const OwnedRun& run, std::vector<Hold>& holds) {
+  const Clock::TimePoint now = m_clock.Now();
+  std::uint32_t uncovered = run.range.first;
+  const auto add_wanted = [&](std::uint32_t end) {
+    if (uncovered >= end)
+      return;
+    Hold hold;
+    hold.range = {uncovered, end - 1};
+    hold.fence = run.fence;
+    hold.handover = run.handover;
+    hold.next_call = now;
+    hold.unanswered_until = m_earlier_until;
+    holds.push_back(std::move(hold));
+  };
+  const std::size_t first = holds.size();
+  for (Hold& hold : m_holds) {
+    if (!run.range.Contains(hold.range) || hold.fence != run.fence)
+      continue;
+    add_wanted(hold.range.first);
+    uncovered = hold.range.last + 1;
+    holds.push_back(hold);
+    hold.is_kept = true;
+  }
+  add_wanted(run.range.last + 1);
+  if (!run.is_moving())
+    return;
+  for (std::size_t i = first; i < holds.size(); ++i)
+    BeginRelease(holds[i], now);
+}
+
+void HoldBook::ForgetRest() {
+  const Clock::TimePoint now = m_clock.Now();
+  for (const Hold& hold : m_holds) {
+    if (hold.is_kept || hold.state == State::kReturned)
+      continue;
+    // Should the keys come back by the same token, what was granted before may
+    // still arrive: without this they would be given back too soon then.
+    m_earlier_until = std::max(m_earlier_until, hold.unanswered_until);
+    if (hold.call != 0 && now < hold.call_sent + kCallTimeout) {
+      m_earlier_until =
+          std::max(m_earlier_until,
+                   hold.call_sent + kCallTimeout + Longer(hold.call_hold));
+    }
+  }
+}
+
 void HoldBook::SetOwned(const std::vector<OwnedRun>& owned) {
   for (const OwnedRun& run : owned) {
     SplitAt(run.range.first);
     SplitAt(run.range.last + 1);
   }
   std::vector<Hold> next;
-  for (const OwnedRun& run : owned) {
-    std::uint32_t uncovered = run.range.first;
-    const auto add_wanted = [&](std::uint32_t end) {
-      if (uncovered >= end)
-        return;
-      Hold hold;
-      hold.range = {uncovered, end - 1};
-      hold.fence = run.fence;
-      hold.handover = run.handover;
-      hold.next_call = m_clock.Now();
-      hold.unanswered_until = m_earlier_until;
-      next.push_back(std::move(hold));
-    };
-    for (Hold& hold : m_holds) {
-      if (!run.range.Contains(hold.range) || hold.fence != run.fence)
-        continue;
-      add_wanted(hold.range.first);
-      uncovered = hold.range.last + 1;
-      next.push_back(std::move(hold));
-    }
-    add_wanted(run.range.last + 1);
-  }
+  for (const OwnedRun& run : owned)
+    TakeRun(run, next);
+  ForgetRest();
   m_holds = std::move(next);
   JoinNeighbours();
 }
@@ -105,26 +140,6 @@
   m_holds.clear();
 }
 
-void HoldBook::OrderRelease(SlotRange range, std::uint64_t fence) {
-  const bool is_new =
-      std::any_of(m_holds.begin(), m_holds.end(), [&](const Hold& hold) {
-        return hold.fence == fence && hold.range.Overlaps(range) &&
-               (hold.state == State::kWanted || hold.state == State::kHeld);
-      });
-  if (!is_new)
-    return;
-  SplitAt(range.first);
-  SplitAt(range.last + 1);
-  for (Hold& hold : m_holds) {
-    if (!range.Contains(hold.range) || hold.fence != fence ||
-        hold.state == State::kReleasing || hold.state == State::kReturned)
-      continue;
-    // Also what this process has never granted: an earlier one may have.
-    hold.state = State::kReleasing;
-    hold.next_call = m_clock.Now();
-  }
-}
-
 std::vector<HoldBook::Grant> HoldBook::DueGrants(Clock::TimePoint lease_until) {
   std::vector<Grant> due;
   const Clock::TimePoint now = m_clock.Now();
--- a/modules/coordination/mesh/hold_book.h
+++ b/modules/coordination/mesh/hold_book.h
@@ -19,9 +19,9 @@
 // its arrival all the same. So a range counts as given back only when no grant
 // that covers it can still take effect, or two targets could hold it.
 //
-// How to use it: SetOwned() with each new view, OrderRelease() with each order
-// of the leader. Send what DueGrants() and DueReleases() give, and report each
-// one's end. Everything that Returned() lists goes into each heartbeat, until
+// How to use it: SetOwned() with each new view; runs that are to move are
+// released. Send what DueGrants() and DueReleases() give, and report each one's
+// end. Everything that Returned() lists goes into each heartbeat, until
 // the view shows another owner.
 //
 // Thread-confined, no input or output. Kin: TargetKeeper sends the calls.
@@ -68,8 +68,6 @@
   // The target's process is another one, or gone: it holds nothing.
   void Clear();
 
-  void OrderRelease(SlotRange range, std::uint64_t fence);
-
   // `lease_until`: until when the node may let its target serve.
   std::vector<Grant> DueGrants(Clock::TimePoint lease_until);
   void OnGranted(std::uint64_t id);
@@ -113,18 +111,26 @@
     // The target confirmed the release.
     bool is_released = false;
     std::string returned_handover;
+    // While SetOwned() sorts them: the view still gives it to this target.
+    bool is_kept = false;
   };
 
   void SplitAt(std::uint32_t slot);
   static bool CanJoin(const Hold& left, const Hold& right);
   void JoinNeighbours();
   const Hold* FindHold(std::uint32_t slot) const;
+  // Adds what is held of the run, and what is still to be granted, to `holds`.
+  void TakeRun(const OwnedRun& run, std::vector<Hold>& holds);
+  // Holds that the view gives to nobody here any more, as of now.
+  void ForgetRest();
+  static void BeginRelease(Hold& hold, Clock::TimePoint now);
   template <typename Change>
   void ForCall(std::uint64_t id, Change change);
 
   const Clock& m_clock;
-  // What an earlier process of this node granted may hold until then.
-  const Clock::TimePoint m_earlier_until;
+  // What an earlier process of this node granted, or what is no longer in the
+  // book, may hold until then.
+  Clock::TimePoint m_earlier_until;
   // In the order of their slots.
   std::vector<Hold> m_holds;
   std::uint64_t m_next_id = 1;
--- a/modules/coordination/mesh/hold_book_test.cc
+++ b/modules/coordination/mesh/hold_book_test.cc
@@ -23,6 +23,13 @@
   return run;
 }
 
+// The same run while its owner is to give it back.
+OwnedRun Moving(std::uint32_t first, std::uint32_t last, std::uint64_t fence) {
+  OwnedRun run = Run(first, last, fence);
+  run.next = {"other", {"t-other", 0}, fence + 1};
+  return run;
+}
+
 struct Fixture {
   Fixture() { clock.Advance(kLater); }
 
@@ -74,7 +81,7 @@
 
 TEST_CASE_FIXTURE(Fixture, "a part is given back with the target's handover") {
   Hold(10, 20, 5);
-  book.OrderRelease({12, 13}, 5);
+  book.SetOwned({Run(10, 11, 5), Moving(12, 13, 5), Run(14, 20, 5)});
   CHECK_FALSE(book.MayServe(12));
   CHECK(book.IsLeaving(13));
   CHECK(book.MayServe(11));
@@ -107,7 +114,7 @@
   const HoldBook::Grant renewal = GrantOne();
   clock.Advance(HoldBook::kCallTimeout);
   book.OnGrantUnanswered(renewal.id);
-  book.OrderRelease({10, 20}, 5);
+  book.SetOwned({Moving(10, 20, 5)});
   const auto due = book.DueReleases();
   REQUIRE(due.size() == 1);
   book.OnReleased(due.front().id, "token");
@@ -123,8 +130,7 @@
 TEST_CASE("a process that has just started asks its target to release") {
   ManualClock clock;
   HoldBook book(clock);
-  book.SetOwned({Run(10, 20, 5)});
-  book.OrderRelease({10, 20}, 5);
+  book.SetOwned({Moving(10, 20, 5)});
   CHECK(book.Returned().empty());
   const auto due = book.DueReleases();
   REQUIRE(due.size() == 1);
@@ -139,7 +145,7 @@
 TEST_CASE_FIXTURE(Fixture,
                   "a release that is never answered ends with the hold") {
   Hold(10, 20, 5);
-  book.OrderRelease({10, 20}, 5);
+  book.SetOwned({Moving(10, 20, 5)});
   const auto due = book.DueReleases();
   book.OnReleaseUnanswered(due.front().id);
   CHECK(book.Returned().empty());
@@ -149,6 +155,27 @@
   CHECK(returned.front().handover.empty());
 }
 
+// A leader took the keys away and is gone before that was stored. The next one
+// goes by the record, where they still are to move. What the target may hold by
+// a grant that was under way then must be waited for before they are given
+// back.
+TEST_CASE_FIXTURE(Fixture,
+                  "keys that come back to be released wait for old grants") {
+  Hold(10, 20, 5);
+  clock.Advance(HoldBook::kRenewal);
+  const HoldBook::Grant renewal = GrantOne();
+  book.SetOwned({});
+  book.SetOwned({Moving(10, 20, 5)});
+  CHECK_FALSE(book.MayServe(15));
+  CHECK(book.DueGrants(clock.Now() + kLease).empty());
+  const auto due = book.DueReleases();
+  REQUIRE(due.size() == 1);
+  book.OnReleased(due.front().id, "token");
+  CHECK(book.Returned().empty());
+  clock.Advance(renewal.hold + HoldBook::kCallTimeout + milliseconds(100));
+  CHECK(book.Returned().size() == 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a grant that the target refuses is given up") {
   book.SetOwned({Run(10, 20, 5)});
   book.OnGrantRefused(GrantOne().id);
--- a/modules/coordination/mesh/key_assigner.cc
+++ b/modules/coordination/mesh/key_assigner.cc
@@ -20,6 +20,16 @@
 // one member would get.
 constexpr double kPieceShare = 0.34;
 
+// The run in the hands of `owner`; in nobody's when that is not set.
+OwnedRun AsOwned(OwnedRun run, const NextOwner& owner) {
+  run.owner = owner.address;
+  run.life = owner.life;
+  if (owner.is_set())
+    run.fence = owner.fence;
+  run.next = {};
+  return run;
+}
+
 }  // namespace
 
 KeyAssigner::KeyAssigner(std::uint64_t epoch,
@@ -62,25 +72,39 @@
 void KeyAssigner::FreeLost(
     const std::function<bool(const OwnedRun&)>& is_lost) {
   for (const auto& [service, table] : m_tables) {
-    std::vector<OwnedRun> lost;
-    for (const OwnedRun& run : table.runs()) {
-      if (run.has_owner() && is_lost(run))
-        lost.push_back(run);
+    const std::vector<OwnedRun> runs = table.runs();
+    for (const OwnedRun& run : runs) {
+      if (run.is_moving() && is_lost(AsOwned(run, run.next)))
+        ReplaceNextOwner(service, run);
     }
-    for (OwnedRun run : lost) {
-      DropOrders(service, run.range);
-      run.owner.clear();
-      run.life = {};
-      run.handover.clear();
-      Record(service, run);
+    const std::vector<OwnedRun> current = table.runs();
+    for (const OwnedRun& run : current) {
+      if (run.has_owner() && is_lost(run))
+        TakeFromOwner(service, run, {});
     }
   }
 }
 
-void KeyAssigner::DropOrders(const std::string& service, SlotRange range) {
-  std::erase_if(m_orders, [&](const Order& order) {
-    return order.service == service && order.range.Overlaps(range);
-  });
+void KeyAssigner::ReplaceNextOwner(const std::string& service,
+                                   const OwnedRun& run) {
+  const std::vector<const Member*> receivers = ReceiversOf(service);
+  if (receivers.empty())
+    return;
+  Loads loads = LoadsOf(PlannedTable(service), WeightsOf(service));
+  PlanMove(service, run, run.range, LeastBusy(receivers, loads, 0));
+}
+
+void KeyAssigner::TakeFromOwner(const std::string& service,
+                                OwnedRun run,
+                                const std::string& handover) {
+  // The next owner gets them also while it leaves: a leader before may have
+  // given them to it already, and nobody else may have them then.
+  const bool was_moving = run.is_moving();
+  run = AsOwned(run, run.next);
+  run.handover = handover;
+  Record(service, run);
+  if (was_moving)
+    m_completed_moves.push_back({service, run});
 }
 
 void KeyAssigner::PlaceUnowned() {
@@ -158,23 +182,16 @@
       loads.all / static_cast<double>(receivers.size()) * kPieceShare;
   const std::vector<OwnedRun> runs = found->second.runs();
   for (const OwnedRun& run : runs) {
-    if (run.owner != giver.address)
+    if (run.owner != giver.address || run.is_moving())
       continue;
     std::uint32_t next = run.range.first;
     while (next <= run.range.last) {
-      if (IsOrdered(giver.service, {next, next})) {
-        ++next;
-        continue;
-      }
       std::uint32_t end = next;
       double weight = weights[next];
-      while (end < run.range.last &&
-             weight + weights[end + 1] <= piece_weight &&
-             !IsOrdered(giver.service, {end + 1, end + 1})) {
+      while (end < run.range.last && weight + weights[end + 1] <= piece_weight)
         weight += weights[++end];
-      }
       const Member& best = LeastBusy(receivers, loads, weight);
-      AddOrders(giver.service, run, {next, end}, best.address);
+      PlanMove(giver.service, run, {next, end}, best);
       next = end + 1;
     }
   }
@@ -197,19 +214,17 @@
     const std::vector<KeyBalancer::Move> moves =
         balancer.Plan(PlannedTable(service), rates->second, targets);
     if (!moves.empty()) {
-      spdlog::info(
-          "event=keys-to-move service={} moves={} under_way={} runs={}",
-          service, moves.size(), m_orders.size(), table.runs().size());
+      spdlog::info("event=keys-to-move service={} moves={} runs={}", service,
+                   moves.size(), table.runs().size());
     }
     const KeyTable current = table;
     for (const KeyBalancer::Move& move : moves) {
+      const Member* receiver = FindReceiver(service, move.to);
       for (const OwnedRun& run : current.runs()) {
-        if (!run.range.Overlaps(move.range) || run.owner != move.from)
+        if (receiver == nullptr || !run.range.Overlaps(move.range) ||
+            run.owner != move.from || run.is_moving())
           continue;
-        const SlotRange part{std::max(run.range.first, move.range.first),
-                             std::min(run.range.last, move.range.last)};
-        if (!IsOrdered(service, part))
-          AddOrders(service, run, part, move.to);
+        PlanMove(service, run, run.range.CommonPart(move.range), *receiver);
       }
     }
   }
@@ -221,49 +236,27 @@
   if (found == m_tables.end() || released.range.last >= kSlotCount ||
       released.range.first > released.range.last)
     return false;
-  const OwnedRun run = found->second.Find(released.range.first);
-  if (run.owner != from || run.fence != released.fence ||
-      !run.range.Contains(released.range))
-    return false;
-  std::string to;
-  std::erase_if(m_orders, [&](const Order& order) {
-    const bool is_it = order.service == released.service &&
-                       order.range.Overlaps(released.range);
-    if (is_it)
-      to = order.to;
-    return is_it;
-  });
-  const Member* receiver = FindReceiver(released.service, to);
-  if (receiver != nullptr) {
-    Give(released.service, released.range, *receiver, released.handover);
-    return true;
-  }
-  OwnedRun free = run;
-  free.range = released.range;
-  free.owner.clear();
-  free.life = {};
-  free.handover = released.handover;
-  Record(released.service, free);
-  PlaceUnowned();
-  return true;
-}
-
-std::vector<HeartbeatReply::ReleaseOrder> KeyAssigner::OrdersFor(
-    const std::string& address) const {
-  std::vector<HeartbeatReply::ReleaseOrder> orders;
-  for (const Order& order : m_orders) {
-    if (order.from == address)
-      orders.push_back({order.service, order.range, order.fence});
+  bool is_news = false;
+  const std::vector<OwnedRun> runs = found->second.runs();
+  for (OwnedRun run : runs) {
+    if (run.owner != from || run.fence != released.fence ||
+        !run.range.Overlaps(released.range))
+      continue;
+    run.range = run.range.CommonPart(released.range);
+    TakeFromOwner(released.service, run, released.handover);
+    is_news = true;
   }
-  return orders;
+  if (is_news)
+    PlaceUnowned();
+  return is_news;
 }
 
 std::vector<KeyAssigner::Change> KeyAssigner::TakeChanges() {
   return std::exchange(m_changes, {});
 }
 
-std::set<std::string> KeyAssigner::TakeOrderedNodes() {
-  return std::exchange(m_ordered_nodes, {});
+std::vector<KeyAssigner::Change> KeyAssigner::TakeCompletedMoves() {
+  return std::exchange(m_completed_moves, {});
 }
 
 std::vector<KeyAssigner::Change> KeyAssigner::TakeWithdrawals() {
@@ -337,29 +330,26 @@
 
 KeyTable KeyAssigner::PlannedTable(const std::string& service) const {
   KeyTable planned = m_tables.at(service);
-  for (const Order& order : m_orders) {
-    if (order.service != service)
-      continue;
-    OwnedRun run = planned.Find(order.range.first);
-    run.range = order.range;
-    run.owner = order.to;
-    planned.Assign(run);
+  for (const OwnedRun& run : m_tables.at(service).runs()) {
+    if (run.is_moving())
+      planned.Assign(AsOwned(run, run.next));
   }
   return planned;
 }
 
-void KeyAssigner::AddOrders(const std::string& service,
-                            const OwnedRun& run,
-                            SlotRange range,
-                            const std::string& to) {
-  m_orders.push_back({service, range, run.owner, to, run.fence});
-  m_ordered_nodes.insert(run.owner);
+void KeyAssigner::PlanMove(const std::string& service,
+                           const OwnedRun& run,
+                           SlotRange range,
+                           const Member& to) {
+  OwnedRun moving = run;
+  moving.range = range;
+  moving.next = {to.address, to.life, NewFence()};
+  m_tables[service].Assign(moving);
+  m_changes.push_back({service, moving});
 }
 
-bool KeyAssigner::IsOrdered(const std::string& service, SlotRange range) const {
-  return std::any_of(m_orders.begin(), m_orders.end(), [&](const Order& order) {
-    return order.service == service && order.range.Overlaps(range);
-  });
+std::uint64_t KeyAssigner::NewFence() {
+  return (m_epoch << kGrantBits) + ++m_grants;
 }
 
 void KeyAssigner::Give(const std::string& service,
@@ -370,7 +360,7 @@
   run.range = range;
   run.owner = receiver.address;
   run.life = receiver.life;
-  run.fence = (m_epoch << kGrantBits) + ++m_grants;
+  run.fence = NewFence();
   run.handover = handover;
   Record(service, run);
 }
--- a/modules/coordination/mesh/key_assigner.h
+++ b/modules/coordination/mesh/key_assigner.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "modules/coordination/mesh/heartbeat.h"
-#include "modules/coordination/mesh/heartbeat_reply.h"
 #include "modules/coordination/mesh/key_balancer.h"
 #include "modules/state/mesh/key_table.h"
 
@@ -18,8 +17,9 @@
 // the targets that leave or are too busy give keys back, and hands these on.
 //
 // How to use it: SetMembers() and then the steps, every tick; what changed is
-// in TakeChanges(), to be stored before it is published. A release order stands
-// in OrdersFor() until OnReleased() or until its giver is lost.
+// in TakeChanges(), to be stored before it is published. Keys that are to move
+// stay with their owner and name the next one, until OnReleased() or until the
+// owner is lost.
 //
 // What it decides takes effect nowhere by itself. Thread-confined. Kin:
 // MeshLeader, which knows who is alive; KeyBalancer, which says what to move.
@@ -64,28 +64,19 @@
 
   // True when it was news.
   bool OnReleased(const std::string& from, const Heartbeat::Released& released);
-  std::vector<HeartbeatReply::ReleaseOrder> OrdersFor(
-      const std::string& address) const;
 
   std::vector<Change> TakeChanges();
   // What its owner loses by the changes: to be published at once, before they
   // are stored. Otherwise an owner that was taken for lost could come back and
   // get a lease for keys that a stored change is about to give to another.
   std::vector<Change> TakeWithdrawals();
-  // Nodes that have got an order since the last call.
-  std::set<std::string> TakeOrderedNodes();
-  bool has_changes() const { return !m_changes.empty(); }
+  // Changes by which keys went to the next owner that their run had named. What
+  // was stored with that name needs no storing before it is published.
+  std::vector<Change> TakeCompletedMoves();
+  std::size_t change_count() const { return m_changes.size(); }
   const std::map<std::string, KeyTable>& tables() const { return m_tables; }
 
  private:
-  struct Order {
-    std::string service;
-    SlotRange range;
-    std::string from;
-    std::string to;
-    std::uint64_t fence = 0;
-  };
-
   std::vector<const Member*> ReceiversOf(const std::string& service) const;
   const Member* FindReceiver(const std::string& service,
                              const std::string& address) const;
@@ -105,12 +96,17 @@
   void SpreadAll(const std::string& service);
   void PlaceRun(const std::string& service, const OwnedRun& run);
   void OrderDrain(const Member& giver);
-  void AddOrders(const std::string& service,
-                 const OwnedRun& run,
-                 SlotRange range,
-                 const std::string& to);
-  bool IsOrdered(const std::string& service, SlotRange range) const;
-  void DropOrders(const std::string& service, SlotRange range);
+  void PlanMove(const std::string& service,
+                const OwnedRun& run,
+                SlotRange range,
+                const Member& to);
+  // The owner of this part has it no longer.
+  void TakeFromOwner(const std::string& service,
+                     OwnedRun run,
+                     const std::string& handover);
+  // The next owner of keys that still are to move is lost.
+  void ReplaceNextOwner(const std::string& service, const OwnedRun& run);
+  std::uint64_t NewFence();
   void Give(const std::string& service,
             SlotRange range,
             const Member& receiver,
@@ -121,10 +117,9 @@
   std::uint64_t m_grants = 0;
   std::map<std::string, KeyTable> m_tables;
   std::vector<Member> m_members;
-  std::vector<Order> m_orders;
-  std::set<std::string> m_ordered_nodes;
   std::vector<Change> m_changes;
   std::vector<Change> m_withdrawals;
+  std::vector<Change> m_completed_moves;
   // By service and slot: requests in this round, and a second.
   std::map<std::string, std::vector<float>> m_counts;
   std::map<std::string, std::vector<float>> m_rates;
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -18,6 +18,10 @@
 constexpr std::size_t kMaxSuspects = 1024;
 // A node that is to read the store has its first answer within this.
 constexpr std::chrono::milliseconds kReaderTrial{600};
+// Moves that are over stand in the record as if they still went on for at most
+// this long. Each is then asked for again by the next leader: an order more. To
+// store each at once would double the writes.
+constexpr std::chrono::milliseconds kMovesUnmarked{1000};
 // Keys stay where they are until most nodes have had time to report.
 constexpr std::chrono::milliseconds kFirstReports{700};
 
@@ -101,9 +105,26 @@
 void MeshLeader::PublishWithdrawals() {
   for (const KeyAssigner::Change& change : m_assigner.TakeWithdrawals())
     m_view.Assign(change.service, change.run);
-  // An order does not change the view; it is told with the next version.
-  for (const std::string& giver : m_assigner.TakeOrderedNodes())
-    m_concerned[giver] = m_view.version() + 1;
+  for (const KeyAssigner::Change& change : m_assigner.TakeCompletedMoves()) {
+    if (!IsStoredMove(change))
+      continue;
+    PublishStored(change);
+    if (m_published_early++ == 0)
+      m_first_published_early = m_clock.Now();
+  }
+}
+
+bool MeshLeader::IsStoredMove(const KeyAssigner::Change& change) const {
+  const auto table = m_stored.tables.find(change.service);
+  if (table == m_stored.tables.end())
+    return false;
+  const OwnedRun& now = change.run;
+  const NextOwner next{now.owner, now.life, now.fence};
+  return std::all_of(table->second.runs().begin(), table->second.runs().end(),
+                     [&](const OwnedRun& run) {
+                       return !run.range.Overlaps(now.range) ||
+                              run.next == next;
+                     });
 }
 
 bool MeshLeader::ReadsStore(const std::string& address) const {
@@ -152,10 +173,6 @@
   Node& node = found->second;
   reply.lease_ms = static_cast<std::uint32_t>(m_timing.lease.count());
   node.lease_until = now + m_timing.lease + m_timing.drift;
-  reply.releases = m_assigner.OrdersFor(heartbeat.address);
-  const auto concerned = m_concerned.find(heartbeat.address);
-  if (concerned != m_concerned.end() && concerned->second > m_view.version())
-    m_concerned.erase(concerned);
   reply.follow_store = ReadsStore(heartbeat.address);
   reply.crash_suspects.assign(
       m_crash_suspects.begin() +
@@ -309,12 +326,20 @@
   return {wanted.begin(), wanted.end()};
 }
 
+bool MeshLeader::MustStoreChanges() const {
+  if (m_assigner.change_count() > m_published_early)
+    return true;
+  return m_published_early > 0 &&
+         m_clock.Now() - m_first_published_early > kMovesUnmarked;
+}
+
 std::optional<MeshRecord> MeshLeader::RecordToStore() {
   if (m_storing || !HasAuthority())
     return std::nullopt;
   std::vector<std::string> voters = WantedVoters();
-  if (!m_assigner.has_changes() && voters == m_stored.voters)
+  if (!MustStoreChanges() && voters == m_stored.voters)
     return std::nullopt;
+  m_published_early = 0;
   m_storing_changes = m_assigner.TakeChanges();
   m_storing = m_stored;
   m_storing->tables = m_assigner.tables();
@@ -343,8 +368,7 @@
     if (!run.range.Overlaps(change.run.range) ||
         !run.SameAssignment(change.run))
       continue;
-    run.range.first = std::max(run.range.first, change.run.range.first);
-    run.range.last = std::min(run.range.last, change.run.range.last);
+    run.range = run.range.CommonPart(change.run.range);
     m_view.Assign(change.service, run);
     m_concerned[run.owner] = m_view.version();
   }
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -89,6 +89,9 @@
   void PublishMember(const Node& node);
   void PublishWithdrawals();
   void PublishStored(const KeyAssigner::Change& change);
+  // The stored record names the change's owner as the next one already.
+  bool IsStoredMove(const KeyAssigner::Change& change) const;
+  bool MustStoreChanges() const;
   void MoveKeys();
   // Has other nodes read the store when those that should can't.
   void ChooseStoreReaders();
@@ -106,6 +109,9 @@
   MeshRecord m_stored;
   std::optional<MeshRecord> m_storing;
   std::vector<KeyAssigner::Change> m_storing_changes;
+  // Changes that took effect before they are stored: see IsStoredMove().
+  std::size_t m_published_early = 0;
+  Clock::TimePoint m_first_published_early;
   LeadershipLease m_lease;
   KeyAssigner m_assigner;
   MeshView m_view;
--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -4,6 +4,8 @@
 
 #include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "modules/coordination/manual_clock.h"
 
@@ -23,10 +25,32 @@
     record.epoch = 1;
     record.leader = "a";
     record.voters = {"a"};
+    Lead(record);
+  }
+
+  void Lead(const MeshRecord& record) {
     leader = std::make_unique<MeshLeader>(clock, timing, "a", kNonce, record);
     leader->SetDividedServices({"divided"});
   }
 
+  // Runs that the view tells their owner to give back.
+  std::vector<OwnedRun> MovingRunsOf(const std::string& address) const {
+    std::vector<OwnedRun> moving;
+    for (OwnedRun run : leader->view().FindTable("divided")->runs()) {
+      run.version = 0;
+      if (run.owner == address && run.is_moving())
+        moving.push_back(run);
+    }
+    return moving;
+  }
+
+  void GiveBack(const std::string& address, const std::vector<OwnedRun>& runs) {
+    for (const OwnedRun& run : runs) {
+      Node(address).released.push_back(
+          {"divided", run.range, run.fence, "token"});
+    }
+  }
+
   Heartbeat& Node(const std::string& address) {
     const auto [found, is_new] = nodes.try_emplace(address);
     Heartbeat& heartbeat = found->second;
@@ -163,19 +187,76 @@
   Run(milliseconds(4000));
   Node("b").target.state = Heartbeat::TargetState::kDraining;
   Run(milliseconds(100));
-  const auto orders = replies["b"].releases;
-  REQUIRE_FALSE(orders.empty());
-  for (const auto& order : orders)
-    Node("b").released.push_back(
-        {"divided", order.range, order.fence, "token"});
+  const std::vector<OwnedRun> moving = MovingRunsOf("b");
+  REQUIRE_FALSE(moving.empty());
+  GiveBack("b", moving);
   Run(milliseconds(100));
   CHECK(SlotsOf("b") == 0);
   CHECK(leader->view()
             .FindTable("divided")
-            ->Find(orders[0].range.first)
+            ->Find(moving[0].range.first)
             .handover == "token");
 }
 
+// The store goes away while keys move. Their owner has given them back; the one
+// that is to get them was stored before, so they need not wait for the store.
+TEST_CASE_FIXTURE(Fixture, "keys that move arrive while the store is away") {
+  for (const char* address : {"a", "b", "c"})
+    Node(address);
+  Run(milliseconds(4000));
+  Node("b").target.state = Heartbeat::TargetState::kDraining;
+  Run(milliseconds(100));
+  stores = false;
+  GiveBack("b", MovingRunsOf("b"));
+  Run(milliseconds(50));
+  CHECK(SlotsOf("b") == 0);
+  CHECK_FALSE(leader->view().FindTable("divided")->HasUnowned());
+}
+
+// Without the store nobody could be told later to whom the keys went: an owner
+// that leaves is told to give them back only once that is stored.
+TEST_CASE_FIXTURE(Fixture, "no key is asked back while the store is away") {
+  for (const char* address : {"a", "b", "c"})
+    Node(address);
+  Run(milliseconds(4000));
+  stores = false;
+  Node("b").target.state = Heartbeat::TargetState::kDraining;
+  Run(milliseconds(1000));
+  CHECK(MovingRunsOf("b").empty());
+  CHECK(SlotsOf("b") > 0);
+}
+
+// A leader is lost after it gave keys on and before it marked that in the
+// record. The next one goes by the record: both may have had them, so it asks
+// the first owner to give them back and gives them to the second, by the same
+// token, and to nobody else.
+TEST_CASE_FIXTURE(Fixture, "the next leader ends a move that was under way") {
+  for (const char* address : {"a", "b", "c"})
+    Node(address);
+  Run(milliseconds(4000));
+  Node("b").target.state = Heartbeat::TargetState::kDraining;
+  Beat("b");
+  leader->Tick();
+  const auto record = leader->RecordToStore();
+  REQUIRE(record.has_value());
+  leader->OnStored();
+  const std::vector<OwnedRun> moving = MovingRunsOf("b");
+  REQUIRE_FALSE(moving.empty());
+  GiveBack("b", moving);
+  Beat("b");
+  REQUIRE(SlotsOf("b") == 0);
+  Lead(*record);
+  Run(milliseconds(1000));
+  CHECK(MovingRunsOf("b") == moving);
+  GiveBack("b", moving);
+  Run(milliseconds(50));
+  const KeyTable* table = leader->view().FindTable("divided");
+  for (const OwnedRun& run : moving) {
+    CHECK(table->Find(run.range.first).owner == run.next.address);
+    CHECK(table->Find(run.range.first).fence == run.next.fence);
+  }
+}
+
 TEST_CASE_FIXTURE(
     Fixture,
     "without the votes of more than half nothing is granted or moved") {
--- a/modules/coordination/mesh/ownership_model_test.cc
+++ b/modules/coordination/mesh/ownership_model_test.cc
@@ -1,12 +1,15 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <set>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,7 +24,8 @@
 // killed, frozen and cut off, targets crash and are born again, orders and
 // messages come late or never, the store fails, leaders are deposed.
 //
-// Checked after each step: no two targets hold the same slot. Each safeguard is
+// Checked after each step: no two targets hold the same slot, and none takes a
+// slot by a token that is not above those of all others. Each safeguard is
 // shown to be needed by a run without it that must be reported.
 
 namespace citrongrade {
@@ -145,7 +149,8 @@
     m_down_until.resize(kNodes);
   }
 
-  // The number of steps at which two targets held one slot.
+  // The number of steps at which two targets held one slot, or one took a slot
+  // by an old token.
   int Run(milliseconds duration) {
     int violations = 0;
     for (milliseconds t{0}; t < duration; t += kStep) {
@@ -155,7 +160,7 @@
       Deliver();
       for (std::size_t i = 0; i < kNodes; ++i)
         StepNode(i);
-      violations += Check() ? 0 : 1;
+      violations += Check() && !std::exchange(m_took_old_token, false) ? 0 : 1;
       m_served += Serves(0) ? 1 : 0;
     }
     return violations;
@@ -290,8 +295,6 @@
       node.lease_until =
           std::max(node.lease_until, sent + milliseconds(reply.lease_ms));
     Own(i);
-    for (const auto& order : reply.releases)
-      node.book.OrderRelease(order.range, order.fence);
   }
 
   void Own(std::size_t i) {
@@ -471,6 +474,7 @@
         continue;
       }
       m_targets[i].Grant(grant, m_clock.Now(), m_clock.Now());
+      CheckToken(i, grant);
       node.book.OnGranted(grant.id);
     }
     for (const HoldBook::Release& release : node.book.DueReleases()) {
@@ -482,9 +486,25 @@
     }
   }
 
+  void CheckToken(std::size_t i, const HoldBook::Grant& grant) {
+    for (std::uint32_t probe = 0; probe < kProbes; ++probe) {
+      if (!grant.range.Contains(SlotOfProbe(probe)))
+        continue;
+      for (std::size_t other = 0; other < kNodes; ++other) {
+        if (other != i && m_tokens[probe][other] >= grant.fence)
+          m_took_old_token = true;
+      }
+      m_tokens[probe][i] = std::max(m_tokens[probe][i], grant.fence);
+    }
+  }
+
+  static std::uint32_t SlotOfProbe(std::uint32_t probe) {
+    return probe * (kSlotCount / kProbes) + probe;
+  }
+
   bool Check() const {
     for (std::uint32_t probe = 0; probe < kProbes; ++probe) {
-      const std::uint32_t slot = probe * (kSlotCount / kProbes) + probe;
+      const std::uint32_t slot = SlotOfProbe(probe);
       int holders = 0;
       for (const FakeTarget& target : m_targets)
         holders += target.Holds(slot, m_clock.Now()) ? 1 : 0;
@@ -515,11 +535,22 @@
   FakeStore m_store;
   Clock::TimePoint m_store_down_until;
   std::vector<Late> m_late;
+  // The highest token by which each target took each probed slot.
+  std::array<std::array<std::uint64_t, kNodes>, kProbes> m_tokens{};
+  bool m_took_old_token = false;
   int m_served = 0;
 };
 
 constexpr milliseconds kPlayed{40'000};
 
+// The first and last seed to play: CITRONGRADE_MODEL_SEEDS, as "41 2000".
+std::pair<std::uint64_t, std::uint64_t> SeedsToPlay() {
+  std::pair<std::uint64_t, std::uint64_t> seeds{1, 40};
+  if (const char* wanted = std::getenv("CITRONGRADE_MODEL_SEEDS"))
+    std::istringstream(wanted) >> seeds.first >> seeds.second;
+  return seeds;
+}
+
 int CountViolations(std::uint64_t seeds, const Options& options) {
   int violations = 0;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed)
@@ -531,15 +562,16 @@
 
 TEST_CASE("no two targets hold one key, whatever fails") {
   int served = 0;
-  constexpr std::uint64_t kSeeds = 40;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  const auto [first, last] = SeedsToPlay();
+  for (std::uint64_t seed = first; seed <= last; ++seed) {
     Model model(seed, Options());
     CHECK_MESSAGE(model.Run(kPlayed) == 0, "seed ", seed);
     served += model.served_steps();
   }
   // Safety alone could be had by serving nobody. 0.38 of the time is what was
   // left in a mesh whose nodes and store fail every few seconds.
-  CHECK(served > static_cast<int>(kSeeds) * (kPlayed / kStep) * 3 / 10);
+  CHECK(served >
+        static_cast<int>(last - first + 1) * (kPlayed / kStep) * 3 / 10);
 }
 
 TEST_CASE("the model reports a leader that does not wait for old leases") {
--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -68,6 +68,11 @@
   fence @5 :UInt64;
   handover @6 :Text;
   version @7 :UInt64;
+  # To whom they go; an empty address: they stay.
+  nextAddress @8 :Text;
+  nextTargetId @9 :Text;
+  nextTargetStartedUnixMs @10 :Int64;
+  nextFence @11 :UInt64;
 }
 
 struct MeshHeartbeatReply {
@@ -83,16 +88,9 @@
   viewIsWhole @9 :Bool;
   members @10 :List(MeshMemberEntry);
   runs @11 :List(MeshOwnedRun);
-  releases @12 :List(ReleaseOrder);
-  crashSuspects @13 :List(UInt64);
-  configVersion @14 :UInt64;
-  configDocument @15 :Data;
-
-  struct ReleaseOrder {
-    service @0 :Text;
-    range @1 :SlotSpan;
-    fence @2 :UInt64;
-  }
+  crashSuspects @12 :List(UInt64);
+  configVersion @13 :UInt64;
+  configDocument @14 :Data;
 }
 
 struct MeshVoteRequest {
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -22,7 +22,6 @@
 CAPNP_DECLARE_SCHEMA(d830fe406b94f282);
 CAPNP_DECLARE_SCHEMA(bf30885fd9183834);
 CAPNP_DECLARE_SCHEMA(afed84799603774a);
-CAPNP_DECLARE_SCHEMA(db06378a56fef99d);
 CAPNP_DECLARE_SCHEMA(b878fba6fb7c4713);
 CAPNP_DECLARE_SCHEMA(98ccc8da051728ac);
 CAPNP_DECLARE_SCHEMA(bc85cf3fbc8a6568);
@@ -102,7 +101,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bf30885fd9183834, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(bf30885fd9183834, 5, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -115,25 +114,9 @@
   class Reader;
   class Builder;
   class Pipeline;
-  struct ReleaseOrder;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afed84799603774a, 6, 6)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct MeshHeartbeatReply::ReleaseOrder {
-  ReleaseOrder() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db06378a56fef99d, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(afed84799603774a, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -797,6 +780,16 @@
 
   inline  ::uint64_t getVersion() const;
 
+  inline bool hasNextAddress() const;
+  inline  ::capnp::Text::Reader getNextAddress() const;
+
+  inline bool hasNextTargetId() const;
+  inline  ::capnp::Text::Reader getNextTargetId() const;
+
+  inline  ::int64_t getNextTargetStartedUnixMs() const;
+
+  inline  ::uint64_t getNextFence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -869,6 +862,26 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
+  inline bool hasNextAddress();
+  inline  ::capnp::Text::Builder getNextAddress();
+  inline void setNextAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNextAddress(unsigned int size);
+  inline void adoptNextAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNextAddress();
+
+  inline bool hasNextTargetId();
+  inline  ::capnp::Text::Builder getNextTargetId();
+  inline void setNextTargetId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNextTargetId(unsigned int size);
+  inline void adoptNextTargetId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNextTargetId();
+
+  inline  ::int64_t getNextTargetStartedUnixMs();
+  inline void setNextTargetStartedUnixMs( ::int64_t value);
+
+  inline  ::uint64_t getNextFence();
+  inline void setNextFence( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -940,9 +953,6 @@
   inline bool hasRuns() const;
   inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
 
-  inline bool hasReleases() const;
-  inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>::Reader getReleases() const;
-
   inline bool hasCrashSuspects() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashSuspects() const;
 
@@ -1027,13 +1037,6 @@
   inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>> disownRuns();
 
-  inline bool hasReleases();
-  inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>::Builder getReleases();
-  inline void setReleases( ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>::Builder initReleases(unsigned int size);
-  inline void adoptReleases(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>> disownReleases();
-
   inline bool hasCrashSuspects();
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashSuspects();
   inline void setCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
@@ -1078,103 +1081,6 @@
 };
 #endif  // !CAPNP_LITE
 
-class MeshHeartbeatReply::ReleaseOrder::Reader {
-public:
-  typedef ReleaseOrder Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasRange() const;
-  inline  ::citrongrade::rpc::SlotSpan::Reader getRange() const;
-
-  inline  ::uint64_t getFence() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class MeshHeartbeatReply::ReleaseOrder::Builder {
-public:
-  typedef ReleaseOrder Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasRange();
-  inline  ::citrongrade::rpc::SlotSpan::Builder getRange();
-  inline void setRange( ::citrongrade::rpc::SlotSpan::Reader value);
-  inline  ::citrongrade::rpc::SlotSpan::Builder initRange();
-  inline void adoptRange(::capnp::Orphan< ::citrongrade::rpc::SlotSpan>&& value);
-  inline ::capnp::Orphan< ::citrongrade::rpc::SlotSpan> disownRange();
-
-  inline  ::uint64_t getFence();
-  inline void setFence( ::uint64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class MeshHeartbeatReply::ReleaseOrder::Pipeline {
-public:
-  typedef ReleaseOrder Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::citrongrade::rpc::SlotSpan::Pipeline getRange();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
 class MeshVoteRequest::Reader {
 public:
   typedef MeshVoteRequest Reads;
@@ -2591,6 +2497,102 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MeshOwnedRun::Reader::hasNextAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshOwnedRun::Builder::hasNextAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getNextAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getNextAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void MeshOwnedRun::Builder::setNextAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initNextAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void MeshOwnedRun::Builder::adoptNextAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownNextAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool MeshOwnedRun::Reader::hasNextTargetId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshOwnedRun::Builder::hasNextTargetId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getNextTargetId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getNextTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void MeshOwnedRun::Builder::setNextTargetId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initNextTargetId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void MeshOwnedRun::Builder::adoptNextTargetId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownNextTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t MeshOwnedRun::Reader::getNextTargetStartedUnixMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t MeshOwnedRun::Builder::getNextTargetStartedUnixMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void MeshOwnedRun::Builder::setNextTargetStartedUnixMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshOwnedRun::Reader::getNextFence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshOwnedRun::Builder::getNextFence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void MeshOwnedRun::Builder::setNextFence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MeshHeartbeatReply::Reader::getIsLeader() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2819,76 +2821,42 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeatReply::Reader::hasReleases() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool MeshHeartbeatReply::Builder::hasReleases() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>::Reader MeshHeartbeatReply::Reader::getReleases() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::getReleases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void MeshHeartbeatReply::Builder::setReleases( ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::initReleases(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void MeshHeartbeatReply::Builder::adoptReleases(
-    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>> MeshHeartbeatReply::Builder::disownReleases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeatReply::ReleaseOrder,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
 inline bool MeshHeartbeatReply::Reader::hasCrashSuspects() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool MeshHeartbeatReply::Builder::hasCrashSuspects() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeatReply::Reader::getCrashSuspects() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeatReply::Builder::getCrashSuspects() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void MeshHeartbeatReply::Builder::setCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline void MeshHeartbeatReply::Builder::setCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeatReply::Builder::initCrashSuspects(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void MeshHeartbeatReply::Builder::adoptCrashSuspects(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeatReply::Builder::disownCrashSuspects() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline  ::uint64_t MeshHeartbeatReply::Reader::getConfigVersion() const {
@@ -2907,123 +2875,36 @@
 
 inline bool MeshHeartbeatReply::Reader::hasConfigDocument() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool MeshHeartbeatReply::Builder::hasConfigDocument() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Data::Reader MeshHeartbeatReply::Reader::getConfigDocument() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Data::Builder MeshHeartbeatReply::Builder::getConfigDocument() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void MeshHeartbeatReply::Builder::setConfigDocument( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Data::Builder MeshHeartbeatReply::Builder::initConfigDocument(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void MeshHeartbeatReply::Builder::adoptConfigDocument(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Data> MeshHeartbeatReply::Builder::disownConfigDocument() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-
-inline bool MeshHeartbeatReply::ReleaseOrder::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool MeshHeartbeatReply::ReleaseOrder::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MeshHeartbeatReply::ReleaseOrder::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MeshHeartbeatReply::ReleaseOrder::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void MeshHeartbeatReply::ReleaseOrder::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MeshHeartbeatReply::ReleaseOrder::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void MeshHeartbeatReply::ReleaseOrder::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeatReply::ReleaseOrder::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool MeshHeartbeatReply::ReleaseOrder::Reader::hasRange() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool MeshHeartbeatReply::ReleaseOrder::Builder::hasRange() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::citrongrade::rpc::SlotSpan::Reader MeshHeartbeatReply::ReleaseOrder::Reader::getRange() const {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::citrongrade::rpc::SlotSpan::Builder MeshHeartbeatReply::ReleaseOrder::Builder::getRange() {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::citrongrade::rpc::SlotSpan::Pipeline MeshHeartbeatReply::ReleaseOrder::Pipeline::getRange() {
-  return  ::citrongrade::rpc::SlotSpan::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void MeshHeartbeatReply::ReleaseOrder::Builder::setRange( ::citrongrade::rpc::SlotSpan::Reader value) {
-  ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::citrongrade::rpc::SlotSpan::Builder MeshHeartbeatReply::ReleaseOrder::Builder::initRange() {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void MeshHeartbeatReply::ReleaseOrder::Builder::adoptRange(
-    ::capnp::Orphan< ::citrongrade::rpc::SlotSpan>&& value) {
-  ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::citrongrade::rpc::SlotSpan> MeshHeartbeatReply::ReleaseOrder::Builder::disownRange() {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t MeshHeartbeatReply::ReleaseOrder::Reader::getFence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t MeshHeartbeatReply::ReleaseOrder::Builder::getFence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void MeshHeartbeatReply::ReleaseOrder::Builder::setFence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool MeshVoteRequest::Reader::hasCandidate() const {
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -61,6 +61,10 @@
   out.setFence(run.fence);
   out.setHandover(run.handover);
   out.setVersion(run.version);
+  out.setNextAddress(run.next.address);
+  out.setNextTargetId(run.next.life.id);
+  out.setNextTargetStartedUnixMs(run.next.life.started_unix_ms);
+  out.setNextFence(run.next.fence);
 }
 
 OwnedRun ReadRun(rpc::MeshOwnedRun::Reader in) {
@@ -71,6 +75,9 @@
   run.fence = in.getFence();
   run.handover = in.getHandover();
   run.version = in.getVersion();
+  run.next.address = in.getNextAddress();
+  run.next.life = {in.getNextTargetId(), in.getNextTargetStartedUnixMs()};
+  run.next.fence = in.getNextFence();
   return run;
 }
 
@@ -205,10 +212,6 @@
     reply.view.members.push_back(ReadMember(member));
   for (const auto run : in.getRuns())
     reply.view.runs.push_back({run.getService(), ReadRun(run)});
-  for (const auto order : in.getReleases()) {
-    reply.releases.push_back(
-        {order.getService(), ReadSpan(order.getRange()), order.getFence()});
-  }
   reply.crash_suspects = ReadNumbers(in.getCrashSuspects());
   reply.config_version = in.getConfigVersion();
   reply.config_document = ReadBytes(in.getConfigDocument());
@@ -280,13 +283,6 @@
   auto runs = out.initRuns(static_cast<unsigned>(reply.view.runs.size()));
   for (unsigned i = 0; i < runs.size(); ++i)
     WriteRun(reply.view.runs[i].service, reply.view.runs[i].run, runs[i]);
-  auto releases =
-      out.initReleases(static_cast<unsigned>(reply.releases.size()));
-  for (unsigned i = 0; i < releases.size(); ++i) {
-    releases[i].setService(reply.releases[i].service);
-    WriteSpan(reply.releases[i].range, releases[i].initRange());
-    releases[i].setFence(reply.releases[i].fence);
-  }
   out.setCrashSuspects(NumbersOf(reply.crash_suspects));
   out.setConfigVersion(reply.config_version);
   out.setConfigDocument(BytesOf(reply.config_document));
--- a/modules/state/mesh/key_slot.h
+++ b/modules/state/mesh/key_slot.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -29,6 +30,10 @@
   constexpr bool Overlaps(const SlotRange& other) const {
     return first <= other.last && other.first <= last;
   }
+  // The caller must know that the two overlap.
+  constexpr SlotRange CommonPart(const SlotRange& other) const {
+    return {std::max(first, other.first), std::min(last, other.last)};
+  }
   constexpr std::uint32_t first_key() const { return first * kKeysPerSlot; }
   constexpr std::uint32_t last_key() const {
     return (last + 1) * kKeysPerSlot - 1;
--- a/modules/state/mesh/key_table.cc
+++ b/modules/state/mesh/key_table.cc
@@ -21,7 +21,7 @@
 
 bool OwnedRun::SameAssignment(const OwnedRun& other) const {
   return owner == other.owner && life == other.life && fence == other.fence &&
-         handover == other.handover;
+         handover == other.handover && next == other.next;
 }
 
 KeyTable::KeyTable() {
--- a/modules/state/mesh/key_table.h
+++ b/modules/state/mesh/key_table.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "modules/state/mesh/key_slot.h"
+#include "modules/state/mesh/next_owner.h"
 #include "modules/state/mesh/target_life.h"
 
 namespace citrongrade {
@@ -22,10 +23,13 @@
   std::uint64_t fence = 0;
   // What the last holder gave at its release; empty when it gave none.
   std::string handover;
+  // Set while the owner is to give them back.
+  NextOwner next;
   // Version of the view that changed it last.
   std::uint64_t version = 0;
 
   bool has_owner() const { return !owner.empty(); }
+  bool is_moving() const { return next.is_set(); }
   // All but the range and the version.
   bool SameAssignment(const OwnedRun& other) const;
 
--- a/modules/transport/mesh/target_keeper.cc
+++ b/modules/transport/mesh/target_keeper.cc
@@ -192,11 +192,6 @@
   Tick();
 }
 
-void TargetKeeper::OnReleaseOrder(const HeartbeatReply::ReleaseOrder& order) {
-  if (order.service == m_service)
-    m_holds.OrderRelease(order.range, order.fence);
-}
-
 void TargetKeeper::SetLease(Clock::TimePoint until) {
   m_lease_until = until;
 }
--- a/modules/transport/mesh/target_keeper.h
+++ b/modules/transport/mesh/target_keeper.h
@@ -10,7 +10,6 @@
 
 #include "modules/coordination/clock.h"
 #include "modules/coordination/mesh/heartbeat.h"
-#include "modules/coordination/mesh/heartbeat_reply.h"
 #include "modules/coordination/mesh/hold_book.h"
 #include "modules/state/mesh/mesh_view.h"
 #include "modules/transport/async/task.h"
@@ -79,7 +78,6 @@
   void OnCallEnded(bool was_answered);
 
   void OnView(const MeshView& view, const std::string& own_address);
-  void OnReleaseOrder(const HeartbeatReply::ReleaseOrder& order);
   void SetLease(Clock::TimePoint until);
 
   // Sends what is due; every 20 ms or so.
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -279,10 +279,6 @@
 
 void RouterNode::Implementation::OnReply(const HeartbeatReply& reply) {
   m_keeper.SetLease(m_agent.lease_until());
-  for (const HeartbeatReply::ReleaseOrder& order : reply.releases)
-    m_keeper.OnReleaseOrder(order);
-  if (!reply.releases.empty())
-    m_keeper.Tick();
   if (!reply.crash_suspects.empty())
     m_gateway.MergeCrashSuspects(reply.crash_suspects);
 }
