Tell from saved logs what became of a request: citrongradectl explain

An engineer had to search the logs of all nodes for an id and know the reasons by heart. explain reads saved logs, puts what they say about one request, and about the calls that its target made, in the order of time, and ends with a sentence on how it ended and why. Missing lines are said to be missing: nodes log at most so many lines a second for each event.

--- a/programs/citrongradectl/main.cc
+++ b/programs/citrongradectl/main.cc
@@ -16,6 +16,7 @@
 #include "programs/citrongradectl/diff_command.h"
 #include "programs/citrongradectl/drain_command.h"
 #include "programs/citrongradectl/dump_command.h"
+#include "programs/citrongradectl/explain_command.h"
 #include "programs/citrongradectl/forget_command.h"
 #include "programs/citrongradectl/history_command.h"
 #include "programs/citrongradectl/nodes_command.h"
@@ -58,6 +59,7 @@
   commands.push_back(std::make_unique<DumpCommand>());
   commands.push_back(std::make_unique<DrainCommand>());
   commands.push_back(std::make_unique<ForgetCommand>());
+  commands.push_back(std::make_unique<ExplainCommand>());
   return commands;
 }
 
