Promise votes only to a node that answered as the leader; keep gone what left

Each node goes on to whom it is sent; two nodes that took each other for the leader sent all others back and forth, and each visit renewed a vote that the next leader would have needed. Ruled out: the election itself (no campaign stands in the logs after the kill). LeaderTracker, new, decides whom to follow: hints count for one promise's length, and a vote is promised only to a node that has answered as the leader. Its tests play the loop, without a network.

The node now remembers who left unheard; a report of that target that is not among its first finds it leaving.

--- /dev/null
+++ b/modules/coordination/mesh/leader_tracker_test.cc
@@ -0,0 +1,85 @@
+#include "modules/coordination/mesh/leader_tracker.h"
+
+#include <doctest/doctest.h>
+
+#include "modules/coordination/manual_clock.h"
+
+namespace citrongrade {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kPatience{1200};
+// Between two questions.
+constexpr milliseconds kStep{40};
+
+struct Fixture {
+  ManualClock clock;
+  LeaderTracker tracker{clock, kPatience};
+};
+
+}  // namespace
+
+// A leader was killed and was back at once. Node a still took it for the leader
+// and it took a for one; everybody else was sent from one to the other and back
+// for good, and promised both their votes: nobody could be elected.
+TEST_CASE_FIXTURE(Fixture, "two nodes that name each other are given up") {
+  tracker.Follow("a");
+  milliseconds asked{0};
+  while (tracker.is_following() && asked < milliseconds(5000)) {
+    const std::string node = tracker.address();
+    CHECK_FALSE(tracker.MayBePromised(node));
+    tracker.OnNotLeading(node, node == "a" ? "b" : "a");
+    clock.Advance(kStep);
+    asked += kStep;
+  }
+  CHECK(asked > kPatience);
+  CHECK(asked < kPatience + 3 * kStep);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a vote is only for one that answered as leader") {
+  tracker.Follow("a");
+  CHECK_FALSE(tracker.MayBePromised("a"));
+  tracker.OnAnswered("a");
+  CHECK(tracker.MayBePromised("a"));
+  tracker.OnNotLeading("a", "b");
+  CHECK(tracker.address() == "b");
+  CHECK_FALSE(tracker.MayBePromised("a"));
+  CHECK_FALSE(tracker.MayBePromised("b"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a leader that misses one answer is kept") {
+  tracker.Follow("a");
+  CHECK_FALSE(tracker.OnUnanswered("a"));
+  tracker.OnAnswered("a");
+  CHECK_FALSE(tracker.OnUnanswered("a"));
+  CHECK(tracker.OnUnanswered("a"));
+  CHECK_FALSE(tracker.is_following());
+  CHECK(tracker.WasAskedInVain("a"));
+  clock.Advance(milliseconds(1501));
+  CHECK_FALSE(tracker.WasAskedInVain("a"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "late news of another node change nothing") {
+  tracker.Follow("a");
+  CHECK_FALSE(tracker.OnUnanswered("b"));
+  CHECK_FALSE(tracker.OnUnanswered("b"));
+  tracker.OnNotLeading("b", "c");
+  CHECK(tracker.address() == "a");
+  tracker.OnRefused("b");
+  CHECK(tracker.address() == "a");
+  tracker.OnRefused("a");
+  CHECK_FALSE(tracker.is_following());
+}
+
+TEST_CASE_FIXTURE(Fixture, "the time without a leader counts from its answer") {
+  tracker.Follow("a");
+  clock.Advance(milliseconds(500));
+  tracker.OnNotLeading("a", "");
+  CHECK(tracker.TimeWithoutLeader() == milliseconds(500));
+  tracker.OnAnswered("a");
+  CHECK(tracker.TimeWithoutLeader() == milliseconds(0));
+}
+
+}  // namespace citrongrade
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -52,9 +52,6 @@
 // for all it would still be said to have an answer, and nobody could lead then.
 constexpr milliseconds kStoreLost{2000};
 constexpr milliseconds kHelloEvery{400};
-// After a leader of the record did not answer, it is not asked again for so
-// long.
-constexpr milliseconds kUnansweredCounts{1500};
 constexpr milliseconds kPeerIdle{3000};
 constexpr milliseconds kNoAuthority{1500};
 // How long a leader that has resigned goes on before it follows another.
@@ -103,7 +100,7 @@
       m_random(std::random_device()()),
       m_incarnation(m_random()),
       m_promise(clock, timing.promise),
-      m_leader_answered(clock.Now()) {}
+      m_tracker(clock, timing.promise) {}
 
 MeshAgent::~MeshAgent() = default;
 
@@ -142,7 +139,7 @@
 Clock::Duration MeshAgent::TimeWithoutLeader() const {
   if (m_leader)
     return Clock::Duration(0);
-  const Clock::Duration silence = m_clock.Now() - m_leader_answered;
+  const Clock::Duration silence = m_tracker.TimeWithoutLeader();
   return silence < m_timing.heartbeat + kAnswerSlack ? Clock::Duration(0)
                                                      : silence;
 }
@@ -161,7 +158,7 @@
   m_is_urged = true;
   if (m_pausing)
     m_pausing->timer.cancel();
-  if (!m_leader && !m_is_urgent_running && !m_leader_address.empty()) {
+  if (!m_leader && !m_is_urgent_running && m_tracker.is_following()) {
     m_is_urgent_running = true;
     boost::asio::co_spawn(m_loop, RunUrgent(), boost::asio::detached);
   }
@@ -173,7 +170,7 @@
     try {
       if (m_leader)
         co_await LeadOnce();
-      else if (!m_leader_address.empty())
+      else if (m_tracker.is_following())
         co_await HeartbeatOnce();
       else
         co_await FindLeader();
@@ -231,10 +228,11 @@
 }
 
 Task<> MeshAgent::RunUrgent() {
-  while (m_is_urged && !m_leader && !m_leader_address.empty()) {
+  while (m_is_urged && !m_leader && m_tracker.is_following()) {
     m_is_urged = false;
-    const std::string leader = m_leader_address;
-    Heartbeat heartbeat = Compose(m_promise.Grant(leader));
+    const std::string leader = m_tracker.address();
+    const bool promises = PromiseTo(leader);
+    Heartbeat heartbeat = Compose(promises);
     heartbeat.is_urgent = true;
     const Clock::TimePoint sent = m_clock.Now();
     try {
@@ -252,11 +250,11 @@
 }
 
 Task<> MeshAgent::HeartbeatOnce() {
-  const std::string leader = m_leader_address;
+  const std::string leader = m_tracker.address();
   const Clock::TimePoint sent = m_clock.Now();
-  const Heartbeat heartbeat = Compose(m_promise.Grant(leader));
-  bool has_failed = true;
-  std::string reason;
+  const bool promises = PromiseTo(leader);
+  const Heartbeat heartbeat = Compose(promises);
+  std::string failure;
   try {
     const std::string body = co_await Ask(leader, kHeartbeatPath,
                                           MeshMessageCodec::Encode(heartbeat),
@@ -266,40 +264,29 @@
     m_refused_since.erase(leader);
     if (reply.is_leader)
       co_return;
-    has_failed = false;
   } catch (const ConnectRefusedError& error) {
     // Its process is gone: it leads nobody, and counts on no vote.
     m_promise.GiveBack(leader);
     m_refused_since.try_emplace(leader, m_clock.Now());
-    m_unanswered[leader] = m_clock.Now();
     spdlog::warn("event=leader-gone leader={}", leader);
-    ForgetLeader();
+    m_tracker.OnRefused(leader);
     co_return;
   } catch (const std::exception& error) {
-    reason = error.what();
+    failure = error.what();
   }
-  if (has_failed && m_leader_address == leader) {
-    ++m_failures;
-    if (m_failures >= 2) {
+  if (!failure.empty()) {
+    if (m_tracker.OnUnanswered(leader)) {
       spdlog::warn("event=leader-unanswered leader={} reason=\"{}\"", leader,
-                   reason);
-      m_unanswered[leader] = m_clock.Now();
-      ForgetLeader();
+                   failure);
     }
     co_return;
   }
   // Whoever was asked does not lead, or does not yet.
-  if (m_clock.Now() - m_leader_answered > m_timing.promise &&
-      m_leader_address == leader) {
-    m_unanswered[leader] = m_clock.Now();
-    ForgetLeader();
-  }
   co_await Pause(kLeaderStep);
 }
 
-void MeshAgent::ForgetLeader() {
-  m_leader_address.clear();
-  m_failures = 0;
+bool MeshAgent::PromiseTo(const std::string& leader) {
+  return m_tracker.MayBePromised(leader) && m_promise.Grant(leader);
 }
 
 void MeshAgent::OnReply(const HeartbeatReply& reply,
@@ -308,20 +295,19 @@
   if (!reply.is_leader) {
     if (reply.has_resigned)
       m_promise.GiveBack(from);
-    if (from != m_leader_address)
+    if (!m_tracker.is_followed(from))
       return;
     m_was_named = reply.has_resigned && reply.leader_hint == m_identity.address;
-    if (m_was_named || reply.leader_hint == from)
-      ForgetLeader();
-    else if (!reply.leader_hint.empty())
-      m_leader_address = reply.leader_hint;
+    if (m_was_named)
+      m_tracker.Forget();
+    else
+      m_tracker.OnNotLeading(from, reply.leader_hint);
     return;
   }
   // An old leader that does not know of its successor yet.
   if (reply.view.epoch < m_view.epoch())
     return;
-  m_failures = 0;
-  m_leader_answered = m_clock.Now();
+  m_tracker.OnAnswered(from);
   m_leader_nonce = reply.nonce;
   m_leader_stamp_ns = reply.stamp_ns;
   m_follow_store = reply.follow_store;
@@ -343,7 +329,7 @@
   if (!m_leader) {
     HeartbeatReply reply;
     reply.leader_hint =
-        m_leader_address.empty() ? m_promise.holder() : m_leader_address;
+        m_tracker.is_following() ? m_tracker.address() : m_promise.holder();
     // A voter that missed the resignation would keep its promise.
     reply.has_resigned = m_clock.Now() < m_resigned_until;
     if (reply.leader_hint == heartbeat.address && !reply.has_resigned)
@@ -401,11 +387,11 @@
   VoteReply reply;
   if (vote.gives_back) {
     m_promise.GiveBack(vote.candidate);
-    if (m_leader_address == vote.candidate)
-      ForgetLeader();
+    if (m_tracker.is_followed(vote.candidate))
+      m_tracker.Forget();
   } else if (vote.is_hello) {
-    if (!m_leader && m_leader_address.empty())
-      m_leader_address = vote.candidate;
+    if (!m_leader && !m_tracker.is_following())
+      m_tracker.Follow(vote.candidate);
     if (m_pausing)
       m_pausing->timer.cancel();
   } else if (!m_leader || m_leader->has_resigned()) {
@@ -422,8 +408,8 @@
 Task<> MeshAgent::FindLeader() {
   const std::string holder = m_promise.holder();
   if (!holder.empty() && holder != m_identity.address &&
-      !m_unanswered.contains(holder)) {
-    m_leader_address = holder;
+      !m_tracker.WasAskedInVain(holder)) {
+    m_tracker.Follow(holder);
     co_return;
   }
   if (m_is_leaving) {
@@ -437,7 +423,7 @@
   } catch (const StoreError& error) {
     failure = error.what();
   }
-  if (!m_leader_address.empty())
+  if (m_tracker.is_following())
     co_return;
   if (!failure.empty()) {
     spdlog::warn("event=mesh-record-unread reason=\"{}\"", failure);
@@ -449,14 +435,9 @@
     co_return;
   }
   const MeshRecord record = MeshMessageCodec::DecodeRecord(*stored.bytes);
-  const Clock::TimePoint now = m_clock.Now();
-  std::erase_if(m_unanswered, [now](const auto& entry) {
-    return now - entry.second > kUnansweredCounts;
-  });
   if (record.leader != m_identity.address &&
-      !m_unanswered.contains(record.leader) && !m_was_named) {
-    m_leader_address = record.leader;
-    m_leader_answered = now;
+      !m_tracker.WasAskedInVain(record.leader) && !m_was_named) {
+    m_tracker.Follow(record.leader);
     co_return;
   }
   co_await Campaign(record, stored.end, std::exchange(m_was_named, false));
@@ -503,7 +484,8 @@
   m_leader = std::make_shared<MeshLeader>(m_clock, m_timing, m_identity.address,
                                           nonce, record);
   m_leader->SetDividedServices(m_divided_services);
-  m_leader_address.clear();
+  m_tracker.Forget();
+  m_tracker.NoteOwnLead();
   m_is_storing = false;
   m_notified_version = 0;
 }
@@ -511,10 +493,11 @@
 void MeshAgent::StepDown(const char* reason) {
   spdlog::warn("event=leads-no-more reason={}", reason);
   m_promise.GiveBack(m_identity.address);
-  if (m_leader->has_resigned())
-    m_leader_address = m_leader->FindSuccessor();
+  m_tracker.NoteOwnLead();
+  const std::string successor = m_leader->FindSuccessor();
+  if (m_leader->has_resigned() && !successor.empty())
+    m_tracker.Follow(successor);
   m_leader.reset();
-  m_leader_answered = m_clock.Now();
   NotifyWaiting();
 }
 
@@ -582,7 +565,7 @@
         std::min(kLongestRankDelay, kRankStep * static_cast<int>(rank));
     co_await Pause(delay + MeritDelay());
   }
-  if (!m_leader_address.empty() || !m_promise.Grant(m_identity.address))
+  if (m_tracker.is_following() || !m_promise.Grant(m_identity.address))
     co_return;
   auto count = std::make_shared<VoteCount>();
   count->asked = m_clock.Now();
@@ -610,9 +593,8 @@
   m_promise.GiveBack(m_identity.address);
   co_await GiveVotesBack(count);
   if (!count->leader_hint.empty() && count->leader_hint != m_identity.address &&
-      !m_unanswered.contains(count->leader_hint)) {
-    m_leader_address = count->leader_hint;
-    m_leader_answered = m_clock.Now();
+      !m_tracker.WasAskedInVain(count->leader_hint)) {
+    m_tracker.Follow(count->leader_hint);
   }
   co_await Pause(kPauseAfterFailure +
                  milliseconds(m_random() % kPauseAfterFailure.count()));
@@ -626,11 +608,11 @@
   leader->OnHeartbeat(heartbeat);
   leader->Tick();
   if (leader->HasAuthority())
-    m_leader_answered = now;
+    m_tracker.NoteOwnLead();
   OnReply(Reply(heartbeat), m_identity.address, now);
   if (m_leader != leader)
     co_return;
-  if (now - m_leader_answered >
+  if (m_tracker.TimeWithoutLeader() >
       (leader->has_resigned() ? kResigned : kNoAuthority)) {
     StepDown(leader->has_resigned() ? "resigned" : "no-majority");
     co_return;
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -13,6 +13,7 @@
 #include "modules/coordination/clock.h"
 #include "modules/coordination/mesh/heartbeat.h"
 #include "modules/coordination/mesh/heartbeat_reply.h"
+#include "modules/coordination/mesh/leader_tracker.h"
 #include "modules/coordination/mesh/mesh_timing.h"
 #include "modules/coordination/mesh/vote.h"
 #include "modules/coordination/mesh/vote_promise.h"
@@ -91,7 +92,7 @@
   bool follows_store() const;
   // Since when no leader has answered; zero: it does.
   Clock::Duration TimeWithoutLeader() const;
-  std::string leader_address() const { return m_leader_address; }
+  std::string leader_address() const { return m_tracker.address(); }
 
  private:
   struct VoteCount;
@@ -126,7 +127,8 @@
   // there is news for all and the last was some time ago.
   void NotifyWaiting();
   std::chrono::milliseconds MeritDelay();
-  void ForgetLeader();
+  // Promises it this node's vote, if it may have it.
+  bool PromiseTo(const std::string& leader);
   Task<> Pause(std::chrono::milliseconds duration);
   Task<std::string> Ask(std::string peer,
                         std::string target,
@@ -145,8 +147,7 @@
   const std::uint64_t m_incarnation;
 
   VotePromise m_promise;
-  std::string m_leader_address;
-  Clock::TimePoint m_leader_answered;
+  LeaderTracker m_tracker;
   std::uint64_t m_leader_nonce = 0;
   std::int64_t m_leader_stamp_ns = 0;
   Clock::TimePoint m_lease_until;
@@ -157,9 +158,6 @@
   bool m_is_leaving = false;
   bool m_was_named = false;
   std::uint64_t m_sequence = 0;
-  unsigned m_failures = 0;
-  // Leaders that the record named and that did not answer, and when.
-  std::map<std::string, Clock::TimePoint> m_unanswered;
   // Since when a node's address refuses connections.
   std::map<std::string, Clock::TimePoint> m_refused_since;
 
--- a/modules/transport/mesh/target_keeper.cc
+++ b/modules/transport/mesh/target_keeper.cc
@@ -117,6 +117,13 @@
   m_unanswered_calls = 0;
   if (m_state == State::kDraining)
     return ReportResult::kTaken;
+  const auto left = m_left_unheard.find(report.life.id);
+  if (!is_same_life && left != m_left_unheard.end() &&
+      report.sequence > kFirstReports) {
+    m_drain_confirmed = left->second;
+    SetState(State::kDraining, "left-before");
+    return ReportResult::kTaken;
+  }
   if (report.is_draining) {
     m_drain_confirmed = now;
     SetState(State::kDraining, "reported");
@@ -127,6 +134,13 @@
 }
 
 void TargetKeeper::OnLeave(const std::string& target_id) {
+  if (!m_life.is_known()) {
+    // This process has just started, and its answer binds it all the same: a
+    // report that is on its way must not bring the target work.
+    if (m_left_unheard.size() < kPastIds)
+      m_left_unheard.try_emplace(target_id, m_clock.Now());
+    return;
+  }
   if (target_id != m_life.id || m_state == State::kDraining ||
       m_state == State::kGone)
     return;
--- a/modules/transport/mesh/target_keeper.h
+++ b/modules/transport/mesh/target_keeper.h
@@ -131,6 +131,8 @@
   Clock::TimePoint m_drain_confirmed;
   Clock::TimePoint m_last_sign;
   Clock::TimePoint m_last_report;
+  // Targets that left before this process had heard of them, and when.
+  std::map<std::string, Clock::TimePoint> m_left_unheard;
   // Ids of lives before this one.
   std::vector<std::string> m_past_ids;
   unsigned m_unanswered_calls = 0;
