Short work first at saturation; time on the way counts; doubt a life that broke off

At a saturated target calls of 30 ms were late after 90 ms and then ran behind uploads of 140 ms until their time was over; each took a run of another target with it. Among equally urgent work short goes first, and leaves a quarter of the slots to long work that waits (target_admission_test: 417 of 667 calls served before, 630 and more after; uploads keep a quarter when calls alone are too much). Telling calls by their sender's address was tried and taken out: callers share it.

Orders now bear their sender and its time; what one was held up beyond the least of late comes off the time left (TransitDelay).

A broken connection to it now holds grants back until it reports or answers a request addressed to its life.

--- a/modules/coordination/load/target_admission.cc
+++ b/modules/coordination/load/target_admission.cc
@@ -11,6 +11,8 @@
 constexpr double kNewest = 0.1;
 // Kinds come from the operators' routes; beyond this many they share the mean.
 constexpr std::size_t kMaxKinds = 256;
+// Work of a kind that is less than this part of the longest kind's is short.
+constexpr double kShortPart = 0.5;
 
 Clock::Duration Blend(Clock::Duration mean, Clock::Duration newest) {
   return mean +
@@ -33,7 +35,11 @@
 TargetAdmission::Rank TargetAdmission::RankOf(const Request& request,
                                               std::uint64_t sequence) const {
   const bool is_late = m_clock.Now() + WorkOf(request.kind) > request.aim;
-  return {is_late, request.priority, sequence};
+  return {is_late, request.priority, IsLong(request.kind), sequence};
+}
+
+bool TargetAdmission::IsLong(const std::string& kind) const {
+  return WorkOf(kind) >= m_longest_work * kShortPart;
 }
 
 Clock::Duration TargetAdmission::WaitBehind(std::size_t ahead) const {
@@ -82,6 +88,9 @@
     known->second = Blend(known->second, *work);
   else if (m_work.size() < kMaxKinds)
     m_work.emplace(kind, Blend(m_mean_work, *work));
+  m_longest_work = Clock::Duration(0);
+  for (const auto& [name, mean] : m_work)
+    m_longest_work = std::max(m_longest_work, mean);
 }
 
 void TargetAdmission::ReRank() {
@@ -99,6 +108,28 @@
     m_waiting.emplace(rank, std::move(request));
 }
 
+bool TargetAdmission::HasRoomForShort() const {
+  const auto running = static_cast<double>(std::count_if(
+      m_running.begin(), m_running.end(),
+      [this](const auto& one) { return !IsLong(one.second.kind); }));
+  const auto slots = static_cast<double>(m_parameters.slots);
+  return running + 1 <= slots * (1 - kLongShare);
+}
+
+std::map<TargetAdmission::Rank, TargetAdmission::Request>::iterator
+TargetAdmission::FindNext() {
+  const auto first = m_waiting.begin();
+  if (first->first.is_long || HasRoomForShort())
+    return first;
+  Rank first_long = first->first;
+  first_long.is_long = true;
+  first_long.sequence = 0;
+  const auto other = m_waiting.lower_bound(first_long);
+  const bool is_as_urgent = other != m_waiting.end() && other->first.is_long &&
+                            other->first.priority == first->first.priority;
+  return is_as_urgent ? other : first;
+}
+
 TargetAdmission::Changes TargetAdmission::Poll() {
   Changes changes;
   if (m_waiting.empty())
@@ -106,8 +137,8 @@
   ReRank();
   const Clock::TimePoint now = m_clock.Now();
   while (!m_waiting.empty() && m_running.size() < m_parameters.slots) {
-    auto first = m_waiting.extract(m_waiting.begin());
-    Request& request = first.mapped();
+    auto next = m_waiting.extract(FindNext());
+    Request& request = next.mapped();
     if (now + m_parameters.way_back + WorkOf(request.kind) / 2 >=
         request.deadline) {
       changes.refused.push_back(request.ticket);
--- a/modules/coordination/load/target_admission.h
+++ b/modules/coordination/load/target_admission.h
@@ -26,6 +26,13 @@
 // Without that second class a burst makes every answer late: 0.9 s of excess
 // work makes all that come after it late until the excess has drained.
 //
+// Among equally urgent ones short work goes before long (kinds whose work is
+// less than half of the longest kind's). Calls that targets make are short and
+// wait for little time, callers' uploads are long and wait for much: in turn,
+// the calls of a saturated target were late first and run last, and each that
+// failed took a request of another target with it. Short work leaves kLongShare
+// of the slots to long work that waits, so that it can't shut it out.
+//
 // What can't be answered before its caller gives up is refused the moment that
 // shows: at the offer, or at the next Poll().
 //
@@ -61,6 +68,9 @@
     friend auto operator<=>(const Request&, const Request&) = default;
   };
 
+  // Part of the slots that short work leaves free while long work waits.
+  static constexpr double kLongShare = 0.25;
+
   enum class Verdict { kAdmitted, kWaits, kRefused };
 
   struct Changes {
@@ -92,6 +102,7 @@
   struct Rank {
     bool is_late = false;
     std::uint32_t priority = 0;
+    bool is_long = false;
     std::uint64_t sequence = 0;
 
     friend auto operator<=>(const Rank&, const Rank&) = default;
@@ -102,6 +113,10 @@
   // How long the places that run and `ahead` others take until one is free.
   Clock::Duration WaitBehind(std::size_t ahead) const;
   void ReRank();
+  bool IsLong(const std::string& kind) const;
+  // The next to be admitted; the caller must know that one waits.
+  std::map<Rank, Request>::iterator FindNext();
+  bool HasRoomForShort() const;
 
   const Clock& m_clock;
   Parameters m_parameters;
@@ -110,6 +125,8 @@
   std::uint64_t m_next_sequence = 1;
   std::map<std::string, Clock::Duration> m_work;
   Clock::Duration m_mean_work;
+  // Of the kind that takes longest.
+  Clock::Duration m_longest_work{0};
 };
 
 }  // namespace citrongrade
--- a/modules/coordination/load/target_admission_test.cc
+++ b/modules/coordination/load/target_admission_test.cc
@@ -206,6 +206,47 @@
   CHECK(player.admission().waiting() == 1);
 }
 
+// A third more work than the target can do: short calls of other targets, which
+// are late after a tenth of a second, and long uploads that are not. The calls
+// waited behind the uploads until their time was over, and each took a request
+// of another target with it.
+TEST_CASE("short calls are not starved by longer requests") {
+  Player player;
+  constexpr milliseconds kUploadWork{140};
+  constexpr milliseconds kCallWork{30};
+  for (int i = 0; i < 4000; ++i) {
+    if (i % 28 == 0) {
+      player.Arrive("upload", 1, milliseconds(600), milliseconds(2500),
+                    kUploadWork);
+    }
+    if (i % 6 == 0) {
+      player.Arrive("call", 1, milliseconds(120), milliseconds(400), kCallWork);
+    }
+    player.Step(milliseconds(1));
+  }
+  const Player::Outcome& calls = player.of("call");
+  const Player::Outcome& uploads = player.of("upload");
+  CHECK(calls.in_aim + calls.late >= 630);
+  CHECK(uploads.in_aim + uploads.late >= 70);
+}
+
+TEST_CASE("short calls don't shut out longer requests") {
+  Player player;
+  for (int i = 0; i < 4000; ++i) {
+    if (i % 20 == 0) {
+      player.Arrive("upload", 1, milliseconds(600), milliseconds(2500),
+                    milliseconds(140));
+    }
+    for (int call = 0; call < 1 + i % 2; ++call) {
+      player.Arrive("call", 1, milliseconds(120), milliseconds(400),
+                    milliseconds(30));
+    }
+    player.Step(milliseconds(1));
+  }
+  // A quarter of 8 slots for 4 s, at 0.14 s each: 57.
+  CHECK(player.of("upload").in_aim + player.of("upload").late >= 50);
+}
+
 TEST_CASE("what waits at saturation drains within the time told to callers") {
   Player player;
   for (std::size_t i = 0; i < kSlots * 3; ++i)
--- a/modules/coordination/mesh/hold_book.cc
+++ b/modules/coordination/mesh/hold_book.cc
@@ -195,6 +195,11 @@
   });
 }
 
+void HoldBook::OnGrantNotSent(std::uint64_t id) {
+  const Clock::TimePoint now = m_clock.Now();
+  ForCall(id, [now](Hold& hold) { hold.next_call = now + kRepeat; });
+}
+
 void HoldBook::OnGrantRefused(std::uint64_t id) {
   ForCall(id, [](Hold& hold) {
     hold.state = State::kReturned;
@@ -212,7 +217,8 @@
       continue;
     hold.call = m_next_id++;
     hold.call_sent = now;
-    due.push_back({hold.call, hold.range, hold.fence});
+    due.push_back(
+        {hold.call, hold.range, hold.fence, hold.was_release_unanswered});
   }
   return due;
 }
@@ -228,7 +234,10 @@
 
 void HoldBook::OnReleaseUnanswered(std::uint64_t id) {
   const Clock::TimePoint now = m_clock.Now();
-  ForCall(id, [now](Hold& hold) { hold.next_call = now + kRepeat; });
+  ForCall(id, [now](Hold& hold) {
+    hold.next_call = now + kRepeat;
+    hold.was_release_unanswered = true;
+  });
 }
 
 const HoldBook::Hold* HoldBook::FindHold(std::uint32_t slot) const {
--- a/modules/coordination/mesh/hold_book.h
+++ b/modules/coordination/mesh/hold_book.h
@@ -41,6 +41,8 @@
     std::uint64_t id = 0;
     SlotRange range;
     std::uint64_t fence = 0;
+    // One before it got no answer.
+    bool is_repeat = false;
 
     friend auto operator<=>(const Release&, const Release&) = default;
   };
@@ -72,6 +74,8 @@
   std::vector<Grant> DueGrants(Clock::TimePoint lease_until);
   void OnGranted(std::uint64_t id);
   void OnGrantUnanswered(std::uint64_t id);
+  // It was never sent: nothing of it can arrive.
+  void OnGrantNotSent(std::uint64_t id);
   // It has seen a higher fencing token: the range needs a new grant.
   void OnGrantRefused(std::uint64_t id);
 
@@ -108,6 +112,7 @@
     std::uint64_t call = 0;
     Clock::TimePoint call_sent;
     std::chrono::milliseconds call_hold{0};
+    bool was_release_unanswered = false;
     // The target confirmed the release.
     bool is_released = false;
     std::string returned_handover;
--- a/modules/coordination/mesh/hold_book_test.cc
+++ b/modules/coordination/mesh/hold_book_test.cc
@@ -176,6 +176,20 @@
   CHECK(book.Returned().size() == 1);
 }
 
+// Keys that were to move were refused for over a second: a grant that had been
+// held back counted as one that might still arrive.
+TEST_CASE_FIXTURE(Fixture, "a grant that was not sent holds up no release") {
+  Hold(10, 20, 5);
+  clock.Advance(HoldBook::kRenewal);
+  book.OnGrantNotSent(GrantOne().id);
+  CHECK(book.DueGrants(clock.Now() + kLease).empty());
+  book.SetOwned({Moving(10, 20, 5)});
+  const auto due = book.DueReleases();
+  REQUIRE(due.size() == 1);
+  book.OnReleased(due.front().id, "token");
+  CHECK(book.Returned().size() == 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a grant that the target refuses is given up") {
   book.SetOwned({Run(10, 20, 5)});
   book.OnGrantRefused(GrantOne().id);
--- a/modules/transport/async/async_connection_pool.cc
+++ b/modules/transport/async/async_connection_pool.cc
@@ -41,6 +41,15 @@
                                                m_settings.connect_timeout);
 }
 
+bool AsyncConnectionPool::DropClosed(const HttpAddress& address) {
+  const auto found = m_idle.find(address);
+  if (found == m_idle.end())
+    return false;
+  return std::erase_if(found->second, [](const Idle& idle) {
+           return idle.connection->IsStale();
+         }) > 0;
+}
+
 void AsyncConnectionPool::GiveBack(
     const HttpAddress& address,
     std::unique_ptr<AsyncHttpConnection> connection) {
--- a/modules/transport/async/async_connection_pool.h
+++ b/modules/transport/async/async_connection_pool.h
@@ -35,6 +35,8 @@
   // Keeps it if it is reusable, else closes it.
   void GiveBack(const HttpAddress& address,
                 std::unique_ptr<AsyncHttpConnection> connection);
+  // Drops those that the peer has closed meanwhile; true when there were any.
+  bool DropClosed(const HttpAddress& address);
   // The process behind the address is another one now, or gone.
   void Forget(const HttpAddress& address);
   // Closes what was idle for too long.
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -86,6 +86,8 @@
 
   const MeshView& view() const { return m_view; }
   const Identity& identity() const { return m_identity; }
+  // Drawn by this process at its start.
+  std::uint64_t incarnation() const { return m_incarnation; }
   Clock::TimePoint lease_until() const { return m_lease_until; }
   bool is_leader() const { return m_leader != nullptr; }
   // The node should read the store for itself.
--- a/modules/transport/mesh/request_log.cc
+++ b/modules/transport/mesh/request_log.cc
@@ -71,9 +71,10 @@
   if (!Take("request-answered", !result.has_answer(), left_out))
     return;
   spdlog::info(
-      "event=request-answered id={} route={} service={} status={} outcome={} "
+      "event=request-answered id={} priority={} route={} service={} status={} "
+      "outcome={} "
       "reason={} tries={} took_ms={} retry_after_ms={} config={} left_out={}",
-      order.request_id, order.kind, order.service, status,
+      order.request_id, order.priority, order.kind, order.service, status,
       ToString(result.outcome), ReasonOf(result), tries, took.count(),
       result.retry_after.count(), config_version, left_out);
 }
--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -300,6 +300,8 @@
     co_return WorkResult::NotRun(RequestErrorCode::kDeadlinePassed,
                                  "its time was over before it was passed on");
   }
+  order.sender = m_dependencies.agent.incarnation();
+  order.sent = clock.Now().time_since_epoch();
   order.WriteTo(request);
   context.SetStop([&connection] { connection->Close(); });
   try {
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -271,6 +271,8 @@
     if (!facts.did_not_run) {
       place.SetWork(m_clock.Now() - started);
       m_has_measured = true;
+      if (facts.is_genuine)
+        m_keeper.OnLifeShown();
       m_poison->OnEnded(RequestFingerprint(m_running_marks[ticket]));
     }
     m_pool.GiveBack(address, std::move(connection));
--- a/modules/transport/mesh/target_keeper.cc
+++ b/modules/transport/mesh/target_keeper.cc
@@ -109,6 +109,7 @@
   } else if (report.sequence <= m_sequence) {
     return ReportResult::kOutdated;
   }
+  m_is_life_doubted = false;
   m_sequence = report.sequence;
   m_slots = report.slots;
   m_cold_until = now + report.cold_left;
@@ -224,6 +225,13 @@
   }
 }
 
+void TargetKeeper::DoubtLife(const char* reason) {
+  if (!m_is_life_doubted)
+    spdlog::info("event=target-doubted target={} reason=\"{}\"", m_life.id,
+                 reason);
+  m_is_life_doubted = true;
+}
+
 Task<HttpResponse> TargetKeeper::SendOrder(HttpRequest order,
                                            Clock::Duration timeout) {
   const Clock::TimePoint started = m_clock.Now();
@@ -242,6 +250,12 @@
 Task<> TargetKeeper::SendGrant(HoldBook::Grant grant,
                                std::uint64_t life_number) {
   const std::uint64_t id = grant.id;
+  if (m_order_pool->DropClosed(m_settings.address))
+    DoubtLife("it closed a connection");
+  if (m_is_life_doubted) {
+    m_holds.OnGrantNotSent(id);
+    co_return;
+  }
   try {
     HttpRequest order = m_dialect.MakeGrant(grant);
     const HttpResponse response =
@@ -271,6 +285,8 @@
                   grant.range.first, grant.range.last, error.what());
     OnCallEnded(false);
     m_holds.OnGrantUnanswered(id);
+    if (dynamic_cast<const ResponseTimeoutError*>(&error) == nullptr)
+      DoubtLife(error.what());
   }
 }
 
@@ -298,13 +314,18 @@
   } catch (const HttpError& error) {
     if (life_number != m_life_number)
       co_return;
-    spdlog::info("event=release-unanswered first={} last={} reason=\"{}\"",
-                 release.range.first, release.range.last, error.what());
+    spdlog::log(release.is_repeat ? spdlog::level::debug : spdlog::level::info,
+                "event=release-unanswered first={} last={} reason=\"{}\"",
+                release.range.first, release.range.last, error.what());
     OnCallEnded(false);
     m_holds.OnReleaseUnanswered(release.id);
   }
 }
 
+void TargetKeeper::Sweep() {
+  m_order_pool->Sweep();
+}
+
 bool TargetKeeper::IsServing() const {
   if (m_state == State::kServing)
     return true;
--- a/modules/transport/mesh/target_keeper.h
+++ b/modules/transport/mesh/target_keeper.h
@@ -76,6 +76,8 @@
   void OnRefused();
   // Whether a call to it was answered.
   void OnCallEnded(bool was_answered);
+  // It ran a request that was addressed to its present life.
+  void OnLifeShown() { m_is_life_doubted = false; }
 
   void OnView(const MeshView& view, const std::string& own_address);
   void SetLease(Clock::TimePoint until);
@@ -83,6 +85,9 @@
   // Sends what is due; every 20 ms or so.
   void Tick();
 
+  // Closes connections that were idle for too long; every 100 ms or so.
+  void Sweep();
+
   // It may be given work now, as far as its own state goes.
   bool IsServing() const;
   bool MayServe(std::uint32_t slot) const { return m_holds.MayServe(slot); }
@@ -109,6 +114,10 @@
   void BeginLife(const TargetReport& report);
   void SetState(State state, const char* reason);
   void NoteSilence();
+  // A connection to it broke: it may have been started anew, holding nothing,
+  // and would take keys by tokens that its last life had. Grants wait until it
+  // reports, or shows by its work that it is still the same.
+  void DoubtLife(const char* reason);
 
   boost::asio::io_context& m_loop;
   const Clock& m_clock;
@@ -136,6 +145,7 @@
   // Ids of lives before this one.
   std::vector<std::string> m_past_ids;
   unsigned m_unanswered_calls = 0;
+  bool m_is_life_doubted = false;
   Clock::TimePoint m_lease_until;
   HoldBook m_holds;
   std::vector<OwnedRun> m_owned;
--- a/modules/transport/mesh/work_handler.cc
+++ b/modules/transport/mesh/work_handler.cc
@@ -27,8 +27,17 @@
     refusal.head.status = kBadRequest;
     co_return refusal;
   }
-  const WorkResult result =
-      co_await m_gateway.Run(std::move(request), order, context);
+  const auto held_up = std::chrono::floor<std::chrono::milliseconds>(
+      m_transit_delay.OnArrived(order.sender, order.sent, context.arrived()));
+  order.time_left -= held_up;
+  order.aim_left -= held_up;
+  WorkResult result;
+  if (order.time_left <= std::chrono::milliseconds(0)) {
+    result = WorkResult::NotRun(RequestErrorCode::kDeadlinePassed,
+                                "its time was over before it came here");
+  } else {
+    result = co_await m_gateway.Run(std::move(request), order, context);
+  }
   m_log.OnRun(order, result, context.caller_ip());
   co_return result.ToHop();
 }
--- a/modules/transport/mesh/work_handler.h
+++ b/modules/transport/mesh/work_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "modules/coordination/load/transit_delay.h"
 #include "modules/transport/async/async_http_server.h"
 #include "modules/transport/async/task.h"
 
@@ -11,8 +12,8 @@
 // Requests that other nodes pass on to this node's target.
 class WorkHandler final : public AsyncHttpServer::Handler {
  public:
-  WorkHandler(TargetGateway& gateway, RequestLog& log)
-      : m_gateway(gateway), m_log(log) {}
+  WorkHandler(const Clock& clock, TargetGateway& gateway, RequestLog& log)
+      : m_gateway(gateway), m_log(log), m_transit_delay(clock) {}
 
   Task<HttpResponse> Handle(HttpRequest request,
                             RequestContext& context) override;
@@ -20,6 +21,7 @@
  private:
   TargetGateway& m_gateway;
   RequestLog& m_log;
+  TransitDelay m_transit_delay;
 };
 
 }  // namespace citrongrade
--- a/modules/transport/mesh/work_order.cc
+++ b/modules/transport/mesh/work_order.cc
@@ -13,7 +13,7 @@
 
 constexpr std::string_view kHeader = "Mesh-Work";
 constexpr char kSeparator = ';';
-constexpr std::size_t kFieldCount = 9;
+constexpr std::size_t kFieldCount = 11;
 constexpr std::string_view kHexDigits = "0123456789abcdef";
 
 void AppendText(std::string& out, std::string_view text) {
@@ -85,7 +85,9 @@
   add_text(kind);
   add_number(aim_left.count());
   add_number(time_left.count());
-  AppendText(text, origin_service);
+  add_text(origin_service);
+  add_number(static_cast<std::int64_t>(sender));
+  text += std::to_string(sent.count());
   request.headers.push_back({std::string(kHeader), std::move(text)});
 }
 
@@ -112,6 +114,8 @@
   order.aim_left = std::chrono::milliseconds(ReadNumber(fields[6]));
   order.time_left = std::chrono::milliseconds(ReadNumber(fields[7]));
   order.origin_service = ReadText(fields[8]);
+  order.sender = static_cast<std::uint64_t>(ReadNumber(fields[9]));
+  order.sent = std::chrono::nanoseconds(ReadNumber(fields[10]));
   return order;
 }
 
--- a/modules/transport/mesh/work_order.h
+++ b/modules/transport/mesh/work_order.h
@@ -25,6 +25,9 @@
   std::chrono::milliseconds aim_left{0};
   std::chrono::milliseconds time_left{0};
   std::string origin_service;
+  // The node that passes it on (drawn at its start), and when, by its clock.
+  std::uint64_t sender = 0;
+  std::chrono::nanoseconds sent{0};
 
   void WriteTo(HttpRequest& request) const;
   // Takes it off the request. Throws MalformedMessageError.
--- a/modules/transport/mesh/work_order_test.cc
+++ b/modules/transport/mesh/work_order_test.cc
@@ -20,6 +20,8 @@
   order.aim_left = milliseconds(-5);
   order.time_left = milliseconds(900);
   order.origin_service = "";
+  order.sender = 0xfedcba9876543210;
+  order.sent = std::chrono::hours(9000);
   HttpRequest request;
   request.headers.push_back({"X-Other", "kept"});
   order.WriteTo(request);
@@ -31,8 +33,8 @@
 TEST_CASE("a work order that is missing or broken is refused") {
   HttpRequest request;
   CHECK_THROWS_AS(WorkOrder::TakeFrom(request), MalformedMessageError);
-  for (const char* text :
-       {"", ";;;;", "a;b;x;0;0;k;1;1;o", "a;b;1;0;0;k;1;1"}) {
+  for (const char* text : {"", ";;;;", "a;b;x;0;0;k;1;1;o", "a;b;1;0;0;k;1;1",
+                           "a;b;1;0;0;k;1;1;o", "a;b;1;0;0;k;1;1;o;1;y"}) {
     request.headers = {{"Mesh-Work", text}};
     CHECK_THROWS_AS(WorkOrder::TakeFrom(request), MalformedMessageError);
   }
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -237,7 +237,7 @@
       m_router({m_loop, m_clock, m_dialect, m_config, m_agent, m_gateway,
                 m_chooser, m_peer_pool, m_metrics, m_log},
                file.service),
-      m_work_handler(m_gateway, m_log),
+      m_work_handler(m_clock, m_gateway, m_log),
       m_report_handler(m_keeper),
       m_readiness_handler([this](const HttpRequest&) {
         return Respond(IsReady() ? kOk : kUnavailable);
@@ -259,9 +259,11 @@
 
 void RouterNode::Implementation::Run() {
   spdlog::info(
-      "event=started node={} zone={} service={} callers={} target={} store={}",
+      "event=started node={} zone={} service={} callers={} target={} store={} "
+      "cores={:.2f} link_mbps={:.0f}",
       m_file.node_name, m_file.zone, m_file.service, m_file.callers.ToString(),
-      m_file.target.ToString(), m_file.store.ToString());
+      m_file.target.ToString(), m_file.store.ToString(), m_file.cpu_share,
+      m_file.link_mbps);
   m_config.Start([this] { return m_agent.follows_store(); });
   m_agent.Start();
   boost::asio::co_spawn(m_loop, TickLoop(), boost::asio::detached);
@@ -328,6 +330,7 @@
       continue;
     m_chooser.Refresh(m_agent.view());
     m_target_pool.Sweep();
+    m_keeper.Sweep();
     m_peer_pool.Sweep();
     m_store_pool.Sweep();
   }
