A fault soak of our own, and docs brought up to it

The soak runs routers, targets and the store as processes, with callers that keep their connections, and injects faults from outside: proxies before each node, its store and its target; signals; the store's and targets' own faults.

--- a/programs/citrongradectl/request_timeline.cc
+++ b/programs/citrongradectl/request_timeline.cc
@@ -35,8 +35,10 @@
     Meaning{"target-refused", "the target said that it did not run it"},
     Meaning{"target-unavailable",
             "the target is gone, leaves, or takes no connection"},
-    Meaning{"target-timeout",
-            "the target was given the request and did not answer in its time"},
+    Meaning{
+        "target-timeout",
+        "no answer came from the target, or its node, in its time: a line of "
+        "request-run says which"},
     Meaning{"target-failed",
             "the connection to the target broke while the request ran"},
     Meaning{"truncated-answer",
--- /dev/null
+++ b/tests/failures_soak_seeds_process_test.py
@@ -0,0 +1,53 @@
+"""Seeds of the soak that once broke a promise, each with its cause. Played as
+they were found."""
+
+import os
+import shutil
+import sys
+import unittest
+
+BUILD_DIR = sys.argv.pop(1)
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "soak"))
+
+from soak import play  # noqa: E402
+
+ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
+SECONDS = 20
+NODES = 6
+
+
+class SoakSeedsTest(unittest.TestCase):
+    def play(self, seed):
+        problems, figures, folder = play(ROUTER, seed, SECONDS, NODES)
+        self.assertEqual(problems, [], f"seed {seed}, {figures}; logs in {folder}")
+        shutil.rmtree(folder, ignore_errors=True)
+
+    # Callers' requests reach a target over 2 s after its leaving was confirmed:
+    # its node had just been restarted, confirmed for a target that it did not
+    # know yet, and took that target's next report for a new one.
+    def test_105_a_target_that_left_unheard(self):
+        self.play(105)
+
+    # No key is served any more, for good: two nodes took each other for the
+    # leader, sent all others back and forth, and nobody could be elected.
+    def test_203_nodes_that_name_each_other(self):
+        self.play(203)
+
+    # No key is served through one node, for good: it had led, was paused for
+    # 4 s, and went on as if it led still.
+    def test_115_a_leader_that_was_paused(self):
+        self.play(115)
+
+    # Two targets hold one key by the same token: a target crashed and was back
+    # before its node noticed, and got the keys of its last life.
+    def test_608_a_target_that_was_back_at_once(self):
+        self.play(608)
+
+    # The same, with a target that came back under its old name.
+    def test_808_a_target_that_kept_its_name(self):
+        self.play(808)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,194 @@
+"""What goes wrong in a soak: each fault begins, and ends itself some time later.
+Several may be under way at once, on one node too."""
+
+import signal
+import threading
+import time
+
+# The longest a node may take to end after SIGTERM: GraceS.
+GRACE = 6.0
+# From the confirmation that a target leaves until it ends: DrainMs and more.
+DRAIN = 2.3
+ROUTES_APPLY = 2.0
+
+
+class Faults:
+    def __init__(self, mesh, random):
+        self.mesh = mesh
+        self.random = random
+        self.threads = []
+        self.log = []
+        self.stopping = False
+        self.kinds = [
+            (4, self.node_kill),
+            (3, self.node_term),
+            (3, self.node_pause),
+            (1, self.many_killed),
+            (3, self.target_crash),
+            (2, self.target_leaves),
+            (2, self.late_orders),
+            (2, self.busy_target),
+            (3, self.store_fault),
+            (3, self.store_link),
+            (2, self.target_link),
+            (4, self.peer_link),
+            (1, self.settings_change),
+            (4, self.configuration),
+        ]
+
+    def play(self, seconds):
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            time.sleep(self.random.expovariate(1 / 0.8))
+            weights = [weight for weight, _ in self.kinds]
+            [(_, kind)] = self.random.choices(self.kinds, weights)
+            self.start(kind)
+        self.stopping = True
+        for thread in self.threads:
+            thread.join(GRACE * 3)
+
+    def start(self, kind):
+        node = self.random.choice(self.mesh.nodes)
+        length = self.random.uniform(0.3, 5)
+        pick = self.random.random()
+        self.log.append((time.monotonic(), kind.__name__, node.index, round(length, 2), round(pick, 2)))
+        thread = threading.Thread(target=self.run, args=(kind, node, length, pick))
+        self.threads.append(thread)
+        thread.start()
+
+    def run(self, kind, node, length, pick):
+        try:
+            kind(node, length, pick)
+        except OSError:
+            # The process that it is about has just ended by another fault.
+            pass
+
+    def node_kill(self, node, length, pick):
+        self.mesh.disturb(node, length)
+        self.mesh.kill_node(node)
+        time.sleep(length * pick)
+        self.mesh.disturb(node, 0)
+        self.mesh.start_node(node)
+
+    def node_term(self, node, length, pick):
+        if not self.mesh.is_up(node):
+            return
+        self.mesh.disturb(node, GRACE)
+        process = node.process
+        process.send_signal(signal.SIGTERM)
+        began = time.monotonic()
+        while process.poll() is None and time.monotonic() < began + GRACE:
+            time.sleep(0.05)
+        paused = any(t > began - GRACE for t in self.mesh.pauses[node.index])
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+            if not paused:
+                self.mesh.problems.append(f"node {node.index} did not end within {GRACE} s of SIGTERM")
+        time.sleep(length * pick)
+        self.mesh.disturb(node, 0)
+        self.mesh.start_node(node)
+
+    def node_pause(self, node, length, pick):
+        self.mesh.disturb(node, length)
+        self.mesh.pause(node)
+        time.sleep(length)
+        self.mesh.disturb(node, 0)
+        self.mesh.resume(node)
+
+    def many_killed(self, node, length, pick):
+        count = len(self.mesh.nodes) // (2 if pick < 0.6 else 1)
+        victims = self.mesh.nodes[:count]
+        self.mesh.disturb_all(length)
+        for victim in victims:
+            self.mesh.kill_node(victim)
+        time.sleep(min(length, 2))
+        self.mesh.disturb_all(0)
+        for victim in victims:
+            self.mesh.start_node(victim)
+
+    def target_crash(self, node, length, pick):
+        self.mesh.kill_target(node)
+        time.sleep(length * pick)
+        self.mesh.revive_target(node, keeps_id=pick < 0.4)
+
+    def target_leaves(self, node, length, pick):
+        address = node.target_address
+        from platform_mesh import call
+
+        call(address, "PUT", "/drain" if pick < 0.6 else "/leave")
+        time.sleep(DRAIN + length * pick)
+        self.mesh.kill_target(node)
+        self.node_term(node, 1, pick)
+        self.mesh.revive_target(node, keeps_id=False)
+
+    def late_orders(self, node, length, pick):
+        node.target_fault("unanswered", 30)
+        time.sleep(length)
+        node.target_fault("unanswered", 0)
+
+    def busy_target(self, node, length, pick):
+        name, value, normal = ("shed", 1, 0) if pick < 0.4 else ("work", 150, 5)
+        node.target_fault(name, value)
+        time.sleep(length)
+        node.target_fault(name, normal)
+
+    def store_fault(self, node, length, pick):
+        name, value = self.random.choice([("down", 1), ("silent", 1), ("lost", 30), ("slow", 300)])
+        self.mesh.disturb_all(length)
+        self.mesh.store_fault(name, value)
+        time.sleep(length)
+        self.mesh.disturb_all(0)
+        self.mesh.store_fault(name, 0)
+
+    def store_link(self, node, length, pick):
+        self.disturb_link(node, [node.store_link], length, pick)
+
+    def peer_link(self, node, length, pick):
+        self.disturb_link(node, node.peer_links, length, pick)
+
+    def target_link(self, node, length, pick):
+        self.mesh.disturb(node, length)
+        link = node.target_proxy
+        if pick < 0.4:
+            link.reset()
+        elif pick < 0.7:
+            link.silence()
+        else:
+            link.delay = 0.03
+            time.sleep(length)
+            link.delay = 0
+        self.mesh.disturb(node, 0)
+
+    def disturb_link(self, node, links, length, pick):
+        self.mesh.disturb_all(length)
+        for link in links:
+            if pick < 0.2:
+                link.reset()
+            elif pick < 0.4:
+                link.silence()
+            elif pick < 0.6:
+                link.delay = 0.1 + pick / 4
+            else:
+                link.cut_in = pick < 0.9
+                link.cut_out = pick > 0.7
+        time.sleep(length)
+        self.mesh.disturb_all(0)
+        for link in links:
+            link.heal()
+
+    def settings_change(self, node, length, pick):
+        node.write_settings()
+        if self.mesh.is_up(node) and pick < 0.5:
+            node.process.send_signal(signal.SIGHUP)
+
+    def configuration(self, node, length, pick):
+        route = self.mesh.add_route()
+        calm = [n for n in self.mesh.nodes if self.mesh.is_calm(n)]
+        time.sleep(ROUTES_APPLY)
+        for one in calm:
+            if self.stopping or not self.mesh.is_calm(one) or route not in self.mesh.routes:
+                continue
+            status = one.request(f"/{route}/x", 7, f"route-{route}-{one.index}")[0]
+            if status == 404:
+                self.mesh.problems.append(f"node {one.index} does not know {route} after {ROUTES_APPLY} s")
--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,142 @@
+"""Checks of the promises, from what callers got and what targets did."""
+
+import json
+import random
+from collections import Counter, defaultdict
+
+# Held keys are compared at so many of them.
+PROBES = 96
+# Two clocks read one after the other.
+SAME_TIME = 0.002
+# Orders that a node sends as it wakes up don't count: ThawSlackMs.
+THAW_SLACK = 0.3
+DRAIN = 2.0
+# A request that reaches a target so long after its caller left is one too many;
+# a few may.
+LEFT_SLACK = 0.6
+FEW = 3
+
+
+class TargetLife:
+    def __init__(self, node, started, identity):
+        self.node = node
+        self.started = started
+        self.identity = identity
+        self.ended = float("inf")
+        self.events = []
+        self.left = None
+
+
+def read_lives(mesh):
+    lives = []
+    for node in mesh.nodes:
+        with open(node.journal) as journal:
+            events = [json.loads(line) for line in journal if line.endswith("\n")]
+        for event in events:
+            if event["event"] == "start":
+                life = TargetLife(node.index, event["at"], event["target"])
+                later = [t for t in mesh.deaths[node.index] if t > life.started]
+                life.ended = min(later, default=life.ended)
+                lives.append(life)
+            elif event["event"] == "left":
+                life.left = life.left or event["at"]
+            else:
+                life.events.append(event)
+    return lives
+
+
+def check(mesh, outcomes):
+    """What was broken, one line each."""
+    lives = read_lives(mesh)
+    problems = list(mesh.problems)
+    problems += check_answers(outcomes)
+    problems += check_runs(lives, outcomes)
+    problems += check_drains(lives)
+    problems += check_holds(mesh, lives)
+    return problems
+
+
+def check_answers(outcomes):
+    problems = [f"{o.attempt} got a success that is not its target's" for o in outcomes if not o.is_whole]
+    problems += [f"{o.attempt} at node {o.node.index} got a {o.status}" for o in outcomes if o.status in (400, 404, 413, 421, 431)]
+    return problems
+
+
+def check_runs(lives, outcomes):
+    runs = defaultdict(list)
+    for life in lives:
+        for event in life.events:
+            if event["event"] == "run":
+                runs[event["attempt"]].append(event["at"])
+    problems = []
+    late = 0
+    for outcome in outcomes:
+        begun = runs[outcome.attempt]
+        is_unsafe = not outcome.path.startswith("/read")
+        if is_unsafe and len(begun) > 1:
+            problems.append(f"{outcome.attempt} ran {len(begun)} times")
+        if outcome.status in (408, 421, 429, 503) and is_unsafe and begun:
+            problems.append(f"{outcome.attempt} was answered {outcome.status} and has run")
+        if outcome.left and any(at > outcome.left + LEFT_SLACK for at in begun):
+            late += 1
+    if late > FEW:
+        problems.append(f"{late} requests reached a target {LEFT_SLACK} s after their callers had left")
+    return problems
+
+
+def check_drains(lives):
+    problems = []
+    for life in lives:
+        late = [e for e in life.events if life.left and e["event"] == "run" and e["at"] > life.left + DRAIN]
+        if late:
+            problems.append(f"{len(late)} requests reached {life.identity} over {DRAIN} s after its leaving was confirmed")
+    return problems
+
+
+class Hold:
+    def __init__(self, life, event):
+        self.life = life
+        self.begin = event["at"]
+        self.end = min(event["until"], life.ended)
+        self.fence = event["fence"]
+
+
+def holds_of(life, key):
+    """The times in which this life of a target held the key, in order."""
+    holds = []
+    for event in life.events:
+        if event["event"] not in ("grant", "release") or not event["first"] <= key <= event["last"]:
+            continue
+        if event["event"] == "grant" and event["until"] <= event["at"]:
+            # Carried out so late that its time was over.
+            continue
+        last = holds[-1] if holds else None
+        is_held = last is not None and event["at"] < last.end
+        if event["event"] == "release":
+            if is_held:
+                last.end = event["at"]
+        elif is_held and last.fence == event["fence"]:
+            last.end = max(last.end, min(event["until"], life.ended))
+        else:
+            if is_held:
+                last.end = event["at"]
+            holds.append(Hold(life, event))
+    return holds
+
+
+def check_holds(mesh, lives):
+    problems = []
+    for key in random.Random(1).sample(range(65536), PROBES):
+        holds = sorted((h for life in lives for h in holds_of(life, key)), key=lambda h: h.begin)
+        for i, later in enumerate(holds):
+            if any(0 <= later.begin - thaw < THAW_SLACK for thaw in mesh.thaws[later.life.node]):
+                continue
+            for earlier in holds[:i]:
+                if earlier.life is later.life:
+                    continue
+                if earlier.end - later.begin > SAME_TIME:
+                    problems.append(f"{earlier.life.identity} and {later.life.identity} held key {key} together for {earlier.end - later.begin:.3f} s")
+                elif earlier.fence >= later.fence:
+                    problems.append(f"{later.life.identity} took key {key} by token {later.fence}, {earlier.life.identity} had {earlier.fence}")
+    counted = Counter(line.split(" key ")[0] for line in problems)
+    return [next(line for line in problems if line.startswith(start)) + f" ({count} of {PROBES} keys)" for start, count in counted.items()]
--- /dev/null
+++ b/tests/soak/soak_mesh.py
@@ -0,0 +1,133 @@
+"""A mesh whose links to the store, to targets and between nodes pass proxies, so
+that faults can be set on them. Remembers what was done to which node, and when:
+promises with a time bound hold only for nodes that were left alone."""
+
+import os
+import random
+import signal
+import sys
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "..", "platform", "testing"))
+
+from link_proxy import Link, ProxyLoop  # noqa: E402
+from platform_mesh import Mesh, config  # noqa: E402
+
+MESH_PORT = 18210
+WORK_PORT = 18202
+TARGET_PORT = 18206
+# A node that was left alone for so long keeps its bounds: ContactMs.
+CALM = 3.0
+
+
+class SoakMesh(Mesh):
+    def __init__(self, router, divided=4, undivided=2):
+        super().__init__(router, divided, undivided)
+        self.proxies = ProxyLoop()
+        # By node: until when it counts as disturbed.
+        self.disturbed = [0.0] * len(self.nodes)
+        # By node: when its target was killed, and when the node was thawed.
+        self.deaths = [[] for _ in self.nodes]
+        self.thaws = [[] for _ in self.nodes]
+        self.pauses = [[] for _ in self.nodes]
+        self.version = 1
+        self.routes = []
+        self.problems = []
+        for node in self.nodes:
+            self._link(node)
+
+    def _link(self, node):
+        number = node.index + 1
+        store = tuple(self._split(self.store_address))
+        node.store_link = Link(self.proxies, (f"127.{self.network}.3.{number}", store[1]), store)
+        node.store_address = f"127.{self.network}.3.{number}:{store[1]}"
+        target = f"127.{self.network}.4.{number}"
+        node.target_proxy = Link(self.proxies, (target, TARGET_PORT), (node.ip, TARGET_PORT))
+        node.target_link = f"{target}:{TARGET_PORT}"
+        published = f"127.{self.network}.5.{number}"
+        node.peer_links = [Link(self.proxies, (published, port), (node.ip, port)) for port in (MESH_PORT, WORK_PORT)]
+        node.flags = ["--published-ip", published]
+        node.write_settings()
+
+    @staticmethod
+    def _split(address):
+        ip, port = address.split(":")
+        return ip, int(port)
+
+    def links_of(self, node):
+        return [node.store_link, node.target_proxy, *node.peer_links]
+
+    def disturb(self, node, seconds):
+        until = time.monotonic() + seconds
+        self.disturbed[node.index] = max(self.disturbed[node.index], until)
+
+    def disturb_all(self, seconds):
+        for node in self.nodes:
+            self.disturb(node, seconds)
+
+    def is_calm(self, node):
+        """It was left alone for long enough."""
+        return time.monotonic() > self.disturbed[node.index] + CALM
+
+    def is_up(self, node):
+        return node.process is not None and node.process.poll() is None
+
+    def kill_node(self, node):
+        if self.is_up(node):
+            node.process.kill()
+            node.process.wait()
+
+    def start_node(self, node):
+        if not self.is_up(node):
+            node.start()
+
+    def kill_target(self, node):
+        if node.target.poll() is None:
+            node.target.kill()
+            node.target.wait()
+            self.deaths[node.index].append(time.monotonic())
+
+    def revive_target(self, node, keeps_id):
+        if node.target.poll() is not None:
+            node.start_target(keeps_id)
+
+    def pause(self, node):
+        if self.is_up(node):
+            self.pauses[node.index].append(time.monotonic())
+            node.process.send_signal(signal.SIGSTOP)
+
+    def resume(self, node):
+        if self.is_up(node):
+            self.thaws[node.index].append(time.monotonic())
+            node.process.send_signal(signal.SIGCONT)
+
+    def add_route(self):
+        self.version += random.randint(1, 3)
+        self.routes = [*self.routes[-3:], f"added-{self.version}"]
+        self.publish(config(self.version, extra_routes=self.routes))
+        return self.routes[-1]
+
+    def heal(self):
+        """Ends every fault and starts what is down."""
+        for name in ("down", "silent", "lost", "slow"):
+            self.store_fault(name, 0)
+        for node in self.nodes:
+            for link in self.links_of(node):
+                link.heal()
+            self.resume(node)
+            self.revive_target(node, keeps_id=False)
+            self.start_node(node)
+            self.wait_for(lambda node=node: self.heal_target(node), 5, "a target")
+
+    @staticmethod
+    def heal_target(node):
+        for name, value in (("unanswered", 0), ("shed", 0), ("work", 5)):
+            node.target_fault(name, value)
+        return True
+
+    def close(self):
+        for node in self.nodes:
+            self.resume(node)
+        super().close()
+        self.proxies.close()
