Count a crash once for a request that ran several times

Several runs of the same request (same path, no body) were under way, and each counted as a crash of its own: three at once and it was quarantined everywhere. The detector now counts a request once for each crash; its test, new, fails without it.

--- a/modules/coordination/load/poison_detector.cc
+++ b/modules/coordination/load/poison_detector.cc
@@ -23,8 +23,14 @@
       : m_clock(clock), m_parameters(parameters) {}
 
   void OnCrash(std::span<const RequestFingerprint> running) {
-    Merge(running);
-    for (const RequestFingerprint mark : running) {
+    // One that ran several times at once was beside one crash all the same.
+    // Counted for each run, a request that many send was quarantined by a
+    // single crash, for everybody.
+    const std::set<RequestFingerprint> distinct(running.begin(), running.end());
+    const std::vector<RequestFingerprint> suspects(distinct.begin(),
+                                                   distinct.end());
+    Merge(suspects);
+    for (const RequestFingerprint mark : suspects) {
       if (m_reports.size() < m_parameters.max_suspects) {
         m_reports.push_back(mark);
       }
--- a/modules/coordination/load/poison_detector.h
+++ b/modules/coordination/load/poison_detector.h
@@ -45,7 +45,8 @@
   PoisonDetector(const PoisonDetector&) = delete;
   PoisonDetector& operator=(const PoisonDetector&) = delete;
 
-  // A target crashed while these ran: ids and fingerprints, each once.
+  // A target crashed while these ran; one that is named several times ran
+  // several times at once.
   void OnCrash(std::span<const RequestFingerprint> running);
 
   // The request's run ended without a crash.
--- a/modules/coordination/load/poison_detector_test.cc
+++ b/modules/coordination/load/poison_detector_test.cc
@@ -36,6 +36,19 @@
   CHECK_FALSE(detector.IsQuarantined(kPoison));
 }
 
+// Many callers send the same request, and several of it run when a target
+// crashes. All of them were refused for ten minutes after that one crash.
+TEST_CASE("a crash counts once for a request that ran several times") {
+  ManualClock clock;
+  PoisonDetector here(clock, PoisonDetector::Parameters{});
+  PoisonDetector there(clock, PoisonDetector::Parameters{});
+  const RequestFingerprint popular(1);
+  here.OnCrash(Marks{popular, kPoison, popular, popular});
+  CHECK_FALSE(here.IsQuarantined(popular));
+  there.Merge(here.TakeReports());
+  CHECK_FALSE(there.IsQuarantined(popular));
+}
+
 TEST_CASE("crashes seen by different nodes add up, each once") {
   ManualClock clock;
   PoisonDetector here(clock, PoisonDetector::Parameters{});
--- a/tests/failures_soak_seeds_process_test.py
+++ b/tests/failures_soak_seeds_process_test.py
@@ -39,6 +39,11 @@
     def test_115_a_leader_that_was_paused(self):
         self.play(115)
 
+    # All reads are refused for ten minutes: several of the same request ran when
+    # a target crashed, and each of them counted as a crash of its own.
+    def test_1206_a_request_that_many_send(self):
+        self.play(1206)
+
     # Two targets hold one key by the same token: a target crashed and was back
     # before its node noticed, and got the keys of its last life.
     def test_608_a_target_that_was_back_at_once(self):
--- a/tests/soak/link_proxy.py
+++ b/tests/soak/link_proxy.py
@@ -7,6 +7,8 @@
 import threading
 
 CHUNK = 65536
+# How often the thread looks whether it was held up.
+STALL_LOOK = 0.05
 
 
 class ProxyLoop:
@@ -19,6 +21,15 @@
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
         self.servers = []
+        self.longest_stall = 0.0
+        asyncio.run_coroutine_threadsafe(self._watch(), self.loop)
+
+    async def _watch(self):
+        while True:
+            began = self.loop.time()
+            await asyncio.sleep(STALL_LOOK)
+            stall = self.loop.time() - began - STALL_LOOK
+            self.longest_stall = max(self.longest_stall, stall)
 
     def run(self, coroutine):
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(5)
