A leader that is told to stop leads on while the store is away

Handing the lead over without the store was weighed and not taken: two could then lead.

Change: it resigns only once the store answers it, and stays for as long as its grace allows. A process test, failing first.

--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -108,14 +108,20 @@
 
 void MeshAgent::SetLeaving() {
   m_is_leaving = true;
-  if (m_leader) {
-    const std::string successor = m_leader->FindSuccessor();
-    if (!successor.empty())
-      Resign(successor, "leaving");
-  }
+  ResignToLeave();
   Urge();
 }
 
+void MeshAgent::ResignToLeave() {
+  // While the store is away nobody can take over, and all owners would stop
+  // with their leases: this node leads on for as long as it may still run.
+  if (!m_leader || m_leader->has_resigned() || !m_config.store_answers())
+    return;
+  const std::string successor = m_leader->FindSuccessor();
+  if (!successor.empty())
+    Resign(successor, "leaving");
+}
+
 void MeshAgent::Resign(const std::string& successor, const std::string& why) {
   spdlog::warn("event=resigns successor={} reason=\"{}\"", successor, why);
   m_leader->Resign(successor);
@@ -605,6 +611,8 @@
 
 Task<> MeshAgent::LeadOnce() {
   const std::shared_ptr<MeshLeader> leader = m_leader;
+  if (m_is_leaving)
+    ResignToLeave();
   m_promise.Grant(m_identity.address);
   const Clock::TimePoint now = m_clock.Now();
   const Heartbeat heartbeat = Compose(false);
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -394,7 +394,10 @@
   const auto connections = [this] {
     return m_callers.connection_count() + m_work.connection_count();
   };
-  while (connections() > 0 && passed() < longest) {
+  const auto leads_alone = [this] {
+    return m_agent.is_leader() && m_agent.view().members().size() > 1;
+  };
+  while ((connections() > 0 || leads_alone()) && passed() < longest) {
     timer.expires_after(kTick);
     co_await timer.async_wait(boost::asio::use_awaitable);
   }
@@ -423,6 +426,7 @@
   state["node"] = m_file.node_name;
   state["zone"] = m_file.zone;
   state["is_leader"] = m_agent.is_leader();
+  state["store_answers"] = m_config.store_answers();
   state["leader"] = m_agent.leader_address();
   state["epoch"] = m_agent.view().epoch();
   state["view_version"] = m_agent.view().version();
--- a/tests/platform_mesh_process_test.py
+++ b/tests/platform_mesh_process_test.py
@@ -155,6 +155,25 @@
         self.mesh.wait_for(serves, 5, "all keys through the old leader")
         self.check_holds()
 
+    # The store is away, and the leader is told to stop. It resigned at once,
+    # nobody could take over, and all owners stopped 2 s later.
+    def test_a_leader_that_leaves_leads_on_while_the_store_is_away(self):
+        leader = self.mesh.leader()
+        others = [n for n in self.divided if n is not leader]
+        probe = others[0].request
+        served = {n.index: [key for key in range(0, 65536, 4096) if n.holds_key(key)] for n in others}
+        self.mesh.store_fault("down", 1)
+        self.mesh.wait_for(lambda: not any(n.state()["store_answers"] for n in self.nodes), 5, "the loss of the store")
+        leader.process.send_signal(signal.SIGTERM)
+        began = time.monotonic()
+        while time.monotonic() < began + 4.5:
+            for keys in served.values():
+                for key in keys:
+                    self.assertEqual(probe("/read/x", key, f"l{key}")[0], 200)
+        self.mesh.store_fault("down", 0)
+        self.mesh.wait_for(lambda: leader.process.poll() is not None, 8, "the end of the old leader")
+        self.mesh.wait_for(lambda: self.mesh.leader() is not None, 6, "a leader")
+
     # A node is told to stop under load: its keys go to others with their state,
     # and no request on an open connection is lost.
     def test_a_stopped_node_gives_its_keys_away_first(self):
