--- /dev/null
+++ b/modules/transport/mesh/instance_chooser_test.cc
@@ -0,0 +1,79 @@
+#include "modules/transport/mesh/instance_chooser.h"
+
+#include <doctest/doctest.h>
+
+#include "modules/coordination/load/run_outcome.h"
+#include "modules/coordination/manual_clock.h"
+#include "modules/state/mesh/mesh_view.h"
+
+namespace citrongrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+class Fixture {
+ public:
+  Fixture() { view.BeginEpoch(1); }
+
+  void Set(const char* address, MeshMember::State state) {
+    MeshMember member;
+    member.address = address;
+    member.zone = "zone";
+    member.service = "plain";
+    member.slots = 4;
+    member.state = state;
+    view.SetMember(member);
+    chooser.Refresh(view);
+  }
+
+  // How many of 20 requests go to the address; each ends at once.
+  int CountTo(const std::string& address) {
+    int count = 0;
+    for (int i = 0; i < 20; ++i) {
+      const auto chosen = chooser.Choose("plain", {});
+      if (!chosen)
+        continue;
+      count += *chosen == address ? 1 : 0;
+      chooser.OnFinished("plain", *chosen, "route", RunOutcome::kDone,
+                         milliseconds(20));
+    }
+    return count;
+  }
+
+  ManualClock clock;
+  MeshView view;
+  InstanceChooser chooser{clock, "zone"};
+};
+
+}  // namespace
+
+TEST_CASE_FIXTURE(Fixture, "a member that leaves gets no new work") {
+  Set("a", MeshMember::State::kServing);
+  Set("b", MeshMember::State::kServing);
+  CHECK(CountTo("a") > 0);
+  Set("a", MeshMember::State::kDraining);
+  CHECK(CountTo("a") == 0);
+  CHECK(CountTo("b") == 20);
+}
+
+// A node is told to stop and is back within a quarter of a second: the next
+// view that others get shows it serving, not that it was away. All its
+// service's callers there were refused for good.
+TEST_CASE_FIXTURE(Fixture, "a member that left and is back gets work again") {
+  Set("a", MeshMember::State::kServing);
+  Set("a", MeshMember::State::kDraining);
+  REQUIRE_FALSE(chooser.Choose("plain", {}).has_value());
+  Set("a", MeshMember::State::kServing);
+  CHECK(CountTo("a") == 20);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a member that is absent gets no work") {
+  Set("a", MeshMember::State::kServing);
+  Set("a", MeshMember::State::kAbsent);
+  CHECK_FALSE(chooser.Choose("plain", {}).has_value());
+  Set("a", MeshMember::State::kServing);
+  CHECK(CountTo("a") == 20);
+}
+
+}  // namespace citrongrade
--- a/tests/failures_soak_seeds_process_test.py
+++ b/tests/failures_soak_seeds_process_test.py
@@ -44,6 +44,12 @@
     def test_1206_a_request_that_many_send(self):
         self.play(1206)
 
+    # A service that is not divided is refused by one node, for good: both of its
+    # targets' nodes were told to stop and were back at once, and that node had
+    # never seen them away.
+    def test_2106_members_that_left_and_were_back(self):
+        self.play(2106)
+
     # Two targets hold one key by the same token: a target crashed and was back
     # before its node noticed, and got the keys of its last life.
     def test_608_a_target_that_was_back_at_once(self):
