Let one piece of code serve where two did the same

Now one each:

- IsConnectionHeader and TakeHeader (http_header): three lists of the headers of one connection were kept (TargetCall, CallerRequestParser, StripConnectionHeaders), and two copies of taking a header off.
What each list had beyond the common seven stays where it was.
- ProbeSocket and beast_headers: three looks at a socket and four loops between the library's header lines and ours.
- TargetKeeper::SendOrder: grants and releases each caught the same failures; one told a timeout from a broken connection by a cast.
- RequestRouter::FindOwned: the key's run was looked up in two places.
- kLogPattern: the log's pattern stood in two programs.

Gone: state that could be derived (InstanceChooser kept who leaves beside TargetEjection; HoldBook a flag on each hold), AsyncConnectionPool::idle_count and the result of KeyAssigner::OnReleased, which nobody used, and an unused parameter.

Behaviour and tests are as they were. Not joined: WorkOrder's own percent coding, beside url_text, since that refuses what this one lets pass.

--- a/modules/coordination/mesh/hold_book.cc
+++ b/modules/coordination/mesh/hold_book.cc
@@ -92,14 +92,17 @@
     holds.push_back(std::move(hold));
   };
   const std::size_t first = holds.size();
-  for (Hold& hold : m_holds) {
-    if (!run.range.Contains(hold.range) || hold.fence != run.fence)
+  const auto is_of_run = [&run](const Hold& hold) {
+    return run.range.Contains(hold.range) && hold.fence == run.fence;
+  };
+  for (const Hold& hold : m_holds) {
+    if (!is_of_run(hold))
       continue;
     add_wanted(hold.range.first);
     uncovered = hold.range.last + 1;
     holds.push_back(hold);
-    hold.is_kept = true;
   }
+  std::erase_if(m_holds, is_of_run);
   add_wanted(run.range.last + 1);
   if (!run.is_moving())
     return;
@@ -110,7 +113,7 @@
 void HoldBook::ForgetRest() {
   const Clock::TimePoint now = m_clock.Now();
   for (const Hold& hold : m_holds) {
-    if (hold.is_kept || hold.state == State::kReturned)
+    if (hold.state == State::kReturned)
       continue;
     // Should the keys come back by the same token, what was granted before may
     // still arrive: without this they would be given back too soon then.
--- a/modules/coordination/mesh/hold_book.h
+++ b/modules/coordination/mesh/hold_book.h
@@ -116,17 +116,16 @@
     // The target confirmed the release.
     bool is_released = false;
     std::string returned_handover;
-    // While SetOwned() sorts them: the view still gives it to this target.
-    bool is_kept = false;
   };
 
   void SplitAt(std::uint32_t slot);
   static bool CanJoin(const Hold& left, const Hold& right);
   void JoinNeighbours();
   const Hold* FindHold(std::uint32_t slot) const;
-  // Adds what is held of the run, and what is still to be granted, to `holds`.
+  // Moves what is held of the run from the book to `holds`, and adds what is
+  // still to be granted.
   void TakeRun(const OwnedRun& run, std::vector<Hold>& holds);
-  // Holds that the view gives to nobody here any more, as of now.
+  // What is left in the book: the view gives it to nobody here any more.
   void ForgetRest();
   static void BeginRelease(Hold& hold, Clock::TimePoint now);
   template <typename Change>
--- a/modules/coordination/mesh/key_assigner.cc
+++ b/modules/coordination/mesh/key_assigner.cc
@@ -230,12 +230,12 @@
   }
 }
 
-bool KeyAssigner::OnReleased(const std::string& from,
+void KeyAssigner::OnReleased(const std::string& from,
                              const Heartbeat::Released& released) {
   const auto found = m_tables.find(released.service);
   if (found == m_tables.end() || released.range.last >= kSlotCount ||
       released.range.first > released.range.last)
-    return false;
+    return;
   bool is_news = false;
   const std::vector<OwnedRun> runs = found->second.runs();
   for (OwnedRun run : runs) {
@@ -248,7 +248,6 @@
   }
   if (is_news)
     PlaceUnowned();
-  return is_news;
 }
 
 std::vector<KeyAssigner::Change> KeyAssigner::TakeChanges() {
--- a/modules/coordination/mesh/key_assigner.h
+++ b/modules/coordination/mesh/key_assigner.h
@@ -62,8 +62,8 @@
   void OrderDrains();
   void OrderBalance();
 
-  // True when it was news.
-  bool OnReleased(const std::string& from, const Heartbeat::Released& released);
+  // Once more for keys that it gave back already changes nothing.
+  void OnReleased(const std::string& from, const Heartbeat::Released& released);
 
   std::vector<Change> TakeChanges();
   // What its owner loses by the changes: to be published at once, before they
--- a/modules/transport/async/async_connection_pool.cc
+++ b/modules/transport/async/async_connection_pool.cc
@@ -77,11 +77,4 @@
   std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
 }
 
-std::size_t AsyncConnectionPool::idle_count() const {
-  std::size_t count = 0;
-  for (const auto& [address, idle] : m_idle)
-    count += idle.size();
-  return count;
-}
-
 }  // namespace citrongrade
--- a/modules/transport/async/async_connection_pool.h
+++ b/modules/transport/async/async_connection_pool.h
@@ -42,7 +42,6 @@
   // Closes what was idle for too long.
   void Sweep();
 
-  std::size_t idle_count() const;
   std::uint64_t opened() const { return m_opened; }
 
  private:
--- a/modules/transport/async/async_http_connection.cc
+++ b/modules/transport/async/async_http_connection.cc
@@ -19,6 +19,8 @@
 #include <string>
 #include <utility>
 
+#include "modules/transport/async/beast_headers.h"
+#include "modules/transport/async/socket_probe.h"
 #include "modules/transport/http_errors.h"
 
 namespace citrongrade {
@@ -52,8 +54,7 @@
   message.version(kHttpVersion);
   message.method_string(request.method);
   message.target(request.target);
-  for (const HttpHeader& header : request.headers)
-    message.insert(header.name, header.value);
+  AddHeaders(request.headers, message);
   if (message.find(http::field::host) == message.end())
     message.set(http::field::host, host);
   message.body() = std::move(request.body);
@@ -70,10 +71,7 @@
   auto& message = parser.get();
   HttpResponse response;
   response.head.status = static_cast<int>(message.result_int());
-  for (const auto& field : message) {
-    response.head.headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
+  response.head.headers = HeadersOf(message);
   response.body = std::move(message.body());
   response.head.body_length = HttpBodyLength::Exactly(response.body.size());
   return response;
@@ -222,11 +220,9 @@
 }
 
 bool AsyncHttpConnection::Implementation::IsStale() const {
-  char byte = 0;
   const int handle =
       const_cast<beast::tcp_stream&>(m_stream).socket().native_handle();
-  const ssize_t count = recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+  return ProbeSocket(handle) != SocketState::kQuiet;
 }
 
 AsyncHttpConnection::AsyncHttpConnection(
--- a/modules/transport/async/async_http_server.cc
+++ b/modules/transport/async/async_http_server.cc
@@ -1,7 +1,6 @@
 #include "modules/transport/async/async_http_server.h"
 
 #include <spdlog/spdlog.h>
-#include <sys/socket.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,7 +23,9 @@
 #include <utility>
 
 #include "modules/coordination/clock.h"
+#include "modules/transport/async/beast_headers.h"
 #include "modules/transport/async/request_context.h"
+#include "modules/transport/async/socket_probe.h"
 #include "modules/transport/http_errors.h"
 
 namespace citrongrade {
@@ -58,10 +59,7 @@
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
-  for (const auto& field : message) {
-    request.headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
+  request.headers = HeadersOf(message);
   request.body = std::move(message.body());
   return request;
 }
@@ -71,8 +69,7 @@
   http::response<http::string_body> message;
   message.version(kHttpVersion);
   message.result(static_cast<unsigned>(response.head.status));
-  for (const HttpHeader& header : response.head.headers)
-    message.insert(header.name, header.value);
+  AddHeaders(response.head.headers, message);
   message.keep_alive(keeps_alive);
   message.body() = std::move(response.body);
   const int status = response.head.status;
@@ -286,16 +283,13 @@
 }
 
 bool AsyncHttpServer::Implementation::HasUnread(Session& session) {
-  char byte = 0;
-  return recv(session.stream.socket().native_handle(), &byte, 1,
-              MSG_PEEK | MSG_DONTWAIT) > 0;
+  return ProbeSocket(session.stream.socket().native_handle()) ==
+         SocketState::kUnread;
 }
 
 bool AsyncHttpServer::Implementation::IsClosedByPeer(Session& session) {
-  char byte = 0;
-  const ssize_t count = recv(session.stream.socket().native_handle(), &byte, 1,
-                             MSG_PEEK | MSG_DONTWAIT);
-  return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+  return ProbeSocket(session.stream.socket().native_handle()) ==
+         SocketState::kClosed;
 }
 
 void AsyncHttpServer::Implementation::WatchForClose(
--- /dev/null
+++ b/modules/transport/async/socket_probe.h
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace citrongrade {
+
+enum class SocketState {
+  // Open, with nothing to read.
+  kQuiet,
+  // Bytes have come that nobody has read.
+  kUnread,
+  // The peer closed or reset it.
+  kClosed,
+};
+
+// What a look at the socket shows, without taking anything off it or waiting.
+SocketState ProbeSocket(int handle);
+
+}  // namespace citrongrade
--- a/modules/transport/caller_request_parser.cc
+++ b/modules/transport/caller_request_parser.cc
@@ -124,18 +124,13 @@
 }
 
 bool IsPassedOn(std::string_view name) {
-  constexpr std::string_view kNames[] = {
-      "Host",       "Connection", "Content-Length", "Transfer-Encoding",
-      "Keep-Alive", "TE",         "Trailer",        "Upgrade",
-      "Expect"};
   constexpr std::string_view kOwnPrefix = "Citrongrade-";
   if (name.size() >= kOwnPrefix.size() &&
       SameHeaderName(name.substr(0, kOwnPrefix.size()), kOwnPrefix)) {
     return false;
   }
-  return std::none_of(
-      std::begin(kNames), std::end(kNames),
-      [name](std::string_view known) { return SameHeaderName(name, known); });
+  return !IsConnectionHeader(name) && !SameHeaderName(name, "Host") &&
+         !SameHeaderName(name, "Expect");
 }
 
 std::size_t HeadBytes(const CallerRequest& caller) {
--- a/modules/transport/http_header.cc
+++ b/modules/transport/http_header.cc
@@ -1,9 +1,13 @@
 #include "modules/transport/http_header.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace citrongrade {
 
@@ -32,4 +36,26 @@
   return std::nullopt;
 }
 
+std::optional<std::string> TakeHeader(std::vector<HttpHeader>& headers,
+                                      std::string_view name) {
+  const auto found = std::find_if(headers.begin(), headers.end(),
+                                  [name](const HttpHeader& header) {
+                                    return SameHeaderName(header.name, name);
+                                  });
+  if (found == headers.end())
+    return std::nullopt;
+  std::string value = std::move(found->value);
+  headers.erase(found);
+  return value;
+}
+
+bool IsConnectionHeader(std::string_view name) {
+  constexpr std::string_view kNames[] = {
+      "Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "TE",
+      "Trailer",    "Upgrade"};
+  return std::any_of(
+      std::begin(kNames), std::end(kNames),
+      [name](std::string_view known) { return SameHeaderName(name, known); });
+}
+
 }  // namespace citrongrade
--- a/modules/transport/http_header.h
+++ b/modules/transport/http_header.h
@@ -5,6 +5,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace citrongrade {
 
@@ -24,4 +25,12 @@
 std::optional<std::string_view> FindHeader(std::span<const HttpHeader> headers,
                                            std::string_view name);
 
+// The same, and takes that header off.
+std::optional<std::string> TakeHeader(std::vector<HttpHeader>& headers,
+                                      std::string_view name);
+
+// Whether a header says how its message is sent on one connection, so that what
+// is passed on must not bear it.
+bool IsConnectionHeader(std::string_view name);
+
 }  // namespace citrongrade
--- a/modules/transport/mesh/connection_headers.cc
+++ b/modules/transport/mesh/connection_headers.cc
@@ -1,7 +1,6 @@
 #include "modules/transport/mesh/connection_headers.h"
 
 #include <algorithm>
-#include <iterator>
 #include <string>
 #include <string_view>
 
@@ -9,11 +8,6 @@
 
 namespace {
 
-constexpr std::string_view kNames[] = {
-    "Connection",     "Keep-Alive",        "Proxy-Connection",
-    "Content-Length", "Transfer-Encoding", "TE",
-    "Trailer",        "Upgrade",           "Expect"};
-
 bool IsListed(const std::vector<std::string>& names, std::string_view name) {
   return std::any_of(names.begin(), names.end(), [name](const auto& listed) {
     return SameHeaderName(listed, name);
@@ -45,11 +39,9 @@
 void StripConnectionHeaders(std::vector<HttpHeader>& headers) {
   const std::vector<std::string> named = NamedByConnection(headers);
   std::erase_if(headers, [&named](const HttpHeader& header) {
-    return IsListed(named, header.name) ||
-           std::any_of(std::begin(kNames), std::end(kNames),
-                       [&header](std::string_view name) {
-                         return SameHeaderName(header.name, name);
-                       });
+    return IsConnectionHeader(header.name) || IsListed(named, header.name) ||
+           SameHeaderName(header.name, "Proxy-Connection") ||
+           SameHeaderName(header.name, "Expect");
   });
 }
 
--- a/modules/transport/mesh/instance_chooser.cc
+++ b/modules/transport/mesh/instance_chooser.cc
@@ -26,7 +26,6 @@
   TargetPicker picker;
   TargetEjection ejection;
   std::set<std::string> members;
-  std::set<std::string> leaving;
   bool was_used = false;
   // By kind: how long answers take, in seconds.
   std::map<std::string, double> means;
@@ -65,18 +64,17 @@
     // It left and is back. Views never go backwards, but one may pass over the
     // time between; taken for a late word, its return would count for nothing,
     // and it would get no work for good.
-    if (!is_leaving && service.leaving.erase(member->address) > 0)
+    const bool is_known = service.members.contains(member->address);
+    if (!is_leaving && is_known &&
+        service.ejection.StateOf(id) == TargetEjection::State::kLeaving)
       service.ejection.RemoveTarget(id);
-    if (is_leaving)
-      service.leaving.insert(member->address);
     service.ejection.OnAnnounced(id, is_leaving);
-    if (service.was_used && !service.members.contains(member->address))
+    if (service.was_used && !is_known)
       service.ejection.MarkCold(id);
   }
   for (const std::string& gone : service.members) {
     if (members.contains(gone))
       continue;
-    service.leaving.erase(gone);
     service.picker.RemoveTarget(TargetId(gone));
     service.ejection.RemoveTarget(TargetId(gone));
   }
--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -158,7 +158,7 @@
     m_dependencies.metrics.OnUnrouted(status);
     m_dependencies.log.OnUnrouted(facts.request_id, facts.host, facts.path,
                                   status, m_dependencies.config.version());
-    return RefuseEarly(status, attempt);
+    return RefuseUnrouted(status);
   };
   if (!config)
     co_return refuse_unrouted(kUnavailable);
@@ -243,13 +243,10 @@
     return m_dependencies.chooser.Choose(attempt.order.service,
                                          attempt.excluded);
   }
-  const KeyTable* table = view.FindTable(attempt.order.service);
-  if (table == nullptr || *attempt.order.key >= kKeyCount)
-    return std::nullopt;
-  const OwnedRun& run = table->Find(SlotOfKey(*attempt.order.key));
-  if (!run.has_owner() || view.FindMember(run.owner) == nullptr)
+  const OwnedRun* run = FindOwned(attempt);
+  if (run == nullptr || view.FindMember(run->owner) == nullptr)
     return std::nullopt;
-  return run.owner;
+  return run->owner;
 }
 
 Task<WorkResult> RequestRouter::Send(const HttpRequest& request,
@@ -381,13 +378,18 @@
   co_return BudgetOf(attempt.order.service).TryRetry(RetryAllowance());
 }
 
-std::uint64_t RequestRouter::FenceOf(const Attempt& attempt) const {
+const OwnedRun* RequestRouter::FindOwned(const Attempt& attempt) const {
   const KeyTable* table =
       m_dependencies.agent.view().FindTable(attempt.order.service);
   if (table == nullptr || *attempt.order.key >= kKeyCount)
-    return 0;
+    return nullptr;
   const OwnedRun& run = table->Find(SlotOfKey(*attempt.order.key));
-  return run.has_owner() ? run.fence : 0;
+  return run.has_owner() ? &run : nullptr;
+}
+
+std::uint64_t RequestRouter::FenceOf(const Attempt& attempt) const {
+  const OwnedRun* run = FindOwned(attempt);
+  return run == nullptr ? 0 : run->fence;
 }
 
 Task<> RequestRouter::AwaitOwner(const Attempt& attempt,
@@ -449,8 +451,7 @@
   return response;
 }
 
-HttpResponse RequestRouter::RefuseEarly(int status,
-                                        const Attempt& /*attempt*/) {
+HttpResponse RequestRouter::RefuseUnrouted(int status) {
   HttpResponse response;
   response.head.status = status;
   if (status == kUnavailable) {
--- a/modules/transport/mesh/request_router.h
+++ b/modules/transport/mesh/request_router.h
@@ -30,6 +30,7 @@
 class TargetDialect;
 class TargetGateway;
 struct MeshMember;
+struct OwnedRun;
 struct RouteRule;
 
 // Callers' requests at the node where they begin: finds the route, the service
@@ -92,6 +93,8 @@
                          const RouteRule& route,
                          Attempt& attempt,
                          RequestContext& context);
+  // The run of slots that the request's key is in; nullptr: nobody owns it.
+  const OwnedRun* FindOwned(const Attempt& attempt) const;
   // Fencing token under which the request's key is owned; 0: by nobody.
   std::uint64_t FenceOf(const Attempt& attempt) const;
   Task<> AwaitOwner(const Attempt& attempt,
@@ -101,7 +104,7 @@
   std::string ChooseService(const RouteRule& route);
   RetryBudget& BudgetOf(const std::string& service);
   HttpResponse Answer(WorkResult result, const Attempt& attempt);
-  HttpResponse RefuseEarly(int status, const Attempt& attempt);
+  static HttpResponse RefuseUnrouted(int status);
 
   const Dependencies m_dependencies;
   std::string m_origin_service;
--- a/modules/transport/mesh/target_keeper.cc
+++ b/modules/transport/mesh/target_keeper.cc
@@ -232,8 +232,8 @@
   m_is_life_doubted = true;
 }
 
-Task<HttpResponse> TargetKeeper::SendOrder(HttpRequest order,
-                                           Clock::Duration timeout) {
+Task<HttpResponse> TargetKeeper::CallTarget(HttpRequest order,
+                                            Clock::Duration timeout) {
   const Clock::TimePoint started = m_clock.Now();
   auto connection = co_await m_order_pool->Take(m_settings.address, kOrderIdle);
   const Clock::Duration left = timeout - (m_clock.Now() - started);
@@ -247,6 +247,29 @@
   co_return response;
 }
 
+Task<TargetKeeper::OrderEnd> TargetKeeper::SendOrder(
+    HttpRequest order,
+    Clock::Duration timeout,
+    std::uint64_t life_number) {
+  OrderEnd end;
+  try {
+    end.response = co_await CallTarget(std::move(order), timeout);
+  } catch (const ConnectRefusedError&) {
+    if (life_number == m_life_number)
+      OnRefused();
+    co_return end;
+  } catch (const ResponseTimeoutError& error) {
+    end.failure = error.what();
+  } catch (const HttpError& error) {
+    end.failure = error.what();
+    end.has_broken = true;
+  }
+  end.concerns_target = life_number == m_life_number;
+  if (end.concerns_target)
+    OnCallEnded(end.response.has_value());
+  co_return end;
+}
+
 Task<> TargetKeeper::SendGrant(HoldBook::Grant grant,
                                std::uint64_t life_number) {
   const std::uint64_t id = grant.id;
@@ -256,68 +279,55 @@
     m_holds.OnGrantNotSent(id);
     co_return;
   }
-  try {
-    HttpRequest order = m_dialect.MakeGrant(grant);
-    const HttpResponse response =
-        co_await SendOrder(std::move(order), HoldBook::kCallTimeout);
-    if (life_number != m_life_number)
-      co_return;
-    OnCallEnded(true);
-    if (response.head.status == kOk) {
-      m_holds.OnGranted(id);
-    } else if (response.head.status == kConflict) {
-      spdlog::warn("event=grant-refused first={} last={} fence={}",
-                   grant.range.first, grant.range.last, grant.fence);
-      m_holds.OnGrantRefused(id);
-      m_listener.OnTargetNews();
-    } else {
-      spdlog::warn("event=grant-failed first={} last={} status={}",
-                   grant.range.first, grant.range.last, response.head.status);
-      m_holds.OnGrantUnanswered(id);
-    }
-  } catch (const ConnectRefusedError&) {
-    if (life_number == m_life_number)
-      OnRefused();
-  } catch (const HttpError& error) {
-    if (life_number != m_life_number)
-      co_return;
+  HttpRequest order = m_dialect.MakeGrant(grant);
+  const OrderEnd end =
+      co_await SendOrder(std::move(order), HoldBook::kCallTimeout, life_number);
+  if (!end.concerns_target)
+    co_return;
+  if (!end.response) {
     spdlog::debug("event=grant-unanswered first={} last={} reason=\"{}\"",
-                  grant.range.first, grant.range.last, error.what());
-    OnCallEnded(false);
+                  grant.range.first, grant.range.last, end.failure);
+    m_holds.OnGrantUnanswered(id);
+    if (end.has_broken)
+      DoubtLife(end.failure.c_str());
+    co_return;
+  }
+  const int status = end.response->head.status;
+  if (status == kOk) {
+    m_holds.OnGranted(id);
+  } else if (status == kConflict) {
+    spdlog::warn("event=grant-refused first={} last={} fence={}",
+                 grant.range.first, grant.range.last, grant.fence);
+    m_holds.OnGrantRefused(id);
+    m_listener.OnTargetNews();
+  } else {
+    spdlog::warn("event=grant-failed first={} last={} status={}",
+                 grant.range.first, grant.range.last, status);
     m_holds.OnGrantUnanswered(id);
-    if (dynamic_cast<const ResponseTimeoutError*>(&error) == nullptr)
-      DoubtLife(error.what());
   }
 }
 
 Task<> TargetKeeper::SendRelease(HoldBook::Release release,
                                  std::uint64_t life_number) {
-  try {
-    HttpRequest order = m_dialect.MakeRelease(release);
-    const HttpResponse response =
-        co_await SendOrder(std::move(order), kReleaseTimeout);
-    if (life_number != m_life_number)
-      co_return;
-    OnCallEnded(true);
-    if (response.head.status == kOk) {
-      m_holds.OnReleased(release.id, m_dialect.ReadHandover(response));
-      m_listener.OnTargetNews();
-    } else {
-      spdlog::warn("event=release-failed first={} last={} status={}",
-                   release.range.first, release.range.last,
-                   response.head.status);
-      m_holds.OnReleaseUnanswered(release.id);
-    }
-  } catch (const ConnectRefusedError&) {
-    if (life_number == m_life_number)
-      OnRefused();
-  } catch (const HttpError& error) {
-    if (life_number != m_life_number)
-      co_return;
+  HttpRequest order = m_dialect.MakeRelease(release);
+  const OrderEnd end =
+      co_await SendOrder(std::move(order), kReleaseTimeout, life_number);
+  if (!end.concerns_target)
+    co_return;
+  if (!end.response) {
     spdlog::log(release.is_repeat ? spdlog::level::debug : spdlog::level::info,
                 "event=release-unanswered first={} last={} reason=\"{}\"",
-                release.range.first, release.range.last, error.what());
-    OnCallEnded(false);
+                release.range.first, release.range.last, end.failure);
+    m_holds.OnReleaseUnanswered(release.id);
+    co_return;
+  }
+  if (end.response->head.status == kOk) {
+    m_holds.OnReleased(release.id, m_dialect.ReadHandover(*end.response));
+    m_listener.OnTargetNews();
+  } else {
+    spdlog::warn("event=release-failed first={} last={} status={}",
+                 release.range.first, release.range.last,
+                 end.response->head.status);
     m_holds.OnReleaseUnanswered(release.id);
   }
 }
--- a/modules/transport/mesh/target_keeper.h
+++ b/modules/transport/mesh/target_keeper.h
@@ -106,8 +106,23 @@
  private:
   enum class State { kUnheard, kServing, kDraining, kGone };
 
-  // One order on a connection that has carried nothing but orders.
-  Task<HttpResponse> SendOrder(HttpRequest order, Clock::Duration timeout);
+  struct OrderEnd {
+    // False: it was sent to an earlier life, or nobody listens any more, and
+    // says nothing of this one.
+    bool concerns_target = false;
+    std::optional<HttpResponse> response;
+    // Why there is no response.
+    std::string failure;
+    // The connection ended, other than by the order's time.
+    bool has_broken = false;
+  };
+
+  // One call on a connection that has carried nothing but orders.
+  Task<HttpResponse> CallTarget(HttpRequest order, Clock::Duration timeout);
+  // The same, with what its end says of the target taken note of.
+  Task<OrderEnd> SendOrder(HttpRequest order,
+                           Clock::Duration timeout,
+                           std::uint64_t life_number);
   Task<> SendGrant(HoldBook::Grant grant, std::uint64_t life_number);
   Task<> SendRelease(HoldBook::Release release, std::uint64_t life_number);
   bool IsLaterLife(const TargetReport& report) const;
--- a/modules/transport/mesh/work_order.cc
+++ b/modules/transport/mesh/work_order.cc
@@ -1,7 +1,8 @@
 #include "modules/transport/mesh/work_order.h"
 
-#include <algorithm>
 #include <charconv>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -92,14 +93,10 @@
 }
 
 WorkOrder WorkOrder::TakeFrom(HttpRequest& request) {
-  const auto header = std::find_if(
-      request.headers.begin(), request.headers.end(),
-      [](const HttpHeader& one) { return SameHeaderName(one.name, kHeader); });
-  if (header == request.headers.end())
+  const std::optional<std::string> text = TakeHeader(request.headers, kHeader);
+  if (!text)
     throw MalformedMessageError("a request without a work order");
-  const std::string text = header->value;
-  request.headers.erase(header);
-  const std::vector<std::string_view> fields = Split(text);
+  const std::vector<std::string_view> fields = Split(*text);
   if (fields.size() != kFieldCount)
     throw MalformedMessageError("a work order with too few or many fields");
   WorkOrder order;
--- a/modules/transport/mesh/work_result.cc
+++ b/modules/transport/mesh/work_result.cc
@@ -1,7 +1,8 @@
 #include "modules/transport/mesh/work_result.h"
 
-#include <algorithm>
 #include <charconv>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -81,17 +82,13 @@
 }
 
 WorkResult WorkResult::FromHop(HttpResponse response) {
-  auto& headers = response.head.headers;
-  const auto header = std::find_if(
-      headers.begin(), headers.end(),
-      [](const HttpHeader& one) { return SameHeaderName(one.name, kHeader); });
-  if (header == headers.end())
+  const std::optional<std::string> value =
+      TakeHeader(response.head.headers, kHeader);
+  if (!value)
     throw MalformedMessageError("an answer without a result");
-  const std::string value = header->value;
-  headers.erase(header);
-  if (value == kAnswered)
+  if (*value == kAnswered)
     return Answered(std::move(response));
-  std::string_view text = value;
+  std::string_view text = *value;
   const bool not_run = ReadNumber(text) != 0;
   const int error = ReadNumber(text);
   const int retry_ms = ReadNumber(text);
--- a/modules/transport/target_call.cc
+++ b/modules/transport/target_call.cc
@@ -30,16 +30,6 @@
   return length ? HttpBodyLength::Exactly(*length) : HttpBodyLength::Chunked();
 }
 
-// Belong to one connection, or are set by this node.
-bool IsConnectionHeader(std::string_view name) {
-  constexpr std::string_view kNames[] = {
-      "Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "TE",
-      "Trailer",    "Upgrade"};
-  return std::any_of(
-      std::begin(kNames), std::end(kNames),
-      [name](std::string_view known) { return SameHeaderName(name, known); });
-}
-
 bool ProvesNotRun(const HttpResponseHead& response) {
   const bool refuses =
       response.status == kUnavailable || response.status == kPreconditionFailed;
--- a/programs/citrongrade-router/main.cc
+++ b/programs/citrongrade-router/main.cc
@@ -10,6 +10,7 @@
 #include "platform/settings_file.h"
 #include "programs/citrongrade-router/router_node.h"
 #include "programs/citrongrade-router/router_settings.h"
+#include "programs/support/logging_setup.h"
 #include "programs/support/settings_error.h"
 #include "programs/support/settings_reader.h"
 
@@ -25,7 +26,7 @@
   spdlog::init_thread_pool(kLogQueue, 1);
   auto logger =
       spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("router");
-  logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e level=%l %v");
+  logger->set_pattern(kLogPattern);
   if (verbose)
     logger->set_level(spdlog::level::debug);
   spdlog::set_default_logger(std::move(logger));
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -113,10 +113,7 @@
         self.mesh.revive_target(node, keeps_id=pick < 0.4)
 
     def target_leaves(self, node, length, pick):
-        address = node.target_address
-        from platform_mesh import call
-
-        call(address, "PUT", "/drain" if pick < 0.6 else "/leave")
+        node.tell_target("/drain" if pick < 0.6 else "/leave")
         time.sleep(DRAIN + length * pick)
         self.mesh.kill_target(node)
         self.node_term(node, 1, pick)
