Say what holds up a node's event loop

Cause: the record of the incident shows a leader that uses all of its processor and stores nothing for seconds, but neither logs nor metrics tell whether it plans, answers heartbeats, takes news or reads the record, nor how late its loop runs. Ruled out: the time of each coroutine (it includes waits); a profiler (on-call engineers have logs and metrics only).

--- /dev/null
+++ b/modules/transport/mesh/loop_monitor.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+#include "modules/coordination/clock.h"
+
+namespace citrongrade {
+
+// What holds up a node's one event loop. While one step of it computes, nothing
+// else is answered: a leader that plans for longer than the others wait for its
+// answer is taken for lost.
+//
+// How to use it: a Section around each step whose cost grows with the mesh, and
+// OnTimer() whenever a timer of known time has run. A loop that is late logs
+// where its time went, once a second at most. Thread-confined.
+class LoopMonitor {
+ public:
+  enum class Activity : std::size_t {
+    // Planning who owns what, as the leader.
+    kLead,
+    // Taking a heartbeat and answering it, as the leader.
+    kAnswerHeartbeat,
+    // Taking over the leader's news.
+    kTakeView,
+    // Reading and writing the mesh's stored record.
+    kRecord,
+  };
+  static constexpr std::size_t kActivityCount = 4;
+
+  // Counts the time until its end for an activity.
+  class Section {
+   public:
+    Section(LoopMonitor& monitor, Activity activity)
+        : m_monitor(monitor),
+          m_activity(activity),
+          m_began(monitor.m_clock.Now()) {}
+    ~Section();
+    Section(const Section&) = delete;
+    Section& operator=(const Section&) = delete;
+
+   private:
+    LoopMonitor& m_monitor;
+    const Activity m_activity;
+    const Clock::TimePoint m_began;
+  };
+
+  explicit LoopMonitor(const Clock& clock);
+
+  // A timer ran so much later than it was set for.
+  void OnTimer(Clock::Duration late);
+
+  // The latest that a timer has been.
+  Clock::Duration latest() const { return m_latest; }
+  // In all; a Section inside another counts in both.
+  Clock::Duration TimeIn(Activity activity) const;
+  // The longest single Section.
+  Clock::Duration LongestIn(Activity activity) const;
+
+  // In the text format that collectors of metrics read.
+  std::string ToText() const;
+
+ private:
+  struct Times {
+    Clock::Duration all{0};
+    Clock::Duration longest{0};
+    // Since the last line of the log.
+    Clock::Duration recent{0};
+  };
+
+  const Clock& m_clock;
+  std::array<Times, kActivityCount> m_times;
+  Clock::Duration m_latest{0};
+  Clock::TimePoint m_logged;
+};
+
+}  // namespace citrongrade
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -17,6 +17,7 @@
 #include "modules/transport/async/async_connection_pool.h"
 #include "modules/transport/http_errors.h"
 #include "modules/transport/mesh/config_follower.h"
+#include "modules/transport/mesh/loop_monitor.h"
 #include "modules/transport/mesh/mesh_store.h"
 
 namespace citrongrade {
@@ -91,6 +92,7 @@
                      MeshStore& store,
                      ConfigFollower& config,
                      AsyncConnectionPool& peers,
+                     LoopMonitor& monitor,
                      Listener& listener)
     : m_loop(loop),
       m_clock(clock),
@@ -99,6 +101,7 @@
       m_store(store),
       m_config(config),
       m_peers(peers),
+      m_monitor(monitor),
       m_listener(listener),
       m_random(std::random_device()()),
       m_incarnation(m_random()),
@@ -251,7 +254,7 @@
       const std::string body =
           co_await Ask(leader, kHeartbeatPath,
                        MeshMessageCodec::Encode(heartbeat), kAnswerSlack);
-      OnReply(MeshMessageCodec::DecodeHeartbeatReply(body), leader, sent);
+      OnReply(DecodeReply(body), leader, sent);
     } catch (const std::exception& error) {
       // The regular heartbeat says it again.
       spdlog::debug("event=urgent-heartbeat-failed leader={} reason=\"{}\"",
@@ -271,7 +274,7 @@
     const std::string body = co_await Ask(leader, kHeartbeatPath,
                                           MeshMessageCodec::Encode(heartbeat),
                                           m_timing.heartbeat + kAnswerSlack);
-    const HeartbeatReply reply = MeshMessageCodec::DecodeHeartbeatReply(body);
+    const HeartbeatReply reply = DecodeReply(body);
     m_refused_since.erase(leader);
     if (OnReply(reply, leader, sent))
       co_return;
@@ -331,6 +334,8 @@
       m_tracker.OnNotLeading(from, reply.leader_hint);
     return false;
   }
+  const LoopMonitor::Section section(m_monitor,
+                                     LoopMonitor::Activity::kTakeView);
   // An old leader that does not know of its successor yet.
   if (reply.view.epoch < m_view.epoch()) {
     m_tracker.OnDeposed(from);
@@ -393,15 +398,8 @@
 }
 
 Task<HttpResponse> MeshAgent::HandleHeartbeat(const HttpRequest& request) {
-  const Heartbeat heartbeat = MeshMessageCodec::DecodeHeartbeat(request.body);
-  if (m_leader && heartbeat.epoch > m_leader->view().epoch())
-    StepDown("deposed");
+  const Heartbeat heartbeat = TakeHeartbeat(request.body);
   if (m_leader) {
-    m_leader->OnHeartbeat(heartbeat);
-    if (!heartbeat.config_document.empty())
-      m_config.OnDocument(heartbeat.config_document);
-    if (heartbeat.is_urgent)
-      Urge();
     const bool has_news = m_leader->HasNewsFor(heartbeat) ||
                           m_config.version() > heartbeat.config_version;
     if (!has_news) {
@@ -415,7 +413,60 @@
       m_waiting.erase(waiting);
     }
   }
-  co_return MakeResponse(kOk, MeshMessageCodec::Encode(Reply(heartbeat)));
+  co_return AnswerHeartbeat(heartbeat);
+}
+
+Heartbeat MeshAgent::TakeHeartbeat(const std::string& bytes) {
+  const LoopMonitor::Section section(m_monitor,
+                                     LoopMonitor::Activity::kAnswerHeartbeat);
+  Heartbeat heartbeat = MeshMessageCodec::DecodeHeartbeat(bytes);
+  if (m_leader && heartbeat.epoch > m_leader->view().epoch())
+    StepDown("deposed");
+  if (!m_leader)
+    return heartbeat;
+  m_leader->OnHeartbeat(heartbeat);
+  if (!heartbeat.config_document.empty())
+    m_config.OnDocument(heartbeat.config_document);
+  if (heartbeat.is_urgent)
+    Urge();
+  return heartbeat;
+}
+
+HttpResponse MeshAgent::AnswerHeartbeat(const Heartbeat& heartbeat) {
+  const LoopMonitor::Section section(m_monitor,
+                                     LoopMonitor::Activity::kAnswerHeartbeat);
+  return MakeResponse(kOk, MeshMessageCodec::Encode(Reply(heartbeat)));
+}
+
+HeartbeatReply MeshAgent::DecodeReply(const std::string& bytes) {
+  const LoopMonitor::Section section(m_monitor,
+                                     LoopMonitor::Activity::kTakeView);
+  return MeshMessageCodec::DecodeHeartbeatReply(bytes);
+}
+
+MeshRecord MeshAgent::DecodeRecord(const std::string& bytes) {
+  const LoopMonitor::Section section(m_monitor, LoopMonitor::Activity::kRecord);
+  return MeshMessageCodec::DecodeRecord(bytes);
+}
+
+std::string MeshAgent::EncodeRecord(const MeshRecord& record) {
+  const LoopMonitor::Section section(m_monitor, LoopMonitor::Activity::kRecord);
+  return MeshMessageCodec::Encode(record);
+}
+
+void MeshAgent::Plan(MeshLeader& leader) {
+  const LoopMonitor::Section section(m_monitor, LoopMonitor::Activity::kLead);
+  leader.Tick();
+}
+
+std::optional<MeshRecord> MeshAgent::RecordToStore(MeshLeader& leader) {
+  const LoopMonitor::Section section(m_monitor, LoopMonitor::Activity::kLead);
+  return leader.RecordToStore();
+}
+
+void MeshAgent::TakeStored(MeshLeader& leader) {
+  const LoopMonitor::Section section(m_monitor, LoopMonitor::Activity::kLead);
+  leader.OnStored();
 }
 
 HttpResponse MeshAgent::HandleVote(const HttpRequest& request) {
@@ -471,7 +522,7 @@
     co_await ClaimNewMesh(stored.end);
     co_return;
   }
-  const MeshRecord record = MeshMessageCodec::DecodeRecord(*stored.bytes);
+  const MeshRecord record = DecodeRecord(*stored.bytes);
   m_record_epoch = record.epoch;
   if (record.leader != m_identity.address &&
       !m_tracker.WasAskedInVain(record.leader) && !m_was_named) {
@@ -499,7 +550,7 @@
 Task<bool> MeshAgent::Claim(MeshRecord record, std::uint64_t end) {
   ++record.epoch;
   record.leader = m_identity.address;
-  const std::string bytes = MeshMessageCodec::Encode(record);
+  const std::string bytes = EncodeRecord(record);
   try {
     m_record_end = co_await m_store.WriteRecord(bytes, end);
   } catch (const StoreRefusedError& error) {
@@ -650,7 +701,7 @@
   const Clock::TimePoint now = m_clock.Now();
   const Heartbeat heartbeat = Compose(false);
   leader->OnHeartbeat(heartbeat);
-  leader->Tick();
+  Plan(*leader);
   if (leader->HasAuthority())
     m_tracker.NoteOwnLead();
   OnReply(Reply(heartbeat), m_identity.address, now);
@@ -668,7 +719,7 @@
     co_return;
   }
   if (!m_is_storing) {
-    if (auto record = leader->RecordToStore()) {
+    if (auto record = RecordToStore(*leader)) {
       m_is_storing = true;
       boost::asio::co_spawn(m_loop, StoreRecord(std::move(*record), leader),
                             boost::asio::detached);
@@ -701,7 +752,7 @@
                                 const std::shared_ptr<MeshLeader>& leader) {
   try {
     m_record_end = co_await m_store.WriteRecord(bytes, m_record_end);
-    leader->OnStored();
+    TakeStored(*leader);
     co_return true;
   } catch (const StoreConflictError&) {
     // Looked into below: a handler can't wait for the store.
@@ -711,11 +762,11 @@
   const MeshStore::StoredRecord stored = co_await m_store.ReadRecord();
   if (stored.bytes && *stored.bytes == bytes) {
     m_record_end = stored.end;
-    leader->OnStored();
+    TakeStored(*leader);
     co_return true;
   }
   if (stored.bytes) {
-    const MeshRecord record = MeshMessageCodec::DecodeRecord(*stored.bytes);
+    const MeshRecord record = DecodeRecord(*stored.bytes);
     if (record.leader != m_identity.address ||
         record.epoch != leader->view().epoch()) {
       if (m_leader == leader)
@@ -729,7 +780,7 @@
 
 Task<> MeshAgent::StoreRecord(MeshRecord record,
                               std::shared_ptr<MeshLeader> leader) {
-  const std::string bytes = MeshMessageCodec::Encode(record);
+  const std::string bytes = EncodeRecord(record);
   const Clock::TimePoint began = m_clock.Now();
   bool is_done = false;
   while (!is_done && m_leader == leader) {
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -30,6 +30,7 @@
 
 class AsyncConnectionPool;
 class ConfigFollower;
+class LoopMonitor;
 class MeshLeader;
 class MeshStore;
 
@@ -70,6 +71,7 @@
             MeshStore& store,
             ConfigFollower& config,
             AsyncConnectionPool& peers,
+            LoopMonitor& monitor,
             Listener& listener);
   ~MeshAgent() override;
 
@@ -131,6 +133,15 @@
                Clock::TimePoint sent);
   HeartbeatReply Reply(const Heartbeat& heartbeat);
   Task<HttpResponse> HandleHeartbeat(const HttpRequest& request);
+  // What grows with the mesh, each under the eyes of the LoopMonitor.
+  Heartbeat TakeHeartbeat(const std::string& bytes);
+  HttpResponse AnswerHeartbeat(const Heartbeat& heartbeat);
+  HeartbeatReply DecodeReply(const std::string& bytes);
+  MeshRecord DecodeRecord(const std::string& bytes);
+  std::string EncodeRecord(const MeshRecord& record);
+  void Plan(MeshLeader& leader);
+  std::optional<MeshRecord> RecordToStore(MeshLeader& leader);
+  void TakeStored(MeshLeader& leader);
   HttpResponse HandleVote(const HttpRequest& request);
   // Answers waiting heartbeats: those of nodes that news concern, and all when
   // there is news for all and the last was some time ago.
@@ -155,6 +166,7 @@
   MeshStore& m_store;
   ConfigFollower& m_config;
   AsyncConnectionPool& m_peers;
+  LoopMonitor& m_monitor;
   Listener& m_listener;
   std::mt19937_64 m_random;
   const std::uint64_t m_incarnation;
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -22,6 +22,7 @@
 #include "modules/transport/async/async_http_server.h"
 #include "modules/transport/mesh/config_follower.h"
 #include "modules/transport/mesh/instance_chooser.h"
+#include "modules/transport/mesh/loop_monitor.h"
 #include "modules/transport/mesh/mesh_agent.h"
 #include "modules/transport/mesh/request_log.h"
 #include "modules/transport/mesh/request_router.h"
@@ -180,6 +181,7 @@
   const SteadyClock m_clock{};
   const MeshTiming m_timing{};
   boost::asio::io_context m_loop{1};
+  LoopMonitor m_monitor;
   const platform::PlatformDialect m_dialect{};
   const platform::ConfigDocument m_decoder{};
   AsyncConnectionPool m_target_pool;
@@ -211,6 +213,7 @@
                                            const platform::SettingsFile& file)
     : m_settings(settings),
       m_file(file),
+      m_monitor(m_clock),
       m_target_pool(m_loop, m_clock, {}),
       m_peer_pool(m_loop, m_clock, {}),
       m_store_pool(m_loop, m_clock, {}),
@@ -231,6 +234,7 @@
               m_store,
               m_config,
               m_peer_pool,
+              m_monitor,
               *this),
       m_log(m_clock,
             {settings.log_failures_per_second,
@@ -324,6 +328,7 @@
   while (true) {
     timer.expires_after(kTick);
     co_await timer.async_wait(boost::asio::use_awaitable);
+    m_monitor.OnTimer(m_clock.Now() - timer.expiry());
     m_keeper.OnView(m_agent.view(), m_agent.identity().address);
     m_keeper.Tick();
     m_gateway.Tick();
@@ -458,7 +463,7 @@
 }
 
 std::string RouterNode::Implementation::DumpMetrics() const {
-  std::string text = m_metrics.ToText();
+  std::string text = m_metrics.ToText() + m_monitor.ToText();
   const auto add = [&text](const char* name, double value) {
     text += std::string(name) + " " + std::to_string(value) + "\n";
   };
