Plan a whole mesh's keys in one pass

What callers saw: after the loss of all processes of a large mesh next to nothing was served for 18 s. Cause: the leader gave out each run by looking through the whole table: it copied it, summed the load of all 8,192 slots and found every owner by name, then published each change by looking through the table again. 1,600 runs took 0.6 s of processor in one step, 6 s on a tenth of a core. Others wait 0.35 s for an answer, twice; then they elect another, whose targets' lives are all new again: the state kept itself up. Change: KeyPlacement holds the receivers' loads for all that a step gives out; lost runs, drains, moves, releases and stored changes look only at the runs that they are about. Ruled out: planning in slices (the square stays); joining runs before they are given out (hot neighbours would go to one target).

--- a/modules/coordination/mesh/key_assigner.cc
+++ b/modules/coordination/mesh/key_assigner.cc
@@ -3,8 +3,12 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <iterator>
+#include <string_view>
 #include <utility>
 
+#include "modules/coordination/mesh/key_placement.h"
+
 namespace citrongrade {
 
 namespace {
@@ -16,9 +20,6 @@
 constexpr double kIdleWeight = 0.1;
 // A fence holds the leader's epoch above a count of its grants.
 constexpr unsigned kGrantBits = 24;
-// A run that nobody owns is given out in pieces of at most this part of what
-// one member would get.
-constexpr double kPieceShare = 0.34;
 
 // The run in the hands of `owner`; in nobody's when that is not set.
 OwnedRun AsOwned(OwnedRun run, const NextOwner& owner) {
@@ -30,8 +31,26 @@
   return run;
 }
 
+// Copies: what is done with them changes the table.
+template <typename Runs, typename Predicate>
+std::vector<OwnedRun> Select(const Runs& runs, Predicate is_wanted) {
+  std::vector<OwnedRun> selected;
+  std::copy_if(runs.begin(), runs.end(), std::back_inserter(selected),
+               is_wanted);
+  return selected;
+}
+
 }  // namespace
 
+struct KeyAssigner::Placement {
+  const Member& Take(const SlotRange& range) {
+    return *receivers[places.Take(range)];
+  }
+
+  std::vector<const Member*> receivers;
+  KeyPlacement places;
+};
+
 KeyAssigner::KeyAssigner(std::uint64_t epoch,
                          std::map<std::string, KeyTable> tables)
     : m_epoch(epoch), m_tables(std::move(tables)) {}
@@ -72,26 +91,27 @@
 void KeyAssigner::FreeLost(
     const std::function<bool(const OwnedRun&)>& is_lost) {
   for (const auto& [service, table] : m_tables) {
-    const std::vector<OwnedRun> runs = table.runs();
-    for (const OwnedRun& run : runs) {
-      if (run.is_moving() && is_lost(AsOwned(run, run.next)))
-        ReplaceNextOwner(service, run);
-    }
-    const std::vector<OwnedRun> current = table.runs();
-    for (const OwnedRun& run : current) {
-      if (run.has_owner() && is_lost(run))
-        TakeFromOwner(service, run, {});
-    }
+    const auto is_next_lost = [&](const OwnedRun& run) {
+      return run.is_moving() && is_lost(AsOwned(run, run.next));
+    };
+    ReplaceNextOwners(service, Select(table.runs(), is_next_lost));
+    const auto is_owner_lost = [&](const OwnedRun& run) {
+      return run.has_owner() && is_lost(run);
+    };
+    for (const OwnedRun& run : Select(table.runs(), is_owner_lost))
+      TakeFromOwner(service, run, {});
   }
 }
 
-void KeyAssigner::ReplaceNextOwner(const std::string& service,
-                                   const OwnedRun& run) {
-  const std::vector<const Member*> receivers = ReceiversOf(service);
-  if (receivers.empty())
+void KeyAssigner::ReplaceNextOwners(const std::string& service,
+                                    const std::vector<OwnedRun>& runs) {
+  if (runs.empty())
+    return;
+  std::optional<Placement> placement = MakePlacement(service);
+  if (!placement)
     return;
-  Loads loads = LoadsOf(PlannedTable(service), WeightsOf(service));
-  PlanMove(service, run, run.range, LeastBusy(receivers, loads, 0));
+  for (const OwnedRun& run : runs)
+    PlanMove(service, run, run.range, placement->Take(run.range));
 }
 
 void KeyAssigner::TakeFromOwner(const std::string& service,
@@ -109,17 +129,20 @@
 
 void KeyAssigner::PlaceUnowned() {
   for (const auto& [service, table] : m_tables) {
-    if (!table.HasUnowned() || ReceiversOf(service).empty())
+    if (!table.HasUnowned())
+      continue;
+    std::optional<Placement> placement = MakePlacement(service);
+    if (!placement)
       continue;
     if (table.runs().size() == 1) {
       SpreadAll(service);
       continue;
     }
-    const std::vector<OwnedRun> runs = table.runs();
-    for (const OwnedRun& run : runs) {
-      if (!run.has_owner())
-        PlaceRun(service, run);
-    }
+    const auto is_unowned = [](const OwnedRun& run) {
+      return !run.has_owner();
+    };
+    for (const OwnedRun& run : Select(table.runs(), is_unowned))
+      PlaceRun(service, run, *placement);
   }
 }
 
@@ -141,59 +164,50 @@
   }
 }
 
-void KeyAssigner::PlaceRun(const std::string& service, const OwnedRun& run) {
-  const std::vector<const Member*> receivers = ReceiversOf(service);
-  const std::vector<float> weights = WeightsOf(service);
-  Loads loads = LoadsOf(PlannedTable(service), weights);
-  const double piece_weight =
-      loads.all / static_cast<double>(receivers.size()) * kPieceShare;
-  std::uint32_t next = run.range.first;
-  while (next <= run.range.last) {
+void KeyAssigner::PlaceRun(const std::string& service,
+                           const OwnedRun& run,
+                           Placement& placement) {
+  SlotRange rest = run.range;
+  while (rest.first <= rest.last) {
     // What one holder gave back goes on together: its handover is for all.
-    std::uint32_t end = run.handover.empty() ? next : run.range.last;
-    double weight = 0;
-    for (std::uint32_t s = next; s <= end; ++s)
-      weight += weights[s];
-    while (end < run.range.last && weight + weights[end + 1] <= piece_weight)
-      weight += weights[++end];
-    const Member& best = LeastBusy(receivers, loads, weight);
-    Give(service, {next, end}, best, run.handover);
-    next = end + 1;
+    const SlotRange piece =
+        run.handover.empty() ? placement.places.FirstPiece(rest) : rest;
+    Give(service, piece, placement.Take(piece), run.handover);
+    rest.first = piece.last + 1;
   }
 }
 
 void KeyAssigner::OrderDrains() {
+  std::set<std::string_view> givers;
   for (const Member& member : m_members) {
     if (member.must_give)
-      OrderDrain(member);
+      givers.insert(member.address);
   }
-}
-
-void KeyAssigner::OrderDrain(const Member& giver) {
-  const auto found = m_tables.find(giver.service);
-  if (found == m_tables.end())
-    return;
-  const std::vector<const Member*> receivers = ReceiversOf(giver.service);
-  if (receivers.empty())
+  if (givers.empty())
     return;
-  const std::vector<float> weights = WeightsOf(giver.service);
-  Loads loads = LoadsOf(PlannedTable(giver.service), weights);
-  const double piece_weight =
-      loads.all / static_cast<double>(receivers.size()) * kPieceShare;
-  const std::vector<OwnedRun> runs = found->second.runs();
-  for (const OwnedRun& run : runs) {
-    if (run.owner != giver.address || run.is_moving())
+  const auto must_go = [&givers](const OwnedRun& run) {
+    return !run.is_moving() && givers.contains(run.owner);
+  };
+  for (const auto& [service, table] : m_tables) {
+    const std::vector<OwnedRun> runs = Select(table.runs(), must_go);
+    if (runs.empty())
       continue;
-    std::uint32_t next = run.range.first;
-    while (next <= run.range.last) {
-      std::uint32_t end = next;
-      double weight = weights[next];
-      while (end < run.range.last && weight + weights[end + 1] <= piece_weight)
-        weight += weights[++end];
-      const Member& best = LeastBusy(receivers, loads, weight);
-      PlanMove(giver.service, run, {next, end}, best);
-      next = end + 1;
-    }
+    std::optional<Placement> placement = MakePlacement(service);
+    if (!placement)
+      continue;
+    for (const OwnedRun& run : runs)
+      OrderDrain(service, run, *placement);
+  }
+}
+
+void KeyAssigner::OrderDrain(const std::string& service,
+                             const OwnedRun& run,
+                             Placement& placement) {
+  SlotRange rest = run.range;
+  while (rest.first <= rest.last) {
+    const SlotRange piece = placement.places.FirstPiece(rest);
+    PlanMove(service, run, piece, placement.Take(piece));
+    rest.first = piece.last + 1;
   }
 }
 
@@ -217,15 +231,15 @@
       spdlog::info("event=keys-to-move service={} moves={} runs={}", service,
                    moves.size(), table.runs().size());
     }
-    const KeyTable current = table;
     for (const KeyBalancer::Move& move : moves) {
       const Member* receiver = FindReceiver(service, move.to);
-      for (const OwnedRun& run : current.runs()) {
-        if (receiver == nullptr || !run.range.Overlaps(move.range) ||
-            run.owner != move.from || run.is_moving())
-          continue;
+      if (receiver == nullptr)
+        continue;
+      const auto is_givers = [&move](const OwnedRun& run) {
+        return run.owner == move.from && !run.is_moving();
+      };
+      for (const OwnedRun& run : Select(table.RunsIn(move.range), is_givers))
         PlanMove(service, run, run.range.CommonPart(move.range), *receiver);
-      }
     }
   }
 }
@@ -236,17 +250,16 @@
   if (found == m_tables.end() || released.range.last >= kSlotCount ||
       released.range.first > released.range.last)
     return;
-  bool is_news = false;
-  const std::vector<OwnedRun> runs = found->second.runs();
+  const auto is_meant = [&](const OwnedRun& run) {
+    return run.owner == from && run.fence == released.fence;
+  };
+  const std::vector<OwnedRun> runs =
+      Select(found->second.RunsIn(released.range), is_meant);
   for (OwnedRun run : runs) {
-    if (run.owner != from || run.fence != released.fence ||
-        !run.range.Overlaps(released.range))
-      continue;
     run.range = run.range.CommonPart(released.range);
     TakeFromOwner(released.service, run, released.handover);
-    is_news = true;
   }
-  if (is_news)
+  if (!runs.empty())
     PlaceUnowned();
 }
 
@@ -282,36 +295,6 @@
   return nullptr;
 }
 
-KeyAssigner::Loads KeyAssigner::LoadsOf(
-    const KeyTable& table,
-    const std::vector<float>& weights) const {
-  Loads loads;
-  for (const OwnedRun& run : table.runs()) {
-    double sum = 0;
-    for (std::uint32_t s = run.range.first; s <= run.range.last; ++s)
-      sum += weights[s];
-    loads.by_owner[run.owner] += sum;
-    loads.all += sum;
-  }
-  return loads;
-}
-
-const KeyAssigner::Member& KeyAssigner::LeastBusy(
-    const std::vector<const Member*>& receivers,
-    Loads& loads,
-    double weight) {
-  const auto use = [&](const Member* member) {
-    return (loads.by_owner[member->address] + weight) / member->capacity;
-  };
-  const Member* best =
-      *std::min_element(receivers.begin(), receivers.end(),
-                        [&use](const Member* left, const Member* right) {
-                          return use(left) < use(right);
-                        });
-  loads.by_owner[best->address] += weight;
-  return *best;
-}
-
 std::vector<float> KeyAssigner::WeightsOf(const std::string& service) const {
   const auto rates = m_rates.find(service);
   if (rates == m_rates.end())
@@ -327,6 +310,20 @@
   return weights;
 }
 
+std::optional<KeyAssigner::Placement> KeyAssigner::MakePlacement(
+    const std::string& service) const {
+  std::vector<const Member*> members = ReceiversOf(service);
+  if (members.empty())
+    return std::nullopt;
+  std::vector<KeyPlacement::Receiver> receivers;
+  receivers.reserve(members.size());
+  for (const Member* member : members)
+    receivers.push_back({member->address, member->capacity});
+  KeyPlacement places(std::move(receivers), m_tables.at(service),
+                      WeightsOf(service));
+  return Placement{std::move(members), std::move(places)};
+}
+
 KeyTable KeyAssigner::PlannedTable(const std::string& service) const {
   KeyTable planned = m_tables.at(service);
   for (const OwnedRun& run : m_tables.at(service).runs()) {
--- a/modules/coordination/mesh/key_assigner.h
+++ b/modules/coordination/mesh/key_assigner.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,7 +23,8 @@
 // owner is lost.
 //
 // What it decides takes effect nowhere by itself. Thread-confined. Kin:
-// MeshLeader, which knows who is alive; KeyBalancer, which says what to move.
+// MeshLeader, which knows who is alive; KeyPlacement, which says who gets keys;
+// KeyBalancer, which says what to move.
 class KeyAssigner {
  public:
   struct Member {
@@ -77,25 +79,25 @@
   const std::map<std::string, KeyTable>& tables() const { return m_tables; }
 
  private:
+  // Members that may get keys of a service, and which of them gets the next.
+  struct Placement;
+
   std::vector<const Member*> ReceiversOf(const std::string& service) const;
   const Member* FindReceiver(const std::string& service,
                              const std::string& address) const;
   // Arrivals by slot, with a little added to each: keys without any load now
   // are spread as well.
   std::vector<float> WeightsOf(const std::string& service) const;
-  struct Loads {
-    std::map<std::string, double> by_owner;
-    double all = 0;
-  };
-  Loads LoadsOf(const KeyTable& table, const std::vector<float>& weights) const;
-  // The receiver that is least busy once it has `weight` more.
-  static const Member& LeastBusy(const std::vector<const Member*>& receivers,
-                                 Loads& loads,
-                                 double weight);
+  // Nothing when nobody may get keys of the service.
+  std::optional<Placement> MakePlacement(const std::string& service) const;
   KeyTable PlannedTable(const std::string& service) const;
   void SpreadAll(const std::string& service);
-  void PlaceRun(const std::string& service, const OwnedRun& run);
-  void OrderDrain(const Member& giver);
+  void PlaceRun(const std::string& service,
+                const OwnedRun& run,
+                Placement& placement);
+  void OrderDrain(const std::string& service,
+                  const OwnedRun& run,
+                  Placement& placement);
   void PlanMove(const std::string& service,
                 const OwnedRun& run,
                 SlotRange range,
@@ -104,8 +106,9 @@
   void TakeFromOwner(const std::string& service,
                      OwnedRun run,
                      const std::string& handover);
-  // The next owner of keys that still are to move is lost.
-  void ReplaceNextOwner(const std::string& service, const OwnedRun& run);
+  // The next owners of keys that still are to move are lost.
+  void ReplaceNextOwners(const std::string& service,
+                         const std::vector<OwnedRun>& runs);
   std::uint64_t NewFence();
   void Give(const std::string& service,
             SlotRange range,
--- /dev/null
+++ b/modules/coordination/mesh/key_placement.cc
@@ -0,0 +1,84 @@
+#include "modules/coordination/mesh/key_placement.h"
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+#include <string_view>
+#include <utility>
+
+namespace citrongrade {
+
+namespace {
+
+// A range is given out in pieces of at most this part of what one receiver
+// would get of all.
+constexpr double kPieceShare = 0.34;
+
+const std::string& PlannedOwner(const OwnedRun& run) {
+  return run.is_moving() ? run.next.address : run.owner;
+}
+
+std::vector<double> SumsBefore(const std::vector<float>& weights) {
+  std::vector<double> sums;
+  sums.reserve(weights.size() + 1);
+  double sum = 0;
+  for (const float weight : weights) {
+    sums.push_back(sum);
+    sum += weight;
+  }
+  sums.push_back(sum);
+  return sums;
+}
+
+}  // namespace
+
+KeyPlacement::KeyPlacement(std::vector<Receiver> receivers,
+                           const KeyTable& table,
+                           const std::vector<float>& weights)
+    : m_receivers(std::move(receivers)),
+      m_weight_before(SumsBefore(weights)),
+      m_loads(m_receivers.size(), 0) {
+  // The caller must pass somebody who may get keys, and a weight a slot.
+  assert(!m_receivers.empty() && weights.size() == kSlotCount);
+  std::map<std::string_view, std::size_t> places;
+  for (std::size_t i = 0; i < m_receivers.size(); ++i)
+    places.emplace(m_receivers[i].address, i);
+  for (const OwnedRun& run : table.runs()) {
+    const auto found = places.find(PlannedOwner(run));
+    if (found != places.end())
+      m_loads[found->second] += WeightOf(run.range);
+  }
+  m_piece_weight = m_weight_before.back() /
+                   static_cast<double>(m_receivers.size()) * kPieceShare;
+}
+
+double KeyPlacement::WeightOf(const SlotRange& range) const {
+  return m_weight_before[range.last + 1] - m_weight_before[range.first];
+}
+
+SlotRange KeyPlacement::FirstPiece(const SlotRange& range) const {
+  const double most = m_weight_before[range.first] + m_piece_weight;
+  const auto begin = m_weight_before.begin();
+  // From the weight with two slots on: one is a piece whatever it weighs.
+  const auto too_heavy =
+      std::upper_bound(begin + range.first + 2, begin + range.last + 2, most);
+  const auto slots_before = static_cast<std::uint32_t>(too_heavy - begin) - 1;
+  return {range.first, slots_before - 1};
+}
+
+std::size_t KeyPlacement::Take(const SlotRange& range) {
+  const double weight = WeightOf(range);
+  std::size_t best = 0;
+  double least = 0;
+  for (std::size_t i = 0; i < m_receivers.size(); ++i) {
+    const double use = (m_loads[i] + weight) / m_receivers[i].capacity;
+    if (i == 0 || use < least) {
+      best = i;
+      least = use;
+    }
+  }
+  m_loads[best] += weight;
+  return best;
+}
+
+}  // namespace citrongrade
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -120,11 +120,9 @@
     return false;
   const OwnedRun& now = change.run;
   const NextOwner next{now.owner, now.life, now.fence};
-  return std::all_of(table->second.runs().begin(), table->second.runs().end(),
-                     [&](const OwnedRun& run) {
-                       return !run.range.Overlaps(now.range) ||
-                              run.next == next;
-                     });
+  const auto stored = table->second.RunsIn(now.range);
+  return std::all_of(stored.begin(), stored.end(),
+                     [&next](const OwnedRun& run) { return run.next == next; });
 }
 
 bool MeshLeader::ReadsStore(const std::string& address) const {
@@ -365,9 +363,8 @@
   // Only what still stands: its owner may have been lost while it was being
   // stored, and would hold keys that the next change gives to another.
   const KeyTable& current = m_assigner.tables().at(change.service);
-  for (OwnedRun run : current.runs()) {
-    if (!run.range.Overlaps(change.run.range) ||
-        !run.SameAssignment(change.run))
+  for (OwnedRun run : current.RunsIn(change.run.range)) {
+    if (!run.SameAssignment(change.run))
       continue;
     run.range = run.range.CommonPart(change.run.range);
     m_view.Assign(change.service, run);
--- a/tests/cost_recovery.cc
+++ b/tests/cost_recovery.cc
@@ -1,7 +1,12 @@
 // What callers saw: after all processes of a mesh of 90 nodes had been lost at
 // once, 2 of 100 requests were served for 18 s, and routes that had been added
 // not at all; all else was refused, nobody owned its key. One node after the
-// other led for some seconds with its processor at its limit.
+// other led for some seconds with its processor at its limit. Moves of hot keys
+// had cut the table into some 1,600 runs, all were given out anew in one step,
+// and each looked through all others: half a second of processor, five on a
+// small host. The others elect another leader after 0.6 s, which begins anew.
+// That a leader which stored nothing used all of its processor, and that the
+// step's cost grew with the square of the runs, proved it.
 
 #include <doctest/doctest.h>
 
