Read a whole view however many runs it has

What callers see: once moves of hot keys have cut the table into 2,048 runs, a node that needs a whole view (it has restarted, or the leader has changed) can't read it, and refuses all for ever. Cause: the library counts a list as read whenever its getter is called, up to 64 MB a message; four getters were called for each run, so that what was counted grew with the square of the runs. Change: the getters are called once. Ruled out: a higher limit (the square stays). Figures: a view of 8,192 runs (all slots) threw before, is read after. Conclusion: no view can be longer than all slots, and that one is read.

--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -230,21 +230,29 @@
 }
 
 void ReadKeyOwners(rpc::MeshKeyOwners::Reader in, ViewRuns& runs) {
-  const unsigned count = in.getFirst().size();
-  if (in.getLast().size() != count || in.getOwner().size() != count ||
-      in.getFence().size() != count)
+  // Each call of a getter counts the whole list as read. With one for each run,
+  // a view of 2,048 runs was over the library's limit, and no node could take
+  // it.
+  const auto first = in.getFirst();
+  const auto last = in.getLast();
+  const auto owner = in.getOwner();
+  const auto fence = in.getFence();
+  const auto owners = in.getOwners();
+  const std::string service = in.getService();
+  const unsigned count = first.size();
+  if (last.size() != count || owner.size() != count || fence.size() != count)
     throw MalformedMessageError("columns of different lengths");
   for (unsigned i = 0; i < count; ++i) {
     OwnedRun run;
-    run.range = {in.getFirst()[i], in.getLast()[i]};
+    run.range = {first[i], last[i]};
     CheckRange(run.range);
-    run.fence = in.getFence()[i];
-    const unsigned place = in.getOwner()[i];
-    if (place > in.getOwners().size())
+    run.fence = fence[i];
+    const unsigned place = owner[i];
+    if (place > owners.size())
       throw MalformedMessageError("not an owner");
     if (place > 0)
-      run.owner = in.getOwners()[place - 1];
-    runs.push_back({in.getService(), run});
+      run.owner = owners[place - 1];
+    runs.push_back({service, std::move(run)});
   }
 }
 
--- a/modules/protocol/mesh_message_codec_test.cc
+++ b/modules/protocol/mesh_message_codec_test.cc
@@ -19,6 +19,27 @@
   return run;
 }
 
+constexpr std::size_t kManyNodes = 600;
+
+std::string AddressOf(std::size_t node) {
+  return "10.200." + std::to_string(node / 250) + "." +
+         std::to_string(node % 250) + ":7240";
+}
+
+// Every slot is a run by itself, with all that a run can have.
+KeyTable TableOfSingleSlots(std::uint64_t epoch) {
+  KeyTable table;
+  for (std::uint32_t slot = 0; slot < kSlotCount; ++slot) {
+    const std::size_t owner = slot % kManyNodes;
+    OwnedRun run = Run(slot, slot, AddressOf(owner).c_str());
+    run.life = {"i-" + std::to_string(1'000'000'000 + owner), 0};
+    run.fence = (epoch << 24U) + slot;
+    run.handover = "0123456789abcdef";
+    table.Assign(run);
+  }
+  return table;
+}
+
 HeartbeatReply SampleReply() {
   HeartbeatReply reply;
   reply.is_leader = true;
@@ -72,6 +93,23 @@
         record);
 }
 
+// What callers see: a node that lost its view refuses all for ever, and so do
+// all nodes after a change of leader. Moves of hot keys cut the table into
+// thousands of runs, and the whole view that they need is not read.
+TEST_CASE("a whole view is read however the table is cut") {
+  constexpr std::uint64_t kEpoch = 1'000;
+  MeshView of_leader;
+  of_leader.BeginEpoch(kEpoch);
+  of_leader.SetTable("divided", TableOfSingleSlots(kEpoch));
+  HeartbeatReply reply;
+  reply.view = of_leader.ChangesSince(0, 0, AddressOf(0));
+  MeshView view;
+  CHECK(view.Apply(
+      MeshMessageCodec::DecodeHeartbeatReply(MeshMessageCodec::Encode(reply))
+          .view));
+  CHECK(view.FindTable("divided")->runs().size() == kSlotCount);
+}
+
 // Another process of another version, or one gone wrong, sends what it likes.
 TEST_CASE("bytes that are no message are refused, whatever they are") {
   const std::string good = MeshMessageCodec::Encode(SampleReply());
