--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -122,10 +122,38 @@
   leaderHint @1 :Text;
 }
 
+# All runs of one service in columns: each run ends where the next begins. The
+# store takes no record over 256 KiB, and a table may be cut into single slots.
+struct StoredKeys {
+  service @0 :Text;
+  holders @1 :List(Holder);
+  first @2 :List(UInt16);
+  # Here and below, 0: nobody; else a place among the holders, from 1 on.
+  owner @3 :List(UInt16);
+  fence @4 :List(UInt64);
+  # One after the other, and the length of each.
+  handovers @5 :Data;
+  handoverLength @6 :List(UInt16);
+  # To whom they go; nobody: they stay.
+  next @7 :List(UInt16);
+  nextFence @8 :List(UInt64);
+
+  # A life of a target.
+  struct Holder {
+    address @0 :Text;
+    targetId @1 :Text;
+    targetStartedUnixMs @2 :Int64;
+  }
+}
+
 # What is stored: see MeshRecord.
 struct StoredMesh {
   epoch @0 :UInt64;
   leader @1 :Text;
   voters @2 :List(Text);
+  # As earlier programs stored them; read where there are no keys. Written with
+  # one run that is none: such a program would else lead a mesh of which it sees
+  # no owner, and give all keys a second one.
   runs @3 :List(MeshOwnedRun);
+  keys @4 :List(StoredKeys);
 }
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -25,6 +25,8 @@
 CAPNP_DECLARE_SCHEMA(afed84799603774a);
 CAPNP_DECLARE_SCHEMA(b878fba6fb7c4713);
 CAPNP_DECLARE_SCHEMA(98ccc8da051728ac);
+CAPNP_DECLARE_SCHEMA(f4f3ec6977d6a056);
+CAPNP_DECLARE_SCHEMA(835d8cb359ae2f48);
 CAPNP_DECLARE_SCHEMA(bc85cf3fbc8a6568);
 
 }  // namespace schemas
@@ -169,6 +171,37 @@
   };
 };
 
+struct StoredKeys {
+  StoredKeys() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  struct Holder;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f4f3ec6977d6a056, 0, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StoredKeys::Holder {
+  Holder() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(835d8cb359ae2f48, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StoredMesh {
   StoredMesh() = delete;
 
@@ -177,7 +210,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bc85cf3fbc8a6568, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(bc85cf3fbc8a6568, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1435,6 +1468,269 @@
 };
 #endif  // !CAPNP_LITE
 
+class StoredKeys::Reader {
+public:
+  typedef StoredKeys Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasHolders() const;
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Reader getHolders() const;
+
+  inline bool hasFirst() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getFirst() const;
+
+  inline bool hasOwner() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getOwner() const;
+
+  inline bool hasFence() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getFence() const;
+
+  inline bool hasHandovers() const;
+  inline  ::capnp::Data::Reader getHandovers() const;
+
+  inline bool hasHandoverLength() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getHandoverLength() const;
+
+  inline bool hasNext() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getNext() const;
+
+  inline bool hasNextFence() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNextFence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoredKeys::Builder {
+public:
+  typedef StoredKeys Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasHolders();
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Builder getHolders();
+  inline void setHolders( ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Builder initHolders(unsigned int size);
+  inline void adoptHolders(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>> disownHolders();
+
+  inline bool hasFirst();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getFirst();
+  inline void setFirst( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setFirst(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initFirst(unsigned int size);
+  inline void adoptFirst(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownFirst();
+
+  inline bool hasOwner();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getOwner();
+  inline void setOwner( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setOwner(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initOwner(unsigned int size);
+  inline void adoptOwner(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownOwner();
+
+  inline bool hasFence();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getFence();
+  inline void setFence( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setFence(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initFence(unsigned int size);
+  inline void adoptFence(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownFence();
+
+  inline bool hasHandovers();
+  inline  ::capnp::Data::Builder getHandovers();
+  inline void setHandovers( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initHandovers(unsigned int size);
+  inline void adoptHandovers(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownHandovers();
+
+  inline bool hasHandoverLength();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getHandoverLength();
+  inline void setHandoverLength( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHandoverLength(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initHandoverLength(unsigned int size);
+  inline void adoptHandoverLength(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownHandoverLength();
+
+  inline bool hasNext();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getNext();
+  inline void setNext( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setNext(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initNext(unsigned int size);
+  inline void adoptNext(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownNext();
+
+  inline bool hasNextFence();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getNextFence();
+  inline void setNextFence( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setNextFence(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initNextFence(unsigned int size);
+  inline void adoptNextFence(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNextFence();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoredKeys::Pipeline {
+public:
+  typedef StoredKeys Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StoredKeys::Holder::Reader {
+public:
+  typedef Holder Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasTargetId() const;
+  inline  ::capnp::Text::Reader getTargetId() const;
+
+  inline  ::int64_t getTargetStartedUnixMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoredKeys::Holder::Builder {
+public:
+  typedef Holder Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasTargetId();
+  inline  ::capnp::Text::Builder getTargetId();
+  inline void setTargetId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTargetId(unsigned int size);
+  inline void adoptTargetId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTargetId();
+
+  inline  ::int64_t getTargetStartedUnixMs();
+  inline void setTargetStartedUnixMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoredKeys::Holder::Pipeline {
+public:
+  typedef Holder Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class StoredMesh::Reader {
 public:
   typedef StoredMesh Reads;
@@ -1463,6 +1759,9 @@
   inline bool hasRuns() const;
   inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
 
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Reader getKeys() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1516,6 +1815,13 @@
   inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>> disownRuns();
 
+  inline bool hasKeys();
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>> disownKeys();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3494,63 +3800,475 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StoredMesh::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t StoredMesh::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void StoredMesh::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool StoredMesh::Reader::hasLeader() const {
+inline bool StoredKeys::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredMesh::Builder::hasLeader() {
+inline bool StoredKeys::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader StoredMesh::Reader::getLeader() const {
+inline  ::capnp::Text::Reader StoredKeys::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder StoredMesh::Builder::getLeader() {
+inline  ::capnp::Text::Builder StoredKeys::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StoredMesh::Builder::setLeader( ::capnp::Text::Reader value) {
+inline void StoredKeys::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder StoredMesh::Builder::initLeader(unsigned int size) {
+inline  ::capnp::Text::Builder StoredKeys::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StoredMesh::Builder::adoptLeader(
+inline void StoredKeys::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> StoredMesh::Builder::disownLeader() {
+inline ::capnp::Orphan< ::capnp::Text> StoredKeys::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StoredMesh::Reader::hasVoters() const {
+inline bool StoredKeys::Reader::hasHolders() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StoredMesh::Builder::hasVoters() {
+inline bool StoredKeys::Builder::hasHolders() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StoredMesh::Reader::getVoters() const {
+inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Reader StoredKeys::Reader::getHolders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Builder StoredKeys::Builder::getHolders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StoredKeys::Builder::setHolders( ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Builder StoredKeys::Builder::initHolders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StoredKeys::Builder::adoptHolders(
+    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>> StoredKeys::Builder::disownHolders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StoredKeys::Reader::hasFirst() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredKeys::Builder::hasFirst() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader StoredKeys::Reader::getFirst() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::getFirst() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StoredKeys::Builder::setFirst( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void StoredKeys::Builder::setFirst(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::initFirst(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StoredKeys::Builder::adoptFirst(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> StoredKeys::Builder::disownFirst() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool StoredKeys::Reader::hasOwner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredKeys::Builder::hasOwner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader StoredKeys::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void StoredKeys::Builder::setOwner( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void StoredKeys::Builder::setOwner(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::initOwner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void StoredKeys::Builder::adoptOwner(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> StoredKeys::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool StoredKeys::Reader::hasFence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredKeys::Builder::hasFence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader StoredKeys::Reader::getFence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::getFence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void StoredKeys::Builder::setFence( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void StoredKeys::Builder::setFence(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::initFence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void StoredKeys::Builder::adoptFence(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> StoredKeys::Builder::disownFence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool StoredKeys::Reader::hasHandovers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredKeys::Builder::hasHandovers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader StoredKeys::Reader::getHandovers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder StoredKeys::Builder::getHandovers() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void StoredKeys::Builder::setHandovers( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder StoredKeys::Builder::initHandovers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void StoredKeys::Builder::adoptHandovers(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> StoredKeys::Builder::disownHandovers() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool StoredKeys::Reader::hasHandoverLength() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredKeys::Builder::hasHandoverLength() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader StoredKeys::Reader::getHandoverLength() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::getHandoverLength() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void StoredKeys::Builder::setHandoverLength( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void StoredKeys::Builder::setHandoverLength(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::initHandoverLength(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void StoredKeys::Builder::adoptHandoverLength(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> StoredKeys::Builder::disownHandoverLength() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool StoredKeys::Reader::hasNext() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredKeys::Builder::hasNext() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader StoredKeys::Reader::getNext() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::getNext() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void StoredKeys::Builder::setNext( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void StoredKeys::Builder::setNext(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::initNext(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void StoredKeys::Builder::adoptNext(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> StoredKeys::Builder::disownNext() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool StoredKeys::Reader::hasNextFence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredKeys::Builder::hasNextFence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader StoredKeys::Reader::getNextFence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::getNextFence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void StoredKeys::Builder::setNextFence( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline void StoredKeys::Builder::setNextFence(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder StoredKeys::Builder::initNextFence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void StoredKeys::Builder::adoptNextFence(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> StoredKeys::Builder::disownNextFence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool StoredKeys::Holder::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredKeys::Holder::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StoredKeys::Holder::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StoredKeys::Holder::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StoredKeys::Holder::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StoredKeys::Holder::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StoredKeys::Holder::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StoredKeys::Holder::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StoredKeys::Holder::Reader::hasTargetId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredKeys::Holder::Builder::hasTargetId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StoredKeys::Holder::Reader::getTargetId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StoredKeys::Holder::Builder::getTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StoredKeys::Holder::Builder::setTargetId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StoredKeys::Holder::Builder::initTargetId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StoredKeys::Holder::Builder::adoptTargetId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StoredKeys::Holder::Builder::disownTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t StoredKeys::Holder::Reader::getTargetStartedUnixMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StoredKeys::Holder::Builder::getTargetStartedUnixMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoredKeys::Holder::Builder::setTargetStartedUnixMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StoredMesh::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoredMesh::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoredMesh::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoredMesh::Reader::hasLeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredMesh::Builder::hasLeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StoredMesh::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StoredMesh::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StoredMesh::Builder::setLeader( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StoredMesh::Builder::initLeader(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StoredMesh::Builder::adoptLeader(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StoredMesh::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StoredMesh::Reader::hasVoters() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredMesh::Builder::hasVoters() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StoredMesh::Reader::getVoters() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
@@ -3614,6 +4332,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool StoredMesh::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredMesh::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Reader StoredMesh::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Builder StoredMesh::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void StoredMesh::Builder::setKeys( ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Builder StoredMesh::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void StoredMesh::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>> StoredMesh::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -5,6 +5,10 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -300,12 +304,123 @@
   return reply;
 }
 
+// A life of a target at its node, as the columns of the record name it.
+using Holder = std::pair<std::string, TargetLife>;
+
+// Numbers the holders of a table from 1 on; 0 is nobody.
+class HolderPlaces {
+ public:
+  std::uint16_t PlaceOf(const std::string& address, const TargetLife& life) {
+    if (address.empty())
+      return 0;
+    const auto next = static_cast<std::uint16_t>(m_places.size() + 1);
+    return m_places.try_emplace({address, life}, next).first->second;
+  }
+
+  void WriteTo(rpc::StoredKeys::Builder out) const {
+    auto holders = out.initHolders(static_cast<unsigned>(m_places.size()));
+    for (const auto& [holder, place] : m_places) {
+      auto entry = holders[place - 1U];
+      entry.setAddress(holder.first);
+      entry.setTargetId(holder.second.id);
+      entry.setTargetStartedUnixMs(holder.second.started_unix_ms);
+    }
+  }
+
+ private:
+  std::map<Holder, std::uint16_t> m_places;
+};
+
+void WriteStoredKeys(const std::string& service,
+                     const KeyTable& table,
+                     rpc::StoredKeys::Builder out) {
+  const std::vector<OwnedRun>& runs = table.runs();
+  const auto count = static_cast<unsigned>(runs.size());
+  auto first = out.initFirst(count);
+  auto owner = out.initOwner(count);
+  auto fence = out.initFence(count);
+  auto handover_length = out.initHandoverLength(count);
+  auto next = out.initNext(count);
+  auto next_fence = out.initNextFence(count);
+  HolderPlaces places;
+  std::string handovers;
+  for (unsigned i = 0; i < count; ++i) {
+    const OwnedRun& run = runs[i];
+    first.set(i, static_cast<std::uint16_t>(run.range.first));
+    owner.set(i, places.PlaceOf(run.owner, run.life));
+    fence.set(i, run.fence);
+    handovers += run.handover;
+    handover_length.set(i, static_cast<std::uint16_t>(run.handover.size()));
+    next.set(i, places.PlaceOf(run.next.address, run.next.life));
+    next_fence.set(i, run.next.fence);
+  }
+  out.setService(service);
+  out.setHandovers(BytesOf(handovers));
+  places.WriteTo(out);
+}
+
+std::vector<Holder> ReadHolders(rpc::StoredKeys::Reader in) {
+  std::vector<Holder> holders{{}};
+  for (const auto holder : in.getHolders()) {
+    holders.emplace_back(
+        holder.getAddress(),
+        TargetLife{holder.getTargetId(), holder.getTargetStartedUnixMs()});
+  }
+  return holders;
+}
+
+KeyTable ReadStoredKeys(rpc::StoredKeys::Reader in) {
+  const std::vector<Holder> holders = ReadHolders(in);
+  const auto holder_at = [&holders](std::size_t place) {
+    if (place >= holders.size())
+      throw MalformedMessageError("not a holder");
+    return holders[place];
+  };
+  const auto first = in.getFirst();
+  const auto owner = in.getOwner();
+  const auto fence = in.getFence();
+  const auto handover_length = in.getHandoverLength();
+  const auto next = in.getNext();
+  const auto next_fence = in.getNextFence();
+  const unsigned count = first.size();
+  if (owner.size() != count || fence.size() != count ||
+      handover_length.size() != count || next.size() != count ||
+      next_fence.size() != count)
+    throw MalformedMessageError("columns of different lengths");
+  const std::string handovers = ReadBytes(in.getHandovers());
+  std::size_t handovers_read = 0;
+  KeyTable table;
+  for (unsigned i = 0; i < count; ++i) {
+    OwnedRun run;
+    const std::uint32_t end = i + 1 < count ? first[i + 1] : kSlotCount;
+    if (first[i] >= end)
+      throw MalformedMessageError("runs that are not in order");
+    run.range = {first[i], end - 1};
+    CheckRange(run.range);
+    std::tie(run.owner, run.life) = holder_at(owner[i]);
+    run.fence = fence[i];
+    const std::size_t length = handover_length[i];
+    if (handovers_read + length > handovers.size())
+      throw MalformedMessageError("handovers that break off");
+    run.handover = handovers.substr(handovers_read, length);
+    handovers_read += length;
+    std::tie(run.next.address, run.next.life) = holder_at(next[i]);
+    run.next.fence = next_fence[i];
+    table.Assign(run);
+  }
+  return table;
+}
+
 MeshRecord ReadRecord(rpc::StoredMesh::Reader in) {
   MeshRecord record;
   record.epoch = in.getEpoch();
   record.leader = in.getLeader();
   for (const auto voter : in.getVoters())
     record.voters.emplace_back(voter);
+  for (const auto keys : in.getKeys())
+    record.tables[keys.getService()] = ReadStoredKeys(keys);
+  if (in.getKeys().size() > 0)
+    return record;
   for (const auto run : in.getRuns())
     record.tables[run.getService()].Assign(ReadRun(run));
   return record;
@@ -397,14 +512,13 @@
   auto voters = out.initVoters(static_cast<unsigned>(record.voters.size()));
   for (unsigned i = 0; i < voters.size(); ++i)
     voters.set(i, record.voters[i]);
-  std::size_t count = 0;
-  for (const auto& [service, table] : record.tables)
-    count += table.runs().size();
-  auto runs = out.initRuns(static_cast<unsigned>(count));
+  auto keys = out.initKeys(static_cast<unsigned>(record.tables.size()));
   unsigned next = 0;
-  for (const auto& [service, table] : record.tables) {
-    for (const OwnedRun& run : table.runs())
-      WriteRun(service, run, runs[next++]);
+  for (const auto& [service, table] : record.tables)
+    WriteStoredKeys(service, table, keys[next++]);
+  if (!record.tables.empty()) {
+    constexpr SlotRange kNoRange{1, 0};
+    WriteSpan(kNoRange, out.initRuns(1)[0].initRange());
   }
   return Pack(message);
 }
--- a/modules/protocol/mesh_message_codec_test.cc
+++ b/modules/protocol/mesh_message_codec_test.cc
@@ -1,11 +1,15 @@
 #include "modules/protocol/mesh_message_codec.h"
 
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
 #include <doctest/doctest.h>
+#include <kj/io.h>
 
 #include <random>
 #include <string>
 
 #include "modules/protocol/malformed_message_error.h"
+#include "modules/protocol/mesh.capnp.h"
 
 namespace citrongrade {
 
@@ -40,6 +44,14 @@
   return table;
 }
 
+std::string Packed(capnp::MessageBuilder& message) {
+  kj::VectorOutputStream stream;
+  capnp::writePackedMessage(stream, message);
+  const auto bytes = stream.getArray();
+  return std::string(reinterpret_cast<const char*>(bytes.begin()),
+                     bytes.size());
+}
+
 HeartbeatReply SampleReply() {
   HeartbeatReply reply;
   reply.is_leader = true;
@@ -110,6 +122,45 @@
   CHECK(view.FindTable("divided")->runs().size() == kSlotCount);
 }
 
+// What callers see: nothing changes hands any more. Keys of a lost target stay
+// unserved, for ever. Moves of hot keys cut the table, the stored record
+// outgrows what the store takes in one record, and no leader can store a
+// change.
+TEST_CASE("the record fits the store however the table is cut") {
+  constexpr std::size_t kLargestRecord = std::size_t{256} * 1024;
+  MeshRecord record;
+  record.epoch = 1'000;
+  for (std::size_t node = 0; node < kManyNodes; ++node)
+    record.voters.push_back(AddressOf(node));
+  record.tables["divided"] = TableOfSingleSlots(record.epoch);
+  const std::string bytes = MeshMessageCodec::Encode(record);
+  CHECK(MeshMessageCodec::DecodeRecord(bytes) == record);
+  CHECK_MESSAGE(bytes.size() < kLargestRecord, bytes.size());
+}
+
+// Nodes are replaced one after the other. A new one must know whose keys are
+// whose from what an old one stored; an old one that would see no owner in a
+// new record must not lead, and gives up on a run that is none.
+TEST_CASE("records of an earlier program are read, and ours refused by it") {
+  capnp::MallocMessageBuilder earlier;
+  auto run = earlier.initRoot<rpc::StoredMesh>().initRuns(1)[0];
+  run.setService("divided");
+  run.getRange().setLast(kSlotCount - 1);
+  run.setOwner("a");
+  run.setFence(7);
+  const MeshRecord record = MeshMessageCodec::DecodeRecord(Packed(earlier));
+  REQUIRE(record.tables.contains("divided"));
+  CHECK(record.tables.at("divided").Find(0).owner == "a");
+
+  const std::string bytes = MeshMessageCodec::Encode(record);
+  kj::ArrayInputStream stream(kj::arrayPtr(
+      reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+  capnp::PackedMessageReader message(stream);
+  const auto runs = message.getRoot<rpc::StoredMesh>().getRuns();
+  REQUIRE(runs.size() == 1);
+  CHECK(runs[0].getRange().getFirst() > runs[0].getRange().getLast());
+}
+
 // Another process of another version, or one gone wrong, sends what it likes.
 TEST_CASE("bytes that are no message are refused, whatever they are") {
   const std::string good = MeshMessageCodec::Encode(SampleReply());
