Give all votes back at once after a campaign that failed

What callers see: three seconds without a leader in a mesh of 86 nodes; keys that have no owner meanwhile are refused. Cause: a candidate gave its votes back one after the other, up to 250 ms each, and asked for none until it was done. With 29 votes the fittest candidate was out until their promises (1.2 s) had ended by themselves, and the votes were bound. Change: each is given back by itself, and nobody waits for it. Ruled out: not giving back (the promises then bind for their whole length).

--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -621,19 +621,26 @@
     m_pausing->timer.cancel();
 }
 
-Task<> MeshAgent::GiveVotesBack(std::shared_ptr<VoteCount> count) {
+void MeshAgent::GiveVotesBack(const VoteCount& count) {
+  // All at once, and nobody waits for it: one after the other, over full links,
+  // kept the fittest candidate from asking again until the promises had ended.
+  for (const std::string& voter : count.granted) {
+    if (voter != m_identity.address)
+      boost::asio::co_spawn(m_loop, GiveVoteBack(voter), boost::asio::detached);
+  }
+}
+
+Task<> MeshAgent::GiveVoteBack(std::string voter) {
   VoteRequest request;
   request.candidate = m_identity.address;
   request.gives_back = true;
-  for (const std::string& voter : count->granted) {
-    try {
-      co_await Ask(voter, kVotePath, MeshMessageCodec::Encode(request),
-                   kVoteTimeout);
-    } catch (const std::exception& error) {
-      // Its promise runs out by itself.
-      spdlog::debug("event=vote-not-given-back voter={} reason=\"{}\"", voter,
-                    error.what());
-    }
+  try {
+    co_await Ask(voter, kVotePath, MeshMessageCodec::Encode(request),
+                 kVoteTimeout);
+  } catch (const std::exception& error) {
+    // Its promise runs out by itself.
+    spdlog::debug("event=vote-not-given-back voter={} reason=\"{}\"", voter,
+                  error.what());
   }
 }
 
@@ -684,7 +691,7 @@
     co_return;
   }
   m_promise.GiveBack(m_identity.address);
-  co_await GiveVotesBack(count);
+  GiveVotesBack(*count);
   if (!count->leader_hint.empty() && count->leader_hint != m_identity.address &&
       !m_tracker.WasAskedInVain(count->leader_hint)) {
     m_tracker.Follow(count->leader_hint);
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -112,7 +112,8 @@
   Task<> FindLeader();
   Task<> Campaign(MeshRecord record, std::uint64_t end, bool is_named);
   Task<> AskForVote(std::string voter, std::shared_ptr<VoteCount> count);
-  Task<> GiveVotesBack(std::shared_ptr<VoteCount> count);
+  void GiveVotesBack(const VoteCount& count);
+  Task<> GiveVoteBack(std::string voter);
   Task<> ClaimNewMesh(std::uint64_t end);
   Task<bool> Claim(MeshRecord record, std::uint64_t end);
   void BecomeLeader(const MeshRecord& record);
