Let candidates take turns, the fittest host first

What callers see: seconds without a leader after the loss of one in a large mesh. Cause: all nodes waited at most 200 ms by their rank, so that from the ninth rank on all asked at the same moment, and a host of a tenth of a core 135 ms after one of half a core, less than it takes over full links to ask 86 voters. Votes were divided, or a weak host led. Change: CampaignTurn: the view names each host's merit; the four fittest that are present have a turn of 150 ms each, all others wait until after them. Without a view, after the loss of all processes, as before. Ruled out: a successor named in each heartbeat's answer (60 bytes in each of 400 a second); longer delays for weak hosts alone (nobody fit may be left). Conclusion: an election is decided by whose turn it is, not by whose packet.

--- /dev/null
+++ b/modules/coordination/mesh/campaign_turn_test.cc
@@ -0,0 +1,115 @@
+#include "modules/coordination/mesh/campaign_turn.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "modules/state/mesh/mesh_member.h"
+#include "modules/state/mesh/mesh_view.h"
+
+namespace citrongrade {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint64_t kEpoch = 5;
+constexpr std::size_t kNodes = 86;
+constexpr std::size_t kFitNodes = 6;
+
+std::string AddressOf(std::size_t node) {
+  return "10.0.0." + std::to_string(node) + ":7240";
+}
+
+MeshMember Member(std::size_t node, std::uint32_t merit) {
+  MeshMember member;
+  member.address = AddressOf(node);
+  member.leader_merit_milli = merit;
+  member.state = MeshMember::State::kServing;
+  return member;
+}
+
+// Every fifteenth host has half a core, the others a tenth.
+MeshView LargeMesh() {
+  MeshView view;
+  view.BeginEpoch(kEpoch);
+  for (std::size_t node = 0; node < kNodes; ++node)
+    view.SetMember(Member(node, node % 15 == 0 ? 1000 : 100));
+  return view;
+}
+
+}  // namespace
+
+TEST_CASE("the fittest go first, one after the other") {
+  const MeshView view = LargeMesh();
+  const CampaignTurn turn(view, AddressOf(0), kEpoch);
+  std::map<milliseconds, std::size_t> delays;
+  for (std::size_t node = 1; node < kNodes; ++node)
+    ++delays[turn.DelayOf(AddressOf(node), 7)];
+  CHECK(delays.begin()->first == milliseconds(0));
+  CHECK(delays.begin()->second == 1);
+  CHECK(std::next(delays.begin())->second == 1);
+  for (std::size_t node = 1; node < kNodes; ++node) {
+    if (node % 15 != 0)
+      CHECK(turn.DelayOf(AddressOf(node), 7) > milliseconds(0));
+  }
+}
+
+TEST_CASE("neither the lost leader nor an absent node has a turn") {
+  MeshView view;
+  view.BeginEpoch(kEpoch);
+  view.SetMember(Member(1, 1000));
+  MeshMember absent = Member(2, 900);
+  absent.state = MeshMember::State::kAbsent;
+  view.SetMember(absent);
+  view.SetMember(Member(3, 100));
+  const CampaignTurn turn(view, AddressOf(1), kEpoch);
+  CHECK(turn.DelayOf(AddressOf(3), 0) == milliseconds(0));
+}
+
+TEST_CASE("a node that the view does not name waits for those with a turn") {
+  const MeshView view = LargeMesh();
+  const CampaignTurn turn(view, AddressOf(0), kEpoch);
+  CHECK(turn.DelayOf("10.9.9.9:7240", 0) >= milliseconds(600));
+}
+
+// Callers are refused for as long as no leader is found. All nodes miss it
+// within a heartbeat, and requests for votes take up to 80 ms over full links.
+// Whoever asks a voter first has its vote, for longer than the election.
+TEST_CASE("one election in a large mesh finds a leader") {
+  constexpr int kElections = 200;
+  std::mt19937_64 random(3);
+  const MeshView view = LargeMesh();
+  const CampaignTurn turn(view, AddressOf(0), kEpoch);
+  int decided = 0;
+  for (int election = 0; election < kElections; ++election) {
+    std::vector<std::pair<milliseconds, std::size_t>> starts;
+    for (std::size_t node = 1; node < kNodes; ++node) {
+      const milliseconds missed(random() % 60);
+      starts.emplace_back(missed + turn.DelayOf(AddressOf(node), random()),
+                          node);
+    }
+    std::map<std::size_t, std::size_t> votes;
+    for (std::size_t voter = 1; voter < kNodes; ++voter) {
+      std::pair<milliseconds, std::size_t> first{milliseconds::max(), 0};
+      for (const auto& [start, candidate] : starts) {
+        const milliseconds way(voter == candidate ? 0 : 5 + random() % 75);
+        first = std::min(first, {start + way, candidate});
+      }
+      ++votes[first.second];
+    }
+    const bool is_decided = std::any_of(
+        votes.begin(), votes.end(),
+        [](const auto& entry) { return entry.second > kNodes / 2; });
+    decided += is_decided ? 1 : 0;
+  }
+  CHECK(decided == kElections);
+}
+
+}  // namespace citrongrade
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -224,6 +224,7 @@
   member.target = node.last.target.life;
   member.slots = node.last.target.slots;
   member.state = StateOf(node);
+  member.leader_merit_milli = node.last.leader_merit_milli;
   m_view.SetMember(member);
 }
 
--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -58,6 +58,7 @@
   targetStartedUnixMs @5 :Int64;
   slots @6 :UInt32;
   state @7 :UInt8;
+  leaderMeritMilli @8 :UInt32;
 }
 
 struct MeshOwnedRun {
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -89,7 +89,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d830fe406b94f282, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d830fe406b94f282, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -698,6 +698,8 @@
 
   inline  ::uint8_t getState() const;
 
+  inline  ::uint32_t getLeaderMeritMilli() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -770,6 +772,9 @@
   inline  ::uint8_t getState();
   inline void setState( ::uint8_t value);
 
+  inline  ::uint32_t getLeaderMeritMilli();
+  inline void setLeaderMeritMilli( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2777,6 +2782,20 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t MeshMemberEntry::Reader::getLeaderMeritMilli() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshMemberEntry::Builder::getLeaderMeritMilli() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void MeshMemberEntry::Builder::setLeaderMeritMilli( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MeshOwnedRun::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -98,6 +98,7 @@
   out.setTargetStartedUnixMs(member.target.started_unix_ms);
   out.setSlots(member.slots);
   out.setState(static_cast<std::uint8_t>(member.state));
+  out.setLeaderMeritMilli(member.leader_merit_milli);
 }
 
 MeshMember ReadMember(rpc::MeshMemberEntry::Reader in) {
@@ -111,6 +112,7 @@
   if (in.getState() > static_cast<std::uint8_t>(MeshMember::State::kDraining))
     throw MalformedMessageError("not a state of a member");
   member.state = static_cast<MeshMember::State>(in.getState());
+  member.leader_merit_milli = in.getLeaderMeritMilli();
   return member;
 }
 
--- a/modules/state/mesh/mesh_member.h
+++ b/modules/state/mesh/mesh_member.h
@@ -30,6 +30,8 @@
   // Requests that the target runs at once.
   std::uint32_t slots = 0;
   State state = State::kAbsent;
+  // How fit its host is for the work of a leader, in thousandths.
+  std::uint32_t leader_merit_milli = 0;
 
   friend auto operator<=>(const MeshMember&, const MeshMember&) = default;
 };
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "modules/coordination/mesh/campaign_turn.h"
 #include "modules/coordination/mesh/mesh_leader.h"
 #include "modules/protocol/malformed_message_error.h"
 #include "modules/protocol/mesh_message_codec.h"
@@ -35,7 +36,8 @@
 // leader is given up after two of these.
 constexpr milliseconds kAnswerSlack{350};
 constexpr milliseconds kVoteTimeout{250};
-// Two nodes that campaign at once split the votes; by rank they start apart.
+// Two nodes that campaign at once split the votes; without a view that says
+// whose turn it is they start apart by rank.
 constexpr milliseconds kRankStep{25};
 constexpr milliseconds kLongestRankDelay{200};
 // How long a node without any merit stands back for others.
@@ -538,6 +540,21 @@
          milliseconds(m_random() % kRankStep.count());
 }
 
+milliseconds MeshAgent::CampaignDelay(const MeshRecord& record) {
+  if (m_view.epoch() == record.epoch) {
+    return CampaignTurn(m_view, record.leader, record.epoch)
+        .DelayOf(m_identity.address, m_random());
+  }
+  std::size_t rank = 0;
+  const auto order = [&record](const std::string& address) {
+    return std::hash<std::string>()(address + std::to_string(record.epoch));
+  };
+  for (const std::string& voter : record.voters)
+    rank += order(voter) < order(m_identity.address) ? 1 : 0;
+  return std::min(kLongestRankDelay, kRankStep * static_cast<int>(rank)) +
+         MeritDelay();
+}
+
 Task<> MeshAgent::ClaimNewMesh(std::uint64_t end) {
   co_await Pause(MeritDelay());
   MeshRecord record;
@@ -653,15 +670,8 @@
     co_return;
   }
   if (!is_named) {
-    std::size_t rank = 0;
-    const auto order = [&record](const std::string& address) {
-      return std::hash<std::string>()(address + std::to_string(record.epoch));
-    };
-    for (const std::string& voter : record.voters)
-      rank += order(voter) < order(m_identity.address) ? 1 : 0;
-    const milliseconds delay =
-        std::min(kLongestRankDelay, kRankStep * static_cast<int>(rank));
-    co_await Pause(delay + MeritDelay());
+    const milliseconds delay = CampaignDelay(record);
+    co_await Pause(delay);
   }
   if (m_tracker.is_following() ||
       !m_promise.Grant(m_identity.address, is_leader_gone))
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -148,6 +148,8 @@
   // there is news for all and the last was some time ago.
   void NotifyWaiting();
   std::chrono::milliseconds MeritDelay();
+  // How long this node stands back for others that may lead.
+  std::chrono::milliseconds CampaignDelay(const MeshRecord& record);
   // Promises it this node's vote, if it may have it.
   // `leader` was asked after the record had been read, and its process turned
   // out to be gone: one that is there now leads only if it claims anew.
