Have a leader on a weak host give way to a far fitter one

What callers see: after the loss of many nodes a mesh that loses its leader again and again: hosts of a tenth of a core led, one after the other, with their processor at its limit, although those of half a core were back. Cause: whoever is elected leads until it is lost. Elections prefer fit hosts, but only among those that are there at that moment. Change: a leader resigns to a node of twice its merit that has been there for 3 s and has the store, as it does when it is told to stop. Ruled out: giving way on load (a leader that is late can't tell why); at once (a change of leader costs a whole view for each node).

--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -22,6 +22,11 @@
 // this long. Each is then asked for again by the next leader: an order more. To
 // store each at once would double the writes.
 constexpr std::chrono::milliseconds kMovesUnmarked{1000};
+// A leader gives way to a host that is so many times as fit.
+constexpr std::uint32_t kFitter = 2;
+// And no sooner than this: longer than a lease, so that what the change of
+// leader before left to be done is done, and whoever is named has stayed.
+constexpr std::chrono::milliseconds kBeforeGivingWay{3000};
 // Keys stay where they are until most nodes have had time to report.
 constexpr std::chrono::milliseconds kFirstReports{700};
 
@@ -378,7 +383,7 @@
   m_successor = successor;
 }
 
-std::string MeshLeader::FindSuccessor() const {
+const MeshLeader::Node* MeshLeader::FindBestSuccessor() const {
   const Node* best = nullptr;
   for (const auto& [address, node] : m_nodes) {
     if (address == m_self || IsSilent(node) || node.last.is_leaving)
@@ -389,9 +394,30 @@
     if (best == nullptr || merit(node) > merit(*best))
       best = &node;
   }
+  return best;
+}
+
+std::string MeshLeader::FindSuccessor() const {
+  const Node* best = FindBestSuccessor();
   return best == nullptr ? std::string() : best->last.address;
 }
 
+std::string MeshLeader::FindFitter() const {
+  const auto self = m_nodes.find(m_self);
+  const Clock::TimePoint now = m_clock.Now();
+  const bool is_settled = now - m_started > kBeforeGivingWay && !m_storing;
+  if (self == m_nodes.end() || !is_settled || !HasAuthority())
+    return {};
+  const Node* best = FindBestSuccessor();
+  if (best == nullptr || !best->last.store_answers ||
+      now - best->first_heard < kBeforeGivingWay)
+    return {};
+  const std::uint32_t own = self->second.last.leader_merit_milli;
+  const std::uint32_t others = best->last.leader_merit_milli;
+  const bool is_far_fitter = others > own && others >= kFitter * own;
+  return is_far_fitter ? best->last.address : std::string();
+}
+
 bool MeshLeader::SuccessorHasStore() const {
   const auto found = m_nodes.find(FindSuccessor());
   return found != m_nodes.end() && found->second.last.store_answers;
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -67,6 +67,11 @@
   // is any; empty when there is none.
   std::string FindSuccessor() const;
   bool SuccessorHasStore() const;
+  // A node on a host that is far fitter to lead, and that has been there for a
+  // while; empty when there is none. A weak host leads when it is the first to
+  // be asked for its vote, after the loss of many: its processor, taken up by
+  // the mesh, then serves nobody, and its answers come late.
+  std::string FindFitter() const;
 
   const MeshView& view() const { return m_view; }
   // Members of the record that have not been heard of.
@@ -83,6 +88,7 @@
     bool has_promised = false;
   };
 
+  const Node* FindBestSuccessor() const;
   bool IsLost(const OwnedRun& run) const;
   bool IsSilent(const Node& node) const;
   MeshMember::State StateOf(const Node& node) const;
--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -318,6 +318,34 @@
   CHECK(leader->SuccessorHasStore());
 }
 
+TEST_CASE_FIXTURE(Fixture, "among equal hosts no leader gives way") {
+  for (const char* address : {"a", "b", "c"})
+    Node(address).store_answers = true;
+  Run(milliseconds(8000));
+  REQUIRE(leader->HasAuthority());
+  CHECK(leader->FindFitter().empty());
+}
+
+// Many nodes are lost at once, and one on a weak host is elected. Those on fit
+// hosts come back, but it leads on with all of its processor, and nodes that
+// wait for its late answers take it for lost again and again.
+TEST_CASE_FIXTURE(Fixture, "a leader gives way to a host that is far fitter") {
+  Node("a").leader_merit_milli = 100;
+  Node("b").leader_merit_milli = 150;
+  Node("b").store_answers = true;
+  Run(milliseconds(4000));
+  CHECK(leader->FindFitter().empty());
+  Node("c").leader_merit_milli = 1000;
+  Node("c").store_answers = true;
+  Run(milliseconds(2500));
+  CHECK(leader->FindFitter().empty());
+  Run(milliseconds(1000));
+  CHECK(leader->FindFitter() == "c");
+  Node("c").store_answers = false;
+  Run(milliseconds(100));
+  CHECK(leader->FindFitter().empty());
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "a heartbeat that was overtaken does not bring old news") {
   for (const char* address : {"a", "b"})
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -132,6 +132,14 @@
     Resign(successor, "leaving");
 }
 
+void MeshAgent::ResignToFitter() {
+  if (m_leader->has_resigned() || !m_config.store_answers())
+    return;
+  const std::string fitter = m_leader->FindFitter();
+  if (!fitter.empty())
+    Resign(fitter, "a fitter host");
+}
+
 void MeshAgent::Resign(const std::string& successor, const std::string& why) {
   spdlog::warn("event=resigns successor={} reason=\"{}\"", successor, why);
   m_leader->Resign(successor);
@@ -724,6 +732,7 @@
   OnReply(Reply(heartbeat), m_identity.address, now);
   if (m_leader != leader)
     co_return;
+  ResignToFitter();
   if (leader->has_resigned() && m_tracker.TimeWithoutLeader() > kResigned) {
     StepDown("resigned");
     co_return;
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -121,6 +121,7 @@
   void Resign(const std::string& successor, const std::string& why);
   // Once another can lead.
   void ResignToLeave();
+  void ResignToFitter();
   Task<> StoreRecord(MeshRecord record, std::shared_ptr<MeshLeader> leader);
   // True once it is known to be stored, false if somebody else has written.
   Task<bool> StoreOnce(const std::string& bytes,
