--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -135,7 +135,7 @@
                Clock::TimePoint sent);
   HeartbeatReply Reply(const Heartbeat& heartbeat);
   Task<HttpResponse> HandleHeartbeat(const HttpRequest& request);
-  // What grows with the mesh, each under the eyes of the LoopMonitor.
+  // Steps whose cost grows with the mesh, each timed by the LoopMonitor.
   Heartbeat TakeHeartbeat(const std::string& bytes);
   HttpResponse AnswerHeartbeat(const Heartbeat& heartbeat);
   HeartbeatReply DecodeReply(const std::string& bytes);
@@ -151,11 +151,11 @@
   std::chrono::milliseconds MeritDelay();
   // How long this node stands back for others that may lead.
   std::chrono::milliseconds CampaignDelay(const MeshRecord& record);
-  // Promises it this node's vote, if it may have it.
   // `leader` was asked after the record had been read, and its process turned
   // out to be gone: one that is there now leads only if it claims anew.
   void NoteGone(const std::string& leader);
   bool IsGone(const MeshRecord& record) const;
+  // Promises it this node's vote, if it may have it.
   bool PromiseTo(const std::string& leader);
   Task<> Pause(std::chrono::milliseconds duration);
   Task<std::string> Ask(std::string peer,
