--- a/modules/coordination/mesh/campaign_turn.cc
+++ b/modules/coordination/mesh/campaign_turn.cc
@@ -13,8 +13,8 @@
 
 using std::chrono::milliseconds;
 
-// Asking 90 nodes takes a host of half a core some 50 ms, and their answers
-// come over links that are full of requests.
+// Long enough to ask all nodes and be answered over links that are full of
+// requests.
 constexpr milliseconds kTurn{150};
 // So many have a turn each; it is unlikely that all of them are lost with the
 // leader, and the others wait together after them.
--- a/tests/cost_recovery.cc
+++ b/tests/cost_recovery.cc
@@ -4,7 +4,8 @@
 // other led for some seconds with its processor at its limit. Moves of hot keys
 // had cut the table into some 1,600 runs, all were given out anew in one step,
 // and each looked through all others: half a second of processor, five on a
-// small host. The others elect another leader after 0.6 s, which begins anew.
+// small host. The others elect another leader when two answers in a row are
+// late, and that one begins anew.
 // That a leader which stored nothing used all of its processor, and that the
 // step's cost grew with the square of the runs, proved it.
 
