Let one piece serve where the mend did the same twice

Cause: a reading of the whole change. An unused constant and include leave a test; a local was named like IsSettled() and meant another thing. Ruled out: one class for turns and for waiting without a view (what a node without a view waits belongs to its own merit, which the view does not know).

--- a/modules/coordination/mesh/campaign_turn.cc
+++ b/modules/coordination/mesh/campaign_turn.cc
@@ -28,6 +28,11 @@
                            std::uint64_t epoch)
     : m_view(view), m_lost(lost), m_epoch(epoch) {}
 
+std::size_t CampaignTurn::OrderOf(const std::string& address,
+                                  std::uint64_t epoch) {
+  return std::hash<std::string>()(address + std::to_string(epoch));
+}
+
 milliseconds CampaignTurn::DelayOf(const std::string& self,
                                    std::uint64_t random) const {
   const std::size_t place = PlaceOf(self);
@@ -42,10 +47,8 @@
   if (own == nullptr)
     return kTurns;
   const auto key_of = [this](const MeshMember& member) {
-    const std::size_t hash =
-        std::hash<std::string>()(member.address + std::to_string(m_epoch));
     return std::tuple(-static_cast<std::int64_t>(member.leader_merit_milli),
-                      hash, member.address);
+                      OrderOf(member.address, m_epoch), member.address);
   };
   const auto own_key = key_of(*own);
   const auto members = m_view.members();
--- a/modules/coordination/mesh/campaign_turn.h
+++ b/modules/coordination/mesh/campaign_turn.h
@@ -29,6 +29,9 @@
                const std::string& lost,
                std::uint64_t epoch);
 
+  // Whose turn is first among equals: another with each epoch.
+  static std::size_t OrderOf(const std::string& address, std::uint64_t epoch);
+
   // What `self` waits; `random` spreads those who have no turn of their own.
   std::chrono::milliseconds DelayOf(const std::string& self,
                                     std::uint64_t random) const;
--- a/modules/coordination/mesh/campaign_turn_test.cc
+++ b/modules/coordination/mesh/campaign_turn_test.cc
@@ -4,10 +4,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <map>
 #include <random>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "modules/state/mesh/mesh_member.h"
@@ -21,7 +22,6 @@
 
 constexpr std::uint64_t kEpoch = 5;
 constexpr std::size_t kNodes = 86;
-constexpr std::size_t kFitNodes = 6;
 
 std::string AddressOf(std::size_t node) {
   return "10.0.0." + std::to_string(node) + ":7240";
--- a/modules/coordination/mesh/key_assigner.cc
+++ b/modules/coordination/mesh/key_assigner.cc
@@ -135,7 +135,7 @@
     if (!placement)
       continue;
     if (table.runs().size() == 1) {
-      SpreadAll(service);
+      SpreadAll(service, placement->receivers);
       continue;
     }
     const auto is_unowned = [](const OwnedRun& run) {
@@ -146,8 +146,8 @@
   }
 }
 
-void KeyAssigner::SpreadAll(const std::string& service) {
-  const std::vector<const Member*> receivers = ReceiversOf(service);
+void KeyAssigner::SpreadAll(const std::string& service,
+                            const std::vector<const Member*>& receivers) {
   double all = 0;
   for (const Member* member : receivers)
     all += member->capacity;
--- a/modules/coordination/mesh/key_assigner.h
+++ b/modules/coordination/mesh/key_assigner.h
@@ -91,7 +91,8 @@
   // Nothing when nobody may get keys of the service.
   std::optional<Placement> MakePlacement(const std::string& service) const;
   KeyTable PlannedTable(const std::string& service) const;
-  void SpreadAll(const std::string& service);
+  void SpreadAll(const std::string& service,
+                 const std::vector<const Member*>& receivers);
   void PlaceRun(const std::string& service,
                 const OwnedRun& run,
                 Placement& placement);
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -405,8 +405,8 @@
 std::string MeshLeader::FindFitter() const {
   const auto self = m_nodes.find(m_self);
   const Clock::TimePoint now = m_clock.Now();
-  const bool is_settled = now - m_started > kBeforeGivingWay && !m_storing;
-  if (self == m_nodes.end() || !is_settled || !HasAuthority())
+  const bool may_change = now - m_started > kBeforeGivingWay && !m_storing;
+  if (self == m_nodes.end() || !may_change || !HasAuthority())
     return {};
   const Node* best = FindBestSuccessor();
   if (best == nullptr || !best->last.store_answers ||
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -207,6 +207,22 @@
   return heartbeat;
 }
 
+// Numbers what the columns of a table name, from 1 on; 0 stands for nobody.
+template <typename Name>
+class Places {
+ public:
+  std::uint16_t PlaceOf(const Name& name) {
+    const auto next = static_cast<std::uint16_t>(m_places.size() + 1);
+    return m_places.try_emplace(name, next).first->second;
+  }
+
+  unsigned count() const { return static_cast<unsigned>(m_places.size()); }
+  const std::map<Name, std::uint16_t>& all() const { return m_places; }
+
+ private:
+  std::map<Name, std::uint16_t> m_places;
+};
+
 using ViewRuns = std::vector<ViewDelta::Run>;
 
 // Runs of one service, each without what only its owner needs.
@@ -214,7 +230,7 @@
                     const std::vector<const OwnedRun*>& runs,
                     rpc::MeshKeyOwners::Builder out) {
   const auto count = static_cast<unsigned>(runs.size());
-  std::map<std::string_view, std::uint16_t> places;
+  Places<std::string_view> places;
   auto first = out.initFirst(count);
   auto last = out.initLast(count);
   auto owner = out.initOwner(count);
@@ -224,14 +240,12 @@
     first.set(i, static_cast<std::uint16_t>(run.range.first));
     last.set(i, static_cast<std::uint16_t>(run.range.last));
     fence.set(i, run.fence);
-    if (!run.has_owner())
-      continue;
-    const auto next = static_cast<std::uint16_t>(places.size() + 1);
-    owner.set(i, places.try_emplace(run.owner, next).first->second);
+    if (run.has_owner())
+      owner.set(i, places.PlaceOf(run.owner));
   }
   out.setService(service);
-  auto owners = out.initOwners(static_cast<unsigned>(places.size()));
-  for (const auto& [address, place] : places)
+  auto owners = out.initOwners(places.count());
+  for (const auto& [address, place] : places.all())
     owners.set(place - 1U, std::string(address));
 }
 
@@ -309,29 +323,15 @@
 // A life of a target at its node, as the columns of the record name it.
 using Holder = std::pair<std::string, TargetLife>;
 
-// Numbers the holders of a table from 1 on; 0 is nobody.
-class HolderPlaces {
- public:
-  std::uint16_t PlaceOf(const std::string& address, const TargetLife& life) {
-    if (address.empty())
-      return 0;
-    const auto next = static_cast<std::uint16_t>(m_places.size() + 1);
-    return m_places.try_emplace({address, life}, next).first->second;
-  }
-
-  void WriteTo(rpc::StoredKeys::Builder out) const {
-    auto holders = out.initHolders(static_cast<unsigned>(m_places.size()));
-    for (const auto& [holder, place] : m_places) {
-      auto entry = holders[place - 1U];
-      entry.setAddress(holder.first);
-      entry.setTargetId(holder.second.id);
-      entry.setTargetStartedUnixMs(holder.second.started_unix_ms);
-    }
+void WriteHolders(const Places<Holder>& places, rpc::StoredKeys::Builder out) {
+  auto holders = out.initHolders(places.count());
+  for (const auto& [holder, place] : places.all()) {
+    auto entry = holders[place - 1U];
+    entry.setAddress(holder.first);
+    entry.setTargetId(holder.second.id);
+    entry.setTargetStartedUnixMs(holder.second.started_unix_ms);
   }
-
- private:
-  std::map<Holder, std::uint16_t> m_places;
-};
+}
 
 void WriteStoredKeys(const std::string& service,
                      const KeyTable& table,
@@ -344,21 +344,23 @@
   auto handover_length = out.initHandoverLength(count);
   auto next = out.initNext(count);
   auto next_fence = out.initNextFence(count);
-  HolderPlaces places;
+  Places<Holder> places;
   std::string handovers;
   for (unsigned i = 0; i < count; ++i) {
     const OwnedRun& run = runs[i];
     first.set(i, static_cast<std::uint16_t>(run.range.first));
-    owner.set(i, places.PlaceOf(run.owner, run.life));
+    if (run.has_owner())
+      owner.set(i, places.PlaceOf({run.owner, run.life}));
     fence.set(i, run.fence);
     handovers += run.handover;
     handover_length.set(i, static_cast<std::uint16_t>(run.handover.size()));
-    next.set(i, places.PlaceOf(run.next.address, run.next.life));
+    if (run.is_moving())
+      next.set(i, places.PlaceOf({run.next.address, run.next.life}));
     next_fence.set(i, run.next.fence);
   }
   out.setService(service);
   out.setHandovers(BytesOf(handovers));
-  places.WriteTo(out);
+  WriteHolders(places, out);
 }
 
 std::vector<Holder> ReadHolders(rpc::StoredKeys::Reader in) {
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -555,7 +555,7 @@
   }
   std::size_t rank = 0;
   const auto order = [&record](const std::string& address) {
-    return std::hash<std::string>()(address + std::to_string(record.epoch));
+    return CampaignTurn::OrderOf(address, record.epoch);
   };
   for (const std::string& voter : record.voters)
     rank += order(voter) < order(m_identity.address) ? 1 : 0;
