--- a/modules/coordination/mesh/key_balancer_test.cc
+++ b/modules/coordination/mesh/key_balancer_test.cc
@@ -225,6 +225,7 @@
       m_rates[s] += kRoundShare * (rate - m_rates[s]);
     }
   }
+
   double Noise() {
     return std::uniform_real_distribution<>(0.9, 1.1)(m_random);
   }
