Tests: ports that no other test has, and seeds enough for the model's new check

failures_kill_process_test: a node that was being restarted found its port taken. Tests pick ports at random and see whether one is free; that of a node which is just being restarted looks free, and another test, which runs beside it, took it. Now each test program claims blocks of ports for as long as it runs.

coordination: "the model reports a leader that takes long leases for short ones" found no violation in 40 seeds.

--- a/modules/coordination/mesh/ownership_model_test.cc
+++ b/modules/coordination/mesh/ownership_model_test.cc
@@ -843,7 +843,7 @@
 TEST_CASE("the model reports a leader that takes long leases for short ones") {
   Options options;
   options.stores_lease_length = false;
-  CHECK(CountViolations(40, options) > 0);
+  CHECK(CountViolations(120, options) > 0);
 }
 
 TEST_CASE("the model reports votes of processes that have just started") {
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -24,8 +24,13 @@
 # one of those could otherwise take a picked port before its program listens.
 FIRST_PORT = 10240
 LAST_PORT = 32000
-_picked_ports = set()
-_port_choice = random.Random(os.getpid())
+# Ports are taken in blocks that one test program has to itself until it ends: a
+# port that looks free may be that of a process that is just being restarted.
+BLOCK_PORTS = 100
+# Where blocks are claimed; nothing else listens there.
+CLAIM_IP = "127.0.0.2"
+_claims = []
+_free_ports = []
 
 
 def _is_free(port):
@@ -37,13 +42,30 @@
     return True
 
 
+def _claim_block():
+    """Ports that no other test program gets while this one runs."""
+    bases = list(range(FIRST_PORT, LAST_PORT - BLOCK_PORTS, BLOCK_PORTS))
+    random.shuffle(bases)
+    for base in bases:
+        claim = socket.socket()
+        try:
+            claim.bind((CLAIM_IP, base))
+        except OSError:
+            claim.close()
+            continue
+        _claims.append(claim)
+        return list(range(base, base + BLOCK_PORTS))
+    raise RuntimeError("no block of ports is left")
+
+
 def free_addresses(count):
     """Addresses that nobody listens on, each given out once."""
     addresses = []
     while len(addresses) < count:
-        port = _port_choice.randint(FIRST_PORT, LAST_PORT)
-        if port not in _picked_ports and _is_free(port):
-            _picked_ports.add(port)
+        if not _free_ports:
+            _free_ports.extend(_claim_block())
+        port = _free_ports.pop()
+        if _is_free(port):
             addresses.append("127.0.0.1:%d" % port)
     return addresses
 
