--- /dev/null
+++ b/modules/coordination/mesh/config_spread_test.cc
@@ -0,0 +1,195 @@
+#include "modules/coordination/mesh/config_spread.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "modules/coordination/manual_clock.h"
+
+namespace citrongrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kOld = 9;
+constexpr std::uint64_t kNew = 13;
+constexpr std::uint32_t kWeak = 100;
+constexpr std::uint32_t kFit = 1000;
+
+// A mesh of hosts with narrow links; node 0 leads and has the new version.
+class SpreadMesh {
+ public:
+  SpreadMesh(std::size_t nodes, std::size_t zones, std::uint32_t leader_merit)
+      : m_zones(zones), m_leader_merit(leader_merit), m_versions(nodes, kOld) {
+    m_versions[0] = kNew;
+  }
+
+  std::size_t size() const { return m_versions.size(); }
+  std::string AddressOf(std::size_t node) const {
+    return "10.0." + std::to_string(node / 200) + "." +
+           std::to_string(node % 200 + 1) + ":7240";
+  }
+  std::size_t ZoneOf(std::size_t node) const { return node % m_zones; }
+  bool HasNew(std::size_t node) const { return m_versions[node] == kNew; }
+  void Lose(std::size_t node) { m_lost.insert(node); }
+  void Restart(std::size_t node) { m_versions[node] = 0; }
+
+  void Beat(std::size_t node, bool has_failed = false) {
+    if (m_lost.contains(node))
+      return;
+    Heartbeat heartbeat;
+    heartbeat.address = AddressOf(node);
+    heartbeat.zone = "zone-" + std::to_string(ZoneOf(node));
+    heartbeat.config_version = m_versions[node];
+    heartbeat.config_fetch_failed = has_failed;
+    heartbeat.leader_merit_milli = node == 0 ? m_leader_merit : kWeak;
+    m_spread.OnHeartbeat(heartbeat);
+  }
+
+  void BeatAll() {
+    for (std::size_t node = 0; node < size(); ++node)
+      Beat(node);
+  }
+
+  // Every node that is given a source fetches in the same time; returns how
+  // many transfers there were of each source.
+  std::map<std::string, std::size_t> PlayRound() {
+    std::map<std::string, std::size_t> transfers;
+    std::vector<std::size_t> fetched;
+    std::vector<std::size_t> failed;
+    for (std::size_t node = 0; node < size(); ++node) {
+      if (HasNew(node) || m_lost.contains(node))
+        continue;
+      const std::string source = m_spread.AssignSource(AddressOf(node));
+      if (source.empty())
+        continue;
+      ++transfers[source];
+      (IsLost(source) ? failed : fetched).push_back(node);
+    }
+    m_clock.Advance(milliseconds(100));
+    for (const std::size_t node : fetched)
+      m_versions[node] = kNew;
+    BeatAll();
+    for (const std::size_t node : failed)
+      Beat(node, true);
+    return transfers;
+  }
+
+  std::size_t PlayUntilAllHaveIt(std::size_t most_rounds) {
+    std::size_t rounds = 0;
+    while (rounds < most_rounds && !AllHaveIt()) {
+      PlayRound();
+      ++rounds;
+    }
+    return rounds;
+  }
+
+  bool AllHaveIt() const {
+    for (std::size_t node = 0; node < size(); ++node) {
+      if (!HasNew(node) && !m_lost.contains(node))
+        return false;
+    }
+    return true;
+  }
+
+  ConfigSpread& spread() { return m_spread; }
+  ManualClock& clock() { return m_clock; }
+
+ private:
+  bool IsLost(const std::string& address) const {
+    for (const std::size_t node : m_lost) {
+      if (AddressOf(node) == address)
+        return true;
+    }
+    return false;
+  }
+
+  const std::size_t m_zones;
+  const std::uint32_t m_leader_merit;
+  std::vector<std::uint64_t> m_versions;
+  std::set<std::size_t> m_lost;
+  ManualClock m_clock;
+  ConfigSpread m_spread{m_clock};
+};
+
+}  // namespace
+
+// Guards against a new configuration that takes as long as there are nodes.
+TEST_CASE("all have the newest version after a few rounds of transfers") {
+  for (const auto& [nodes, most_rounds] : std::map<std::size_t, std::size_t>{
+           {3, 2}, {83, 6}, {195, 7}, {600, 8}}) {
+    SpreadMesh mesh(nodes, 3, kWeak);
+    mesh.BeatAll();
+    CHECK(mesh.PlayUntilAllHaveIt(most_rounds) <= most_rounds);
+    CHECK(mesh.AllHaveIt());
+  }
+}
+
+// Guards against a leader whose link is full of configuration for seconds.
+TEST_CASE("no node sends to many at the same time") {
+  constexpr std::size_t kMost = 8;
+  SpreadMesh mesh(600, 6, kFit);
+  mesh.BeatAll();
+  while (!mesh.AllHaveIt()) {
+    for (const auto& [source, transfers] : mesh.PlayRound())
+      CHECK(transfers <= (source == mesh.AddressOf(0) ? kMost : 2));
+  }
+}
+
+// Guards against a mesh that waits for ever for a source that is gone.
+TEST_CASE("lost sources are passed over") {
+  SpreadMesh mesh(83, 3, kWeak);
+  mesh.BeatAll();
+  mesh.PlayRound();
+  mesh.PlayRound();
+  for (std::size_t node = 1; node < mesh.size(); ++node) {
+    if (mesh.HasNew(node))
+      mesh.Lose(node);
+  }
+  CHECK(mesh.PlayUntilAllHaveIt(20) < 20);
+}
+
+// Guards against a transfer whose end nobody hears of: its node would never be
+// named another source, and its source would be busy for ever.
+TEST_CASE("a transfer that is not heard of again ends by itself") {
+  SpreadMesh mesh(3, 1, kWeak);
+  mesh.BeatAll();
+  CHECK(mesh.spread().AssignSource(mesh.AddressOf(1)) == mesh.AddressOf(0));
+  CHECK(mesh.spread().AssignSource(mesh.AddressOf(1)).empty());
+  mesh.clock().Advance(milliseconds(1500));
+  mesh.BeatAll();
+  CHECK(mesh.PlayUntilAllHaveIt(5) < 5);
+}
+
+// Guards against a source that was restarted and has nothing to give.
+TEST_CASE("a node that started anew is no source until it has the version") {
+  SpreadMesh mesh(2, 1, kWeak);
+  mesh.Restart(0);
+  mesh.BeatAll();
+  CHECK(mesh.spread().newest() == kOld);
+  CHECK(mesh.spread().AssignSource(mesh.AddressOf(0)) == mesh.AddressOf(1));
+  mesh.Restart(1);
+  mesh.BeatAll();
+  mesh.clock().Advance(milliseconds(1500));
+  CHECK(mesh.spread().AssignSource(mesh.AddressOf(0)).empty());
+}
+
+// Guards against bytes between availability zones, which cost callers' room.
+TEST_CASE("a node fetches within its availability zone where it can") {
+  SpreadMesh mesh(9, 3, kFit);
+  mesh.BeatAll();
+  mesh.PlayUntilAllHaveIt(1);
+  // One of each zone has it, at the least.
+  mesh.Restart(4);
+  mesh.Beat(4);
+  const std::string source = mesh.spread().AssignSource(mesh.AddressOf(4));
+  CHECK((source == mesh.AddressOf(1) || source == mesh.AddressOf(7)));
+}
+
+}  // namespace citrongrade
--- a/modules/coordination/mesh/heartbeat.h
+++ b/modules/coordination/mesh/heartbeat.h
@@ -72,10 +72,10 @@
   std::uint64_t config_version = 0;
   // The node was told to stop.
   bool is_leaving = false;
+  // The configuration could not be fetched from the source named last.
+  bool config_fetch_failed = false;
   // Its last call to the platform's store was answered.
   bool store_answers = false;
-  // It was not: what would be read there has to come from the leader.
-  bool store_failed = false;
   // To be answered at once: it brings news.
   bool is_urgent = false;
   Target target;
@@ -84,8 +84,6 @@
   std::vector<SlotArrivals> arrivals;
   // Mean time that the target takes for a request; 0 when not known.
   std::uint32_t mean_work_us = 0;
-  // The operators' document, when it is newer than the leader's.
-  std::string config_document;
   // Marks of requests that were running when the target crashed.
   std::vector<std::uint64_t> crash_suspects;
 
--- a/modules/coordination/mesh/heartbeat_reply.h
+++ b/modules/coordination/mesh/heartbeat_reply.h
@@ -31,10 +31,10 @@
   bool follow_store = false;
   ViewDelta view;
   std::vector<std::uint64_t> crash_suspects;
-  // Of the leader's configuration.
+  // The newest that any node has.
   std::uint64_t config_version = 0;
-  // The operators' document, as stored, when it is newer than the node's.
-  std::string config_document;
+  // The node from which to fetch it; empty: from nobody yet.
+  std::string config_source;
 
   friend auto operator<=>(const HeartbeatReply&,
                           const HeartbeatReply&) = default;
--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -37,9 +37,11 @@
   arrivals @21 :List(UInt32);
   meanWorkUs @22 :UInt32;
   crashSuspects @23 :List(UInt64);
-  configDocument @24 :Data;
+  # Long documents travelled in heartbeats once.
+  obsoleteConfigDocument @24 :Data;
   leaderMeritMilli @25 :UInt32;
-  storeFailed @26 :Bool;
+  obsoleteStoreFailed @26 :Bool;
+  configFetchFailed @27 :Bool;
 
   struct Released {
     service @0 :Text;
@@ -105,11 +107,70 @@
   runs @11 :List(MeshOwnedRun);
   crashSuspects @12 :List(UInt64);
   configVersion @13 :UInt64;
-  configDocument @14 :Data;
+  obsoleteConfigDocument @14 :Data;
   # What others own.
   owners @15 :List(MeshKeyOwners);
   isNewProcess @16 :Bool;
   longestLeaseMs @17 :UInt32;
+  configSource @18 :Text;
+}
+
+struct MeshConfigRequest {
+  # Of the configuration that the asking node has; 0: none.
+  version @0 :UInt64;
+}
+
+# What leads from one version of the configuration to another. Routes are in
+# columns, and what many have in common stands once: 1,400 routes take 40 KB of
+# the 460 that they take in the operators' document.
+struct MeshConfigChange {
+  fromVersion @0 :UInt64;
+  toVersion @1 :UInt64;
+  hasStoreNext @2 :Bool;
+  storeNext @3 :UInt64;
+  limits @4 :Limits;
+  removedRoutes @5 :List(Text);
+  removedServices @6 :List(Text);
+  services @7 :List(Service);
+  hosts @8 :List(Text);
+  terms @9 :List(Terms);
+  # One after the other, and the length of each.
+  names @10 :Data;
+  nameLength @11 :List(UInt32);
+  prefixes @12 :Data;
+  prefixLength @13 :List(UInt32);
+  # Places in the lists above, from 0 on.
+  host @14 :List(UInt32);
+  term @15 :List(UInt32);
+
+  struct Limits {
+    maxHeaderBytes @0 :UInt64;
+    maxBodyBytes @1 :UInt64;
+    headerTimeoutMs @2 :UInt64;
+    idleTimeoutMs @3 :UInt64;
+  }
+
+  struct Service {
+    name @0 :Text;
+    isDividedByKey @1 :Bool;
+    healthPath @2 :Text;
+    maxConnections @3 :UInt32;
+  }
+
+  struct Destination {
+    service @0 :Text;
+    weight @1 :UInt32;
+  }
+
+  # A route's settings, but for its name, host and prefix.
+  struct Terms {
+    isIdempotent @0 :Bool;
+    timeoutMs @1 :UInt64;
+    targetLatencyMs @2 :UInt64;
+    priority @3 :UInt32;
+    maxAttempts @4 :UInt32;
+    destinations @5 :List(Destination);
+  }
 }
 
 struct MeshVoteRequest {
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -23,6 +23,12 @@
 CAPNP_DECLARE_SCHEMA(bf30885fd9183834);
 CAPNP_DECLARE_SCHEMA(af87c6421b89f2ae);
 CAPNP_DECLARE_SCHEMA(afed84799603774a);
+CAPNP_DECLARE_SCHEMA(ab7177518064fbc3);
+CAPNP_DECLARE_SCHEMA(bae78f23f978f08f);
+CAPNP_DECLARE_SCHEMA(8cb766d78b118626);
+CAPNP_DECLARE_SCHEMA(c5453d4808579224);
+CAPNP_DECLARE_SCHEMA(b7d9814af1f056bd);
+CAPNP_DECLARE_SCHEMA(e5bd2d6fb096debe);
 CAPNP_DECLARE_SCHEMA(b878fba6fb7c4713);
 CAPNP_DECLARE_SCHEMA(98ccc8da051728ac);
 CAPNP_DECLARE_SCHEMA(f4f3ec6977d6a056);
@@ -134,7 +140,101 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afed84799603774a, 7, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(afed84799603774a, 7, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct MeshConfigRequest {
+  MeshConfigRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ab7177518064fbc3, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct MeshConfigChange {
+  MeshConfigChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  struct Limits;
+  struct Service;
+  struct Destination;
+  struct Terms;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bae78f23f978f08f, 4, 12)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct MeshConfigChange::Limits {
+  Limits() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8cb766d78b118626, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct MeshConfigChange::Service {
+  Service() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c5453d4808579224, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct MeshConfigChange::Destination {
+  Destination() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b7d9814af1f056bd, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct MeshConfigChange::Terms {
+  Terms() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e5bd2d6fb096debe, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -373,12 +473,14 @@
   inline bool hasCrashSuspects() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashSuspects() const;
 
-  inline bool hasConfigDocument() const;
-  inline  ::capnp::Data::Reader getConfigDocument() const;
+  inline bool hasObsoleteConfigDocument() const;
+  inline  ::capnp::Data::Reader getObsoleteConfigDocument() const;
 
   inline  ::uint32_t getLeaderMeritMilli() const;
 
-  inline bool getStoreFailed() const;
+  inline bool getObsoleteStoreFailed() const;
+
+  inline bool getConfigFetchFailed() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -514,18 +616,21 @@
   inline void adoptCrashSuspects(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCrashSuspects();
 
-  inline bool hasConfigDocument();
-  inline  ::capnp::Data::Builder getConfigDocument();
-  inline void setConfigDocument( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initConfigDocument(unsigned int size);
-  inline void adoptConfigDocument(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownConfigDocument();
+  inline bool hasObsoleteConfigDocument();
+  inline  ::capnp::Data::Builder getObsoleteConfigDocument();
+  inline void setObsoleteConfigDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initObsoleteConfigDocument(unsigned int size);
+  inline void adoptObsoleteConfigDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownObsoleteConfigDocument();
 
   inline  ::uint32_t getLeaderMeritMilli();
   inline void setLeaderMeritMilli( ::uint32_t value);
 
-  inline bool getStoreFailed();
-  inline void setStoreFailed(bool value);
+  inline bool getObsoleteStoreFailed();
+  inline void setObsoleteStoreFailed(bool value);
+
+  inline bool getConfigFetchFailed();
+  inline void setConfigFetchFailed(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1153,8 +1258,8 @@
 
   inline  ::uint64_t getConfigVersion() const;
 
-  inline bool hasConfigDocument() const;
-  inline  ::capnp::Data::Reader getConfigDocument() const;
+  inline bool hasObsoleteConfigDocument() const;
+  inline  ::capnp::Data::Reader getObsoleteConfigDocument() const;
 
   inline bool hasOwners() const;
   inline  ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>::Reader getOwners() const;
@@ -1163,6 +1268,9 @@
 
   inline  ::uint32_t getLongestLeaseMs() const;
 
+  inline bool hasConfigSource() const;
+  inline  ::capnp::Text::Reader getConfigSource() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1250,12 +1358,12 @@
   inline  ::uint64_t getConfigVersion();
   inline void setConfigVersion( ::uint64_t value);
 
-  inline bool hasConfigDocument();
-  inline  ::capnp::Data::Builder getConfigDocument();
-  inline void setConfigDocument( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initConfigDocument(unsigned int size);
-  inline void adoptConfigDocument(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownConfigDocument();
+  inline bool hasObsoleteConfigDocument();
+  inline  ::capnp::Data::Builder getObsoleteConfigDocument();
+  inline void setObsoleteConfigDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initObsoleteConfigDocument(unsigned int size);
+  inline void adoptObsoleteConfigDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownObsoleteConfigDocument();
 
   inline bool hasOwners();
   inline  ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>::Builder getOwners();
@@ -1270,6 +1378,13 @@
   inline  ::uint32_t getLongestLeaseMs();
   inline void setLongestLeaseMs( ::uint32_t value);
 
+  inline bool hasConfigSource();
+  inline  ::capnp::Text::Builder getConfigSource();
+  inline void setConfigSource( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initConfigSource(unsigned int size);
+  inline void adoptConfigSource(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownConfigSource();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1296,9 +1411,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class MeshVoteRequest::Reader {
+class MeshConfigRequest::Reader {
 public:
-  typedef MeshVoteRequest Reads;
+  typedef MeshConfigRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1313,14 +1428,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCandidate() const;
-  inline  ::capnp::Text::Reader getCandidate() const;
-
-  inline bool getGivesBack() const;
-
-  inline bool getIsHello() const;
-
-  inline bool getReplacesGoneLeader() const;
+  inline  ::uint64_t getVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1334,9 +1442,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class MeshVoteRequest::Builder {
+class MeshConfigRequest::Builder {
 public:
-  typedef MeshVoteRequest Builds;
+  typedef MeshConfigRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1350,21 +1458,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCandidate();
-  inline  ::capnp::Text::Builder getCandidate();
-  inline void setCandidate( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCandidate(unsigned int size);
-  inline void adoptCandidate(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCandidate();
-
-  inline bool getGivesBack();
-  inline void setGivesBack(bool value);
-
-  inline bool getIsHello();
-  inline void setIsHello(bool value);
-
-  inline bool getReplacesGoneLeader();
-  inline void setReplacesGoneLeader(bool value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1376,9 +1471,9 @@
 };
 
 #if !CAPNP_LITE
-class MeshVoteRequest::Pipeline {
+class MeshConfigRequest::Pipeline {
 public:
-  typedef MeshVoteRequest Pipelines;
+  typedef MeshConfigRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1392,9 +1487,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class MeshVoteReply::Reader {
+class MeshConfigChange::Reader {
 public:
-  typedef MeshVoteReply Reads;
+  typedef MeshConfigChange Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1409,10 +1504,49 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsGranted() const;
+  inline  ::uint64_t getFromVersion() const;
 
-  inline bool hasLeaderHint() const;
-  inline  ::capnp::Text::Reader getLeaderHint() const;
+  inline  ::uint64_t getToVersion() const;
+
+  inline bool getHasStoreNext() const;
+
+  inline  ::uint64_t getStoreNext() const;
+
+  inline bool hasLimits() const;
+  inline  ::citrongrade::rpc::MeshConfigChange::Limits::Reader getLimits() const;
+
+  inline bool hasRemovedRoutes() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemovedRoutes() const;
+
+  inline bool hasRemovedServices() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemovedServices() const;
+
+  inline bool hasServices() const;
+  inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>::Reader getServices() const;
+
+  inline bool hasHosts() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHosts() const;
+
+  inline bool hasTerms() const;
+  inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>::Reader getTerms() const;
+
+  inline bool hasNames() const;
+  inline  ::capnp::Data::Reader getNames() const;
+
+  inline bool hasNameLength() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getNameLength() const;
+
+  inline bool hasPrefixes() const;
+  inline  ::capnp::Data::Reader getPrefixes() const;
+
+  inline bool hasPrefixLength() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getPrefixLength() const;
+
+  inline bool hasHost() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getHost() const;
+
+  inline bool hasTerm() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTerm() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1426,9 +1560,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class MeshVoteReply::Builder {
+class MeshConfigChange::Builder {
 public:
-  typedef MeshVoteReply Builds;
+  typedef MeshConfigChange Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1442,15 +1576,108 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsGranted();
-  inline void setIsGranted(bool value);
-
-  inline bool hasLeaderHint();
-  inline  ::capnp::Text::Builder getLeaderHint();
-  inline void setLeaderHint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initLeaderHint(unsigned int size);
-  inline void adoptLeaderHint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownLeaderHint();
+  inline  ::uint64_t getFromVersion();
+  inline void setFromVersion( ::uint64_t value);
+
+  inline  ::uint64_t getToVersion();
+  inline void setToVersion( ::uint64_t value);
+
+  inline bool getHasStoreNext();
+  inline void setHasStoreNext(bool value);
+
+  inline  ::uint64_t getStoreNext();
+  inline void setStoreNext( ::uint64_t value);
+
+  inline bool hasLimits();
+  inline  ::citrongrade::rpc::MeshConfigChange::Limits::Builder getLimits();
+  inline void setLimits( ::citrongrade::rpc::MeshConfigChange::Limits::Reader value);
+  inline  ::citrongrade::rpc::MeshConfigChange::Limits::Builder initLimits();
+  inline void adoptLimits(::capnp::Orphan< ::citrongrade::rpc::MeshConfigChange::Limits>&& value);
+  inline ::capnp::Orphan< ::citrongrade::rpc::MeshConfigChange::Limits> disownLimits();
+
+  inline bool hasRemovedRoutes();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemovedRoutes();
+  inline void setRemovedRoutes( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemovedRoutes(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemovedRoutes(unsigned int size);
+  inline void adoptRemovedRoutes(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemovedRoutes();
+
+  inline bool hasRemovedServices();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemovedServices();
+  inline void setRemovedServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemovedServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemovedServices(unsigned int size);
+  inline void adoptRemovedServices(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemovedServices();
+
+  inline bool hasServices();
+  inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>::Builder getServices();
+  inline void setServices( ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>::Builder initServices(unsigned int size);
+  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>> disownServices();
+
+  inline bool hasHosts();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHosts();
+  inline void setHosts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setHosts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHosts(unsigned int size);
+  inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHosts();
+
+  inline bool hasTerms();
+  inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>::Builder getTerms();
+  inline void setTerms( ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>::Builder initTerms(unsigned int size);
+  inline void adoptTerms(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>> disownTerms();
+
+  inline bool hasNames();
+  inline  ::capnp::Data::Builder getNames();
+  inline void setNames( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initNames(unsigned int size);
+  inline void adoptNames(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownNames();
+
+  inline bool hasNameLength();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getNameLength();
+  inline void setNameLength( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setNameLength(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initNameLength(unsigned int size);
+  inline void adoptNameLength(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownNameLength();
+
+  inline bool hasPrefixes();
+  inline  ::capnp::Data::Builder getPrefixes();
+  inline void setPrefixes( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPrefixes(unsigned int size);
+  inline void adoptPrefixes(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPrefixes();
+
+  inline bool hasPrefixLength();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getPrefixLength();
+  inline void setPrefixLength( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPrefixLength(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initPrefixLength(unsigned int size);
+  inline void adoptPrefixLength(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownPrefixLength();
+
+  inline bool hasHost();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getHost();
+  inline void setHost( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHost(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownHost();
+
+  inline bool hasTerm();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTerm();
+  inline void setTerm( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTerm(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTerm(unsigned int size);
+  inline void adoptTerm(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTerm();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1462,14 +1689,15 @@
 };
 
 #if !CAPNP_LITE
-class MeshVoteReply::Pipeline {
+class MeshConfigChange::Pipeline {
 public:
-  typedef MeshVoteReply Pipelines;
+  typedef MeshConfigChange Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::citrongrade::rpc::MeshConfigChange::Limits::Pipeline getLimits();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1478,9 +1706,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StoredKeys::Reader {
+class MeshConfigChange::Limits::Reader {
 public:
-  typedef StoredKeys Reads;
+  typedef Limits Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1495,32 +1723,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasHolders() const;
-  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Reader getHolders() const;
-
-  inline bool hasFirst() const;
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getFirst() const;
-
-  inline bool hasOwner() const;
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getOwner() const;
-
-  inline bool hasFence() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getFence() const;
-
-  inline bool hasHandovers() const;
-  inline  ::capnp::Data::Reader getHandovers() const;
+  inline  ::uint64_t getMaxHeaderBytes() const;
 
-  inline bool hasHandoverLength() const;
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getHandoverLength() const;
+  inline  ::uint64_t getMaxBodyBytes() const;
 
-  inline bool hasNext() const;
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getNext() const;
+  inline  ::uint64_t getHeaderTimeoutMs() const;
 
-  inline bool hasNextFence() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNextFence() const;
+  inline  ::uint64_t getIdleTimeoutMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1534,9 +1743,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StoredKeys::Builder {
+class MeshConfigChange::Limits::Builder {
 public:
-  typedef StoredKeys Builds;
+  typedef Limits Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1550,74 +1759,17 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasHolders();
-  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Builder getHolders();
-  inline void setHolders( ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Builder initHolders(unsigned int size);
-  inline void adoptHolders(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>> disownHolders();
-
-  inline bool hasFirst();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getFirst();
-  inline void setFirst( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setFirst(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initFirst(unsigned int size);
-  inline void adoptFirst(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownFirst();
-
-  inline bool hasOwner();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getOwner();
-  inline void setOwner( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setOwner(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initOwner(unsigned int size);
-  inline void adoptOwner(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownOwner();
-
-  inline bool hasFence();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getFence();
-  inline void setFence( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setFence(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initFence(unsigned int size);
-  inline void adoptFence(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownFence();
-
-  inline bool hasHandovers();
-  inline  ::capnp::Data::Builder getHandovers();
-  inline void setHandovers( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initHandovers(unsigned int size);
-  inline void adoptHandovers(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownHandovers();
+  inline  ::uint64_t getMaxHeaderBytes();
+  inline void setMaxHeaderBytes( ::uint64_t value);
 
-  inline bool hasHandoverLength();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getHandoverLength();
-  inline void setHandoverLength( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setHandoverLength(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initHandoverLength(unsigned int size);
-  inline void adoptHandoverLength(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownHandoverLength();
+  inline  ::uint64_t getMaxBodyBytes();
+  inline void setMaxBodyBytes( ::uint64_t value);
 
-  inline bool hasNext();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getNext();
-  inline void setNext( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setNext(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initNext(unsigned int size);
-  inline void adoptNext(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownNext();
+  inline  ::uint64_t getHeaderTimeoutMs();
+  inline void setHeaderTimeoutMs( ::uint64_t value);
 
-  inline bool hasNextFence();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getNextFence();
-  inline void setNextFence( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setNextFence(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initNextFence(unsigned int size);
-  inline void adoptNextFence(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNextFence();
+  inline  ::uint64_t getIdleTimeoutMs();
+  inline void setIdleTimeoutMs( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1629,9 +1781,9 @@
 };
 
 #if !CAPNP_LITE
-class StoredKeys::Pipeline {
+class MeshConfigChange::Limits::Pipeline {
 public:
-  typedef StoredKeys Pipelines;
+  typedef Limits Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1645,9 +1797,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StoredKeys::Holder::Reader {
+class MeshConfigChange::Service::Reader {
 public:
-  typedef Holder Reads;
+  typedef Service Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1662,13 +1814,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasTargetId() const;
-  inline  ::capnp::Text::Reader getTargetId() const;
+  inline bool getIsDividedByKey() const;
 
-  inline  ::int64_t getTargetStartedUnixMs() const;
+  inline bool hasHealthPath() const;
+  inline  ::capnp::Text::Reader getHealthPath() const;
+
+  inline  ::uint32_t getMaxConnections() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1682,9 +1836,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StoredKeys::Holder::Builder {
+class MeshConfigChange::Service::Builder {
 public:
-  typedef Holder Builds;
+  typedef Service Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1698,22 +1852,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasTargetId();
-  inline  ::capnp::Text::Builder getTargetId();
-  inline void setTargetId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTargetId(unsigned int size);
-  inline void adoptTargetId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTargetId();
+  inline bool getIsDividedByKey();
+  inline void setIsDividedByKey(bool value);
 
-  inline  ::int64_t getTargetStartedUnixMs();
-  inline void setTargetStartedUnixMs( ::int64_t value);
+  inline bool hasHealthPath();
+  inline  ::capnp::Text::Builder getHealthPath();
+  inline void setHealthPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHealthPath(unsigned int size);
+  inline void adoptHealthPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHealthPath();
+
+  inline  ::uint32_t getMaxConnections();
+  inline void setMaxConnections( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1725,9 +1882,9 @@
 };
 
 #if !CAPNP_LITE
-class StoredKeys::Holder::Pipeline {
+class MeshConfigChange::Service::Pipeline {
 public:
-  typedef Holder Pipelines;
+  typedef Service Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1741,9 +1898,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StoredMesh::Reader {
+class MeshConfigChange::Destination::Reader {
 public:
-  typedef StoredMesh Reads;
+  typedef Destination Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1758,21 +1915,104 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEpoch() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasLeader() const;
-  inline  ::capnp::Text::Reader getLeader() const;
+  inline  ::uint32_t getWeight() const;
 
-  inline bool hasVoters() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getVoters() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool hasRuns() const;
-  inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
+class MeshConfigChange::Destination::Builder {
+public:
+  typedef Destination Builds;
 
-  inline bool hasKeys() const;
-  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Reader getKeys() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline  ::uint32_t getLongestLeaseMs() const;
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint32_t getWeight();
+  inline void setWeight( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class MeshConfigChange::Destination::Pipeline {
+public:
+  typedef Destination Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class MeshConfigChange::Terms::Reader {
+public:
+  typedef Terms Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsIdempotent() const;
+
+  inline  ::uint64_t getTimeoutMs() const;
+
+  inline  ::uint64_t getTargetLatencyMs() const;
+
+  inline  ::uint32_t getPriority() const;
+
+  inline  ::uint32_t getMaxAttempts() const;
+
+  inline bool hasDestinations() const;
+  inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>::Reader getDestinations() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1786,9 +2026,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StoredMesh::Builder {
+class MeshConfigChange::Terms::Builder {
 public:
-  typedef StoredMesh Builds;
+  typedef Terms Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1802,40 +2042,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline bool getIsIdempotent();
+  inline void setIsIdempotent(bool value);
 
-  inline bool hasLeader();
-  inline  ::capnp::Text::Builder getLeader();
-  inline void setLeader( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initLeader(unsigned int size);
-  inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownLeader();
+  inline  ::uint64_t getTimeoutMs();
+  inline void setTimeoutMs( ::uint64_t value);
 
-  inline bool hasVoters();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getVoters();
-  inline void setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initVoters(unsigned int size);
-  inline void adoptVoters(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownVoters();
+  inline  ::uint64_t getTargetLatencyMs();
+  inline void setTargetLatencyMs( ::uint64_t value);
 
-  inline bool hasRuns();
-  inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Builder getRuns();
-  inline void setRuns( ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Builder initRuns(unsigned int size);
-  inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>> disownRuns();
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
 
-  inline bool hasKeys();
-  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Builder getKeys();
-  inline void setKeys( ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Builder initKeys(unsigned int size);
-  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>> disownKeys();
+  inline  ::uint32_t getMaxAttempts();
+  inline void setMaxAttempts( ::uint32_t value);
 
-  inline  ::uint32_t getLongestLeaseMs();
-  inline void setLongestLeaseMs( ::uint32_t value);
+  inline bool hasDestinations();
+  inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>::Builder getDestinations();
+  inline void setDestinations( ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>::Builder initDestinations(unsigned int size);
+  inline void adoptDestinations(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>> disownDestinations();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1847,9 +2074,9 @@
 };
 
 #if !CAPNP_LITE
-class StoredMesh::Pipeline {
+class MeshConfigChange::Terms::Pipeline {
 public:
-  typedef StoredMesh Pipelines;
+  typedef Terms Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1863,1860 +2090,3290 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class MeshVoteRequest::Reader {
+public:
+  typedef MeshVoteRequest Reads;
 
-inline  ::uint32_t SlotSpan::Reader::getFirst() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t SlotSpan::Builder::getFirst() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void SlotSpan::Builder::setFirst( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint32_t SlotSpan::Reader::getLast() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t SlotSpan::Builder::getLast() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void SlotSpan::Builder::setLast( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasCandidate() const;
+  inline  ::capnp::Text::Reader getCandidate() const;
 
-inline bool MeshHeartbeat::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool MeshHeartbeat::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MeshHeartbeat::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MeshHeartbeat::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void MeshHeartbeat::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MeshHeartbeat::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void MeshHeartbeat::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline bool getGivesBack() const;
 
-inline bool MeshHeartbeat::Reader::hasDataAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool MeshHeartbeat::Builder::hasDataAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MeshHeartbeat::Reader::getDataAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MeshHeartbeat::Builder::getDataAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void MeshHeartbeat::Builder::setDataAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MeshHeartbeat::Builder::initDataAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void MeshHeartbeat::Builder::adoptDataAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Builder::disownDataAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline bool getIsHello() const;
 
-inline bool MeshHeartbeat::Reader::hasZone() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool MeshHeartbeat::Builder::hasZone() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MeshHeartbeat::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MeshHeartbeat::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void MeshHeartbeat::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MeshHeartbeat::Builder::initZone(unsigned int size) {
+  inline bool getReplacesGoneLeader() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class MeshVoteRequest::Builder {
+public:
+  typedef MeshVoteRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCandidate();
+  inline  ::capnp::Text::Builder getCandidate();
+  inline void setCandidate( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCandidate(unsigned int size);
+  inline void adoptCandidate(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCandidate();
+
+  inline bool getGivesBack();
+  inline void setGivesBack(bool value);
+
+  inline bool getIsHello();
+  inline void setIsHello(bool value);
+
+  inline bool getReplacesGoneLeader();
+  inline void setReplacesGoneLeader(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class MeshVoteRequest::Pipeline {
+public:
+  typedef MeshVoteRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class MeshVoteReply::Reader {
+public:
+  typedef MeshVoteReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsGranted() const;
+
+  inline bool hasLeaderHint() const;
+  inline  ::capnp::Text::Reader getLeaderHint() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class MeshVoteReply::Builder {
+public:
+  typedef MeshVoteReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsGranted();
+  inline void setIsGranted(bool value);
+
+  inline bool hasLeaderHint();
+  inline  ::capnp::Text::Builder getLeaderHint();
+  inline void setLeaderHint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeaderHint(unsigned int size);
+  inline void adoptLeaderHint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeaderHint();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class MeshVoteReply::Pipeline {
+public:
+  typedef MeshVoteReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StoredKeys::Reader {
+public:
+  typedef StoredKeys Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasHolders() const;
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Reader getHolders() const;
+
+  inline bool hasFirst() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getFirst() const;
+
+  inline bool hasOwner() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getOwner() const;
+
+  inline bool hasFence() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getFence() const;
+
+  inline bool hasHandovers() const;
+  inline  ::capnp::Data::Reader getHandovers() const;
+
+  inline bool hasHandoverLength() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getHandoverLength() const;
+
+  inline bool hasNext() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getNext() const;
+
+  inline bool hasNextFence() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNextFence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoredKeys::Builder {
+public:
+  typedef StoredKeys Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasHolders();
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Builder getHolders();
+  inline void setHolders( ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>::Builder initHolders(unsigned int size);
+  inline void adoptHolders(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys::Holder,  ::capnp::Kind::STRUCT>> disownHolders();
+
+  inline bool hasFirst();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getFirst();
+  inline void setFirst( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setFirst(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initFirst(unsigned int size);
+  inline void adoptFirst(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownFirst();
+
+  inline bool hasOwner();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getOwner();
+  inline void setOwner( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setOwner(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initOwner(unsigned int size);
+  inline void adoptOwner(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownOwner();
+
+  inline bool hasFence();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getFence();
+  inline void setFence( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setFence(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initFence(unsigned int size);
+  inline void adoptFence(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownFence();
+
+  inline bool hasHandovers();
+  inline  ::capnp::Data::Builder getHandovers();
+  inline void setHandovers( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initHandovers(unsigned int size);
+  inline void adoptHandovers(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownHandovers();
+
+  inline bool hasHandoverLength();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getHandoverLength();
+  inline void setHandoverLength( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHandoverLength(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initHandoverLength(unsigned int size);
+  inline void adoptHandoverLength(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownHandoverLength();
+
+  inline bool hasNext();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getNext();
+  inline void setNext( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setNext(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initNext(unsigned int size);
+  inline void adoptNext(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownNext();
+
+  inline bool hasNextFence();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getNextFence();
+  inline void setNextFence( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setNextFence(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initNextFence(unsigned int size);
+  inline void adoptNextFence(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNextFence();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoredKeys::Pipeline {
+public:
+  typedef StoredKeys Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StoredKeys::Holder::Reader {
+public:
+  typedef Holder Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasTargetId() const;
+  inline  ::capnp::Text::Reader getTargetId() const;
+
+  inline  ::int64_t getTargetStartedUnixMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoredKeys::Holder::Builder {
+public:
+  typedef Holder Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasTargetId();
+  inline  ::capnp::Text::Builder getTargetId();
+  inline void setTargetId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTargetId(unsigned int size);
+  inline void adoptTargetId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTargetId();
+
+  inline  ::int64_t getTargetStartedUnixMs();
+  inline void setTargetStartedUnixMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoredKeys::Holder::Pipeline {
+public:
+  typedef Holder Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StoredMesh::Reader {
+public:
+  typedef StoredMesh Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline bool hasLeader() const;
+  inline  ::capnp::Text::Reader getLeader() const;
+
+  inline bool hasVoters() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getVoters() const;
+
+  inline bool hasRuns() const;
+  inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
+
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Reader getKeys() const;
+
+  inline  ::uint32_t getLongestLeaseMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoredMesh::Builder {
+public:
+  typedef StoredMesh Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline bool hasLeader();
+  inline  ::capnp::Text::Builder getLeader();
+  inline void setLeader( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeader(unsigned int size);
+  inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeader();
+
+  inline bool hasVoters();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getVoters();
+  inline void setVoters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setVoters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initVoters(unsigned int size);
+  inline void adoptVoters(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownVoters();
+
+  inline bool hasRuns();
+  inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Builder getRuns();
+  inline void setRuns( ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Builder initRuns(unsigned int size);
+  inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>> disownRuns();
+
+  inline bool hasKeys();
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::StoredKeys,  ::capnp::Kind::STRUCT>> disownKeys();
+
+  inline  ::uint32_t getLongestLeaseMs();
+  inline void setLongestLeaseMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoredMesh::Pipeline {
+public:
+  typedef StoredMesh Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint32_t SlotSpan::Reader::getFirst() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotSpan::Builder::getFirst() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotSpan::Builder::setFirst( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotSpan::Reader::getLast() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotSpan::Builder::getLast() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SlotSpan::Builder::setLast( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MeshHeartbeat::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeat::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool MeshHeartbeat::Reader::hasDataAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasDataAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MeshHeartbeat::Reader::getDataAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Builder::getDataAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::setDataAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Builder::initDataAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeat::Builder::adoptDataAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Builder::disownDataAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool MeshHeartbeat::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MeshHeartbeat::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeat::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MeshHeartbeat::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeat::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshHeartbeat::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeat::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::getPromises() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool MeshHeartbeat::Builder::getPromises() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setPromises(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshHeartbeat::Reader::getLeaderNonce() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeat::Builder::getLeaderNonce() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setLeaderNonce( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t MeshHeartbeat::Reader::getLeaderStampNs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t MeshHeartbeat::Builder::getLeaderStampNs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setLeaderStampNs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshHeartbeat::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeat::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshHeartbeat::Reader::getViewVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeat::Builder::getViewVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setViewVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshHeartbeat::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeat::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool MeshHeartbeat::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::getStoreAnswers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool MeshHeartbeat::Builder::getStoreAnswers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setStoreAnswers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::getIsUrgent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+
+inline bool MeshHeartbeat::Builder::getIsUrgent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setIsUrgent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t MeshHeartbeat::Reader::getTargetState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t MeshHeartbeat::Builder::getTargetState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setTargetState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::hasTargetId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasTargetId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MeshHeartbeat::Reader::getTargetId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Builder::getTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::setTargetId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Builder::initTargetId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeat::Builder::adoptTargetId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Builder::disownTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t MeshHeartbeat::Reader::getTargetStartedUnixMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t MeshHeartbeat::Builder::getTargetStartedUnixMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setTargetStartedUnixMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MeshHeartbeat::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeat::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t MeshHeartbeat::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshHeartbeat::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t MeshHeartbeat::Reader::getColdMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshHeartbeat::Builder::getColdMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setColdMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::hasReleased() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasReleased() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>::Reader MeshHeartbeat::Reader::getReleased() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeat::Builder::getReleased() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::setReleased( ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeat::Builder::initReleased(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeat::Builder::adoptReleased(
+    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>> MeshHeartbeat::Builder::disownReleased() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool MeshHeartbeat::Reader::hasArrivals() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasArrivals() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeat::Reader::getArrivals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::getArrivals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::setArrivals( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void MeshHeartbeat::Builder::setArrivals(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::initArrivals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeat::Builder::adoptArrivals(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeat::Builder::disownArrivals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t MeshHeartbeat::Reader::getMeanWorkUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshHeartbeat::Builder::getMeanWorkUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setMeanWorkUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::hasCrashSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasCrashSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeat::Reader::getCrashSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::getCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::setCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void MeshHeartbeat::Builder::setCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::initCrashSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeat::Builder::adoptCrashSuspects(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeat::Builder::disownCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool MeshHeartbeat::Reader::hasObsoleteConfigDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasObsoleteConfigDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader MeshHeartbeat::Reader::getObsoleteConfigDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder MeshHeartbeat::Builder::getObsoleteConfigDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::setObsoleteConfigDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder MeshHeartbeat::Builder::initObsoleteConfigDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeat::Builder::adoptObsoleteConfigDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> MeshHeartbeat::Builder::disownObsoleteConfigDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t MeshHeartbeat::Reader::getLeaderMeritMilli() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshHeartbeat::Builder::getLeaderMeritMilli() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setLeaderMeritMilli( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::getObsoleteStoreFailed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+}
+
+inline bool MeshHeartbeat::Builder::getObsoleteStoreFailed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setObsoleteStoreFailed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<132>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::getConfigFetchFailed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<133>() * ::capnp::ELEMENTS);
+}
+
+inline bool MeshHeartbeat::Builder::getConfigFetchFailed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<133>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setConfigFetchFailed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<133>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Released::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Released::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MeshHeartbeat::Released::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Released::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Released::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MeshHeartbeat::Released::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeat::Builder::adoptZone(
+inline void MeshHeartbeat::Released::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Builder::disownZone() {
+inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Released::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MeshHeartbeat::Reader::getIncarnation() const {
+inline bool MeshHeartbeat::Released::Reader::hasRange() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Released::Builder::hasRange() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citrongrade::rpc::SlotSpan::Reader MeshHeartbeat::Released::Reader::getRange() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::citrongrade::rpc::SlotSpan::Builder MeshHeartbeat::Released::Builder::getRange() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::SlotSpan::Pipeline MeshHeartbeat::Released::Pipeline::getRange() {
+  return  ::citrongrade::rpc::SlotSpan::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void MeshHeartbeat::Released::Builder::setRange( ::citrongrade::rpc::SlotSpan::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::citrongrade::rpc::SlotSpan::Builder MeshHeartbeat::Released::Builder::initRange() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Released::Builder::adoptRange(
+    ::capnp::Orphan< ::citrongrade::rpc::SlotSpan>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citrongrade::rpc::SlotSpan> MeshHeartbeat::Released::Builder::disownRange() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MeshHeartbeat::Released::Reader::getFence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MeshHeartbeat::Builder::getIncarnation() {
+inline  ::uint64_t MeshHeartbeat::Released::Builder::getFence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeat::Builder::setIncarnation( ::uint64_t value) {
+inline void MeshHeartbeat::Released::Builder::setFence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MeshHeartbeat::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t MeshHeartbeat::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void MeshHeartbeat::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool MeshHeartbeat::Released::Reader::hasHandover() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool MeshHeartbeat::Reader::getPromises() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline bool MeshHeartbeat::Released::Builder::hasHandover() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool MeshHeartbeat::Builder::getPromises() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader MeshHeartbeat::Released::Reader::getHandover() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Builder::setPromises(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder MeshHeartbeat::Released::Builder::getHandover() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t MeshHeartbeat::Reader::getLeaderNonce() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void MeshHeartbeat::Released::Builder::setHandover( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t MeshHeartbeat::Builder::getLeaderNonce() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder MeshHeartbeat::Released::Builder::initHandover(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeat::Builder::setLeaderNonce( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void MeshHeartbeat::Released::Builder::adoptHandover(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::int64_t MeshHeartbeat::Reader::getLeaderStampNs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Released::Builder::disownHandover() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t MeshHeartbeat::Builder::getLeaderStampNs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool MeshMemberEntry::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void MeshHeartbeat::Builder::setLeaderStampNs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline bool MeshMemberEntry::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t MeshHeartbeat::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader MeshMemberEntry::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t MeshHeartbeat::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder MeshMemberEntry::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void MeshMemberEntry::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t MeshHeartbeat::Reader::getViewVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder MeshMemberEntry::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t MeshHeartbeat::Builder::getViewVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline void MeshMemberEntry::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void MeshHeartbeat::Builder::setViewVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> MeshMemberEntry::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MeshHeartbeat::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline bool MeshMemberEntry::Reader::hasDataAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t MeshHeartbeat::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline bool MeshMemberEntry::Builder::hasDataAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void MeshHeartbeat::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader MeshMemberEntry::Reader::getDataAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool MeshHeartbeat::Reader::getIsLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder MeshMemberEntry::Builder::getDataAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool MeshHeartbeat::Builder::getIsLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+inline void MeshMemberEntry::Builder::setDataAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void MeshHeartbeat::Builder::setIsLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder MeshMemberEntry::Builder::initDataAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline bool MeshHeartbeat::Reader::getStoreAnswers() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+inline void MeshMemberEntry::Builder::adoptDataAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MeshMemberEntry::Builder::disownDataAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeat::Builder::getStoreAnswers() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+inline bool MeshMemberEntry::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void MeshHeartbeat::Builder::setStoreAnswers(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+inline bool MeshMemberEntry::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool MeshHeartbeat::Reader::getIsUrgent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader MeshMemberEntry::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline bool MeshHeartbeat::Builder::getIsUrgent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder MeshMemberEntry::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Builder::setIsUrgent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<131>() * ::capnp::ELEMENTS, value);
+inline void MeshMemberEntry::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint8_t MeshHeartbeat::Reader::getTargetState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder MeshMemberEntry::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint8_t MeshHeartbeat::Builder::getTargetState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+inline void MeshMemberEntry::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void MeshHeartbeat::Builder::setTargetState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> MeshMemberEntry::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeat::Reader::hasTargetId() const {
+inline bool MeshMemberEntry::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeat::Builder::hasTargetId() {
+inline bool MeshMemberEntry::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshHeartbeat::Reader::getTargetId() const {
+inline  ::capnp::Text::Reader MeshMemberEntry::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshHeartbeat::Builder::getTargetId() {
+inline  ::capnp::Text::Builder MeshMemberEntry::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Builder::setTargetId( ::capnp::Text::Reader value) {
+inline void MeshMemberEntry::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshHeartbeat::Builder::initTargetId(unsigned int size) {
+inline  ::capnp::Text::Builder MeshMemberEntry::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void MeshHeartbeat::Builder::adoptTargetId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Builder::disownTargetId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t MeshHeartbeat::Reader::getTargetStartedUnixMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t MeshHeartbeat::Builder::getTargetStartedUnixMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeat::Builder::setTargetStartedUnixMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void MeshMemberEntry::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MeshMemberEntry::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeat::Reader::hasService() const {
+inline bool MeshMemberEntry::Reader::hasTargetId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeat::Builder::hasService() {
+inline bool MeshMemberEntry::Builder::hasTargetId() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshHeartbeat::Reader::getService() const {
+inline  ::capnp::Text::Reader MeshMemberEntry::Reader::getTargetId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshHeartbeat::Builder::getService() {
+inline  ::capnp::Text::Builder MeshMemberEntry::Builder::getTargetId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Builder::setService( ::capnp::Text::Reader value) {
+inline void MeshMemberEntry::Builder::setTargetId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshHeartbeat::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder MeshMemberEntry::Builder::initTargetId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeat::Builder::adoptService(
+inline void MeshMemberEntry::Builder::adoptTargetId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> MeshMemberEntry::Builder::disownTargetId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t MeshHeartbeat::Reader::getSlots() const {
+inline  ::int64_t MeshMemberEntry::Reader::getTargetStartedUnixMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t MeshMemberEntry::Builder::getTargetStartedUnixMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MeshMemberEntry::Builder::setTargetStartedUnixMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t MeshMemberEntry::Reader::getSlots() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t MeshHeartbeat::Builder::getSlots() {
+inline  ::uint32_t MeshMemberEntry::Builder::getSlots() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeat::Builder::setSlots( ::uint32_t value) {
+inline void MeshMemberEntry::Builder::setSlots( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t MeshHeartbeat::Reader::getColdMs() const {
+inline  ::uint8_t MeshMemberEntry::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t MeshMemberEntry::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void MeshMemberEntry::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t MeshMemberEntry::Reader::getLeaderMeritMilli() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t MeshHeartbeat::Builder::getColdMs() {
+inline  ::uint32_t MeshMemberEntry::Builder::getLeaderMeritMilli() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeat::Builder::setColdMs( ::uint32_t value) {
+inline void MeshMemberEntry::Builder::setLeaderMeritMilli( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshHeartbeat::Reader::hasReleased() const {
+inline bool MeshOwnedRun::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeat::Builder::hasReleased() {
+inline bool MeshOwnedRun::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>::Reader MeshHeartbeat::Reader::getReleased() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeat::Builder::getReleased() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Builder::setReleased( ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void MeshOwnedRun::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeat::Builder::initReleased(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeat::Builder::adoptReleased(
-    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline void MeshOwnedRun::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>> MeshHeartbeat::Builder::disownReleased() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshHeartbeat::Released,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeat::Reader::hasArrivals() const {
+inline bool MeshOwnedRun::Reader::hasRange() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeat::Builder::hasArrivals() {
+inline bool MeshOwnedRun::Builder::hasRange() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeat::Reader::getArrivals() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::getArrivals() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void MeshHeartbeat::Builder::setArrivals( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void MeshHeartbeat::Builder::setArrivals(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline  ::citrongrade::rpc::SlotSpan::Reader MeshOwnedRun::Reader::getRange() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::initArrivals(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline  ::citrongrade::rpc::SlotSpan::Builder MeshOwnedRun::Builder::getRange() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Builder::adoptArrivals(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::SlotSpan::Pipeline MeshOwnedRun::Pipeline::getRange() {
+  return  ::citrongrade::rpc::SlotSpan::Pipeline(_typeless.getPointerField(1));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeat::Builder::disownArrivals() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void MeshOwnedRun::Builder::setRange( ::citrongrade::rpc::SlotSpan::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t MeshHeartbeat::Reader::getMeanWorkUs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+inline  ::citrongrade::rpc::SlotSpan::Builder MeshOwnedRun::Builder::initRange() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t MeshHeartbeat::Builder::getMeanWorkUs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+inline void MeshOwnedRun::Builder::adoptRange(
+    ::capnp::Orphan< ::citrongrade::rpc::SlotSpan>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void MeshHeartbeat::Builder::setMeanWorkUs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::citrongrade::rpc::SlotSpan> MeshOwnedRun::Builder::disownRange() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeat::Reader::hasCrashSuspects() const {
+inline bool MeshOwnedRun::Reader::hasOwner() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeat::Builder::hasCrashSuspects() {
+inline bool MeshOwnedRun::Builder::hasOwner() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeat::Reader::getCrashSuspects() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::getCrashSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Builder::setCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Builder::setCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline void MeshOwnedRun::Builder::setOwner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::initCrashSuspects(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initOwner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeat::Builder::adoptCrashSuspects(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline void MeshOwnedRun::Builder::adoptOwner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeat::Builder::disownCrashSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeat::Reader::hasConfigDocument() const {
+inline bool MeshOwnedRun::Reader::hasTargetId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeat::Builder::hasConfigDocument() {
+inline bool MeshOwnedRun::Builder::hasTargetId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader MeshHeartbeat::Reader::getConfigDocument() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getTargetId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder MeshHeartbeat::Builder::getConfigDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Builder::setConfigDocument( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+inline void MeshOwnedRun::Builder::setTargetId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder MeshHeartbeat::Builder::initConfigDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initTargetId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeat::Builder::adoptConfigDocument(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+inline void MeshOwnedRun::Builder::adoptTargetId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> MeshHeartbeat::Builder::disownConfigDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t MeshHeartbeat::Reader::getLeaderMeritMilli() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+inline  ::int64_t MeshOwnedRun::Reader::getTargetStartedUnixMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t MeshHeartbeat::Builder::getLeaderMeritMilli() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+inline  ::int64_t MeshOwnedRun::Builder::getTargetStartedUnixMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeat::Builder::setLeaderMeritMilli( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+inline void MeshOwnedRun::Builder::setTargetStartedUnixMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshHeartbeat::Reader::getStoreFailed() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MeshOwnedRun::Reader::getFence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool MeshHeartbeat::Builder::getStoreFailed() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<132>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MeshOwnedRun::Builder::getFence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeat::Builder::setStoreFailed(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<132>() * ::capnp::ELEMENTS, value);
+inline void MeshOwnedRun::Builder::setFence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshHeartbeat::Released::Reader::hasService() const {
+inline bool MeshOwnedRun::Reader::hasHandover() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeat::Released::Builder::hasService() {
+inline bool MeshOwnedRun::Builder::hasHandover() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshHeartbeat::Released::Reader::getService() const {
+inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getHandover() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshHeartbeat::Released::Builder::getService() {
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getHandover() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Released::Builder::setService( ::capnp::Text::Reader value) {
+inline void MeshOwnedRun::Builder::setHandover( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshHeartbeat::Released::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initHandover(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeat::Released::Builder::adoptService(
+inline void MeshOwnedRun::Builder::adoptHandover(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Released::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownHandover() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeat::Released::Reader::hasRange() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool MeshHeartbeat::Released::Builder::hasRange() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t MeshOwnedRun::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::citrongrade::rpc::SlotSpan::Reader MeshHeartbeat::Released::Reader::getRange() const {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t MeshOwnedRun::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::citrongrade::rpc::SlotSpan::Builder MeshHeartbeat::Released::Builder::getRange() {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void MeshOwnedRun::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-#if !CAPNP_LITE
-inline  ::citrongrade::rpc::SlotSpan::Pipeline MeshHeartbeat::Released::Pipeline::getRange() {
-  return  ::citrongrade::rpc::SlotSpan::Pipeline(_typeless.getPointerField(1));
+
+inline bool MeshOwnedRun::Reader::hasNextAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-#endif  // !CAPNP_LITE
-inline void MeshHeartbeat::Released::Builder::setRange( ::citrongrade::rpc::SlotSpan::Reader value) {
-  ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline bool MeshOwnedRun::Builder::hasNextAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::citrongrade::rpc::SlotSpan::Builder MeshHeartbeat::Released::Builder::initRange() {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getNextAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Released::Builder::adoptRange(
-    ::capnp::Orphan< ::citrongrade::rpc::SlotSpan>&& value) {
-  ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getNextAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::citrongrade::rpc::SlotSpan> MeshHeartbeat::Released::Builder::disownRange() {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void MeshOwnedRun::Builder::setNextAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t MeshHeartbeat::Released::Reader::getFence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initNextAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t MeshHeartbeat::Released::Builder::getFence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void MeshOwnedRun::Builder::adoptNextAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void MeshHeartbeat::Released::Builder::setFence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownNextAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeat::Released::Reader::hasHandover() const {
+inline bool MeshOwnedRun::Reader::hasNextTargetId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeat::Released::Builder::hasHandover() {
+inline bool MeshOwnedRun::Builder::hasNextTargetId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshHeartbeat::Released::Reader::getHandover() const {
+inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getNextTargetId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshHeartbeat::Released::Builder::getHandover() {
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getNextTargetId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Released::Builder::setHandover( ::capnp::Text::Reader value) {
+inline void MeshOwnedRun::Builder::setNextTargetId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshHeartbeat::Released::Builder::initHandover(unsigned int size) {
+inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initNextTargetId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeat::Released::Builder::adoptHandover(
+inline void MeshOwnedRun::Builder::adoptNextTargetId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeat::Released::Builder::disownHandover() {
+inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownNextTargetId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool MeshMemberEntry::Reader::hasAddress() const {
+inline  ::int64_t MeshOwnedRun::Reader::getNextTargetStartedUnixMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t MeshOwnedRun::Builder::getNextTargetStartedUnixMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void MeshOwnedRun::Builder::setNextTargetStartedUnixMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshOwnedRun::Reader::getNextFence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshOwnedRun::Builder::getNextFence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void MeshOwnedRun::Builder::setNextFence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshKeyOwners::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshMemberEntry::Builder::hasAddress() {
+inline bool MeshKeyOwners::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshMemberEntry::Reader::getAddress() const {
+inline  ::capnp::Text::Reader MeshKeyOwners::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshMemberEntry::Builder::getAddress() {
+inline  ::capnp::Text::Builder MeshKeyOwners::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MeshMemberEntry::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void MeshKeyOwners::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshMemberEntry::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder MeshKeyOwners::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MeshMemberEntry::Builder::adoptAddress(
+inline void MeshKeyOwners::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshMemberEntry::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> MeshKeyOwners::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MeshMemberEntry::Reader::hasDataAddress() const {
+inline bool MeshKeyOwners::Reader::hasOwners() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshMemberEntry::Builder::hasDataAddress() {
+inline bool MeshKeyOwners::Builder::hasOwners() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshMemberEntry::Reader::getDataAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader MeshKeyOwners::Reader::getOwners() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshMemberEntry::Builder::getDataAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshKeyOwners::Builder::getOwners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MeshMemberEntry::Builder::setDataAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void MeshKeyOwners::Builder::setOwners( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void MeshKeyOwners::Builder::setOwners(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshMemberEntry::Builder::initDataAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshKeyOwners::Builder::initOwners(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MeshMemberEntry::Builder::adoptDataAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void MeshKeyOwners::Builder::adoptOwners(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshMemberEntry::Builder::disownDataAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> MeshKeyOwners::Builder::disownOwners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MeshMemberEntry::Reader::hasZone() const {
+inline bool MeshKeyOwners::Reader::hasFirst() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshMemberEntry::Builder::hasZone() {
+inline bool MeshKeyOwners::Builder::hasFirst() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshMemberEntry::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshKeyOwners::Reader::getFirst() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshMemberEntry::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::getFirst() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MeshMemberEntry::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void MeshKeyOwners::Builder::setFirst( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshMemberEntry::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void MeshKeyOwners::Builder::setFirst(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::initFirst(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void MeshMemberEntry::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void MeshKeyOwners::Builder::adoptFirst(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshMemberEntry::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> MeshKeyOwners::Builder::disownFirst() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool MeshMemberEntry::Reader::hasService() const {
+inline bool MeshKeyOwners::Reader::hasLast() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshMemberEntry::Builder::hasService() {
+inline bool MeshKeyOwners::Builder::hasLast() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshMemberEntry::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshKeyOwners::Reader::getLast() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshMemberEntry::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::getLast() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void MeshMemberEntry::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void MeshKeyOwners::Builder::setLast( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshMemberEntry::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void MeshKeyOwners::Builder::setLast(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::initLast(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void MeshMemberEntry::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void MeshKeyOwners::Builder::adoptLast(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshMemberEntry::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> MeshKeyOwners::Builder::disownLast() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool MeshMemberEntry::Reader::hasTargetId() const {
+inline bool MeshKeyOwners::Reader::hasOwner() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshMemberEntry::Builder::hasTargetId() {
+inline bool MeshKeyOwners::Builder::hasOwner() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshMemberEntry::Reader::getTargetId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshKeyOwners::Reader::getOwner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshMemberEntry::Builder::getTargetId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::getOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void MeshMemberEntry::Builder::setTargetId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void MeshKeyOwners::Builder::setOwner( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshMemberEntry::Builder::initTargetId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void MeshKeyOwners::Builder::setOwner(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::initOwner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void MeshMemberEntry::Builder::adoptTargetId(
+inline void MeshKeyOwners::Builder::adoptOwner(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> MeshKeyOwners::Builder::disownOwner() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool MeshKeyOwners::Reader::hasFence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshKeyOwners::Builder::hasFence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshKeyOwners::Reader::getFence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::getFence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void MeshKeyOwners::Builder::setFence( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void MeshKeyOwners::Builder::setFence(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::initFence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void MeshKeyOwners::Builder::adoptFence(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshKeyOwners::Builder::disownFence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool MeshHeartbeatReply::Reader::getIsLeader() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool MeshHeartbeatReply::Builder::getIsLeader() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeatReply::Builder::setIsLeader(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeatReply::Reader::hasLeaderHint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeatReply::Builder::hasLeaderHint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MeshHeartbeatReply::Reader::getLeaderHint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MeshHeartbeatReply::Builder::getLeaderHint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeatReply::Builder::setLeaderHint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MeshHeartbeatReply::Builder::initLeaderHint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeatReply::Builder::adoptLeaderHint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshMemberEntry::Builder::disownTargetId() {
+inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeatReply::Builder::disownLeaderHint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t MeshMemberEntry::Reader::getTargetStartedUnixMs() const {
+inline bool MeshHeartbeatReply::Reader::getHasResigned() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool MeshHeartbeatReply::Builder::getHasResigned() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeatReply::Builder::setHasResigned(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshHeartbeatReply::Reader::getNonce() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeatReply::Builder::getNonce() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeatReply::Builder::setNonce( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t MeshHeartbeatReply::Reader::getStampNs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t MeshMemberEntry::Builder::getTargetStartedUnixMs() {
+inline  ::int64_t MeshHeartbeatReply::Builder::getStampNs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MeshMemberEntry::Builder::setTargetStartedUnixMs( ::int64_t value) {
+inline void MeshHeartbeatReply::Builder::setStampNs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t MeshHeartbeatReply::Reader::getLeaseMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshHeartbeatReply::Builder::getLeaseMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeatReply::Builder::setLeaseMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t MeshMemberEntry::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
+inline bool MeshHeartbeatReply::Reader::getFollowStore() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t MeshMemberEntry::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
+inline bool MeshHeartbeatReply::Builder::getFollowStore() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MeshMemberEntry::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void MeshHeartbeatReply::Builder::setFollowStore(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t MeshMemberEntry::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MeshHeartbeatReply::Reader::getViewEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t MeshMemberEntry::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MeshHeartbeatReply::Builder::getViewEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void MeshMemberEntry::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+inline void MeshHeartbeatReply::Builder::setViewEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t MeshMemberEntry::Reader::getLeaderMeritMilli() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t MeshHeartbeatReply::Reader::getViewVersion() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t MeshMemberEntry::Builder::getLeaderMeritMilli() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t MeshHeartbeatReply::Builder::getViewVersion() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void MeshMemberEntry::Builder::setLeaderMeritMilli( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void MeshHeartbeatReply::Builder::setViewVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshOwnedRun::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool MeshOwnedRun::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void MeshOwnedRun::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline bool MeshHeartbeatReply::Reader::getViewIsWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void MeshOwnedRun::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool MeshHeartbeatReply::Builder::getViewIsWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void MeshHeartbeatReply::Builder::setViewIsWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshOwnedRun::Reader::hasRange() const {
+inline bool MeshHeartbeatReply::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshOwnedRun::Builder::hasRange() {
+inline bool MeshHeartbeatReply::Builder::hasMembers() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::citrongrade::rpc::SlotSpan::Reader MeshOwnedRun::Reader::getRange() const {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::get(_reader.getPointerField(
+inline  ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>::Reader MeshHeartbeatReply::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::citrongrade::rpc::SlotSpan::Builder MeshOwnedRun::Builder::getRange() {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::get(_builder.getPointerField(
+inline  ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::citrongrade::rpc::SlotSpan::Pipeline MeshOwnedRun::Pipeline::getRange() {
-  return  ::citrongrade::rpc::SlotSpan::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void MeshOwnedRun::Builder::setRange( ::citrongrade::rpc::SlotSpan::Reader value) {
-  ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::set(_builder.getPointerField(
+inline void MeshHeartbeatReply::Builder::setMembers( ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::citrongrade::rpc::SlotSpan::Builder MeshOwnedRun::Builder::initRange() {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MeshOwnedRun::Builder::adoptRange(
-    ::capnp::Orphan< ::citrongrade::rpc::SlotSpan>&& value) {
-  ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::adopt(_builder.getPointerField(
+inline void MeshHeartbeatReply::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::citrongrade::rpc::SlotSpan> MeshOwnedRun::Builder::disownRange() {
-  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::SlotSpan>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>> MeshHeartbeatReply::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MeshOwnedRun::Reader::hasOwner() const {
+inline bool MeshHeartbeatReply::Reader::hasRuns() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshOwnedRun::Builder::hasOwner() {
+inline bool MeshHeartbeatReply::Builder::hasRuns() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getOwner() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Reader MeshHeartbeatReply::Reader::getRuns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getOwner() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::getRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MeshOwnedRun::Builder::setOwner( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void MeshHeartbeatReply::Builder::setRuns( ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initOwner(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::initRuns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void MeshOwnedRun::Builder::adoptOwner(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void MeshHeartbeatReply::Builder::adoptRuns(
+    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownOwner() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>> MeshHeartbeatReply::Builder::disownRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool MeshOwnedRun::Reader::hasTargetId() const {
+inline bool MeshHeartbeatReply::Reader::hasCrashSuspects() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshOwnedRun::Builder::hasTargetId() {
+inline bool MeshHeartbeatReply::Builder::hasCrashSuspects() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getTargetId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeatReply::Reader::getCrashSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getTargetId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeatReply::Builder::getCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void MeshOwnedRun::Builder::setTargetId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void MeshHeartbeatReply::Builder::setCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initTargetId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void MeshHeartbeatReply::Builder::setCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeatReply::Builder::initCrashSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void MeshOwnedRun::Builder::adoptTargetId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void MeshHeartbeatReply::Builder::adoptCrashSuspects(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownTargetId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeatReply::Builder::disownCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t MeshOwnedRun::Reader::getTargetStartedUnixMs() const {
-  return _reader.getDataField< ::int64_t>(
