-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t MeshOwnedRun::Builder::getTargetStartedUnixMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void MeshOwnedRun::Builder::setTargetStartedUnixMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t MeshOwnedRun::Reader::getFence() const {
+inline  ::uint64_t MeshHeartbeatReply::Reader::getConfigVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MeshOwnedRun::Builder::getFence() {
+inline  ::uint64_t MeshHeartbeatReply::Builder::getConfigVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void MeshOwnedRun::Builder::setFence( ::uint64_t value) {
+inline void MeshHeartbeatReply::Builder::setConfigVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshOwnedRun::Reader::hasHandover() const {
+inline bool MeshHeartbeatReply::Reader::hasObsoleteConfigDocument() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshOwnedRun::Builder::hasHandover() {
+inline bool MeshHeartbeatReply::Builder::hasObsoleteConfigDocument() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getHandover() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader MeshHeartbeatReply::Reader::getObsoleteConfigDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getHandover() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder MeshHeartbeatReply::Builder::getObsoleteConfigDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void MeshOwnedRun::Builder::setHandover( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void MeshHeartbeatReply::Builder::setObsoleteConfigDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initHandover(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder MeshHeartbeatReply::Builder::initObsoleteConfigDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void MeshOwnedRun::Builder::adoptHandover(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void MeshHeartbeatReply::Builder::adoptObsoleteConfigDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownHandover() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> MeshHeartbeatReply::Builder::disownObsoleteConfigDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MeshOwnedRun::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t MeshOwnedRun::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void MeshOwnedRun::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool MeshOwnedRun::Reader::hasNextAddress() const {
+inline bool MeshHeartbeatReply::Reader::hasOwners() const {
   return !_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshOwnedRun::Builder::hasNextAddress() {
+inline bool MeshHeartbeatReply::Builder::hasOwners() {
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getNextAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>::Reader MeshHeartbeatReply::Reader::getOwners() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getNextAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::getOwners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void MeshOwnedRun::Builder::setNextAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void MeshHeartbeatReply::Builder::setOwners( ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initNextAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::initOwners(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void MeshOwnedRun::Builder::adoptNextAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void MeshHeartbeatReply::Builder::adoptOwners(
+    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownNextAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>> MeshHeartbeatReply::Builder::disownOwners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool MeshOwnedRun::Reader::hasNextTargetId() const {
+inline bool MeshHeartbeatReply::Reader::getIsNewProcess() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline bool MeshHeartbeatReply::Builder::getIsNewProcess() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeatReply::Builder::setIsNewProcess(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t MeshHeartbeatReply::Reader::getLongestLeaseMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshHeartbeatReply::Builder::getLongestLeaseMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeatReply::Builder::setLongestLeaseMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeatReply::Reader::hasConfigSource() const {
   return !_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshOwnedRun::Builder::hasNextTargetId() {
+inline bool MeshHeartbeatReply::Builder::hasConfigSource() {
   return !_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshOwnedRun::Reader::getNextTargetId() const {
+inline  ::capnp::Text::Reader MeshHeartbeatReply::Reader::getConfigSource() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::getNextTargetId() {
+inline  ::capnp::Text::Builder MeshHeartbeatReply::Builder::getConfigSource() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void MeshOwnedRun::Builder::setNextTargetId( ::capnp::Text::Reader value) {
+inline void MeshHeartbeatReply::Builder::setConfigSource( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshOwnedRun::Builder::initNextTargetId(unsigned int size) {
+inline  ::capnp::Text::Builder MeshHeartbeatReply::Builder::initConfigSource(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void MeshOwnedRun::Builder::adoptNextTargetId(
+inline void MeshHeartbeatReply::Builder::adoptConfigSource(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshOwnedRun::Builder::disownNextTargetId() {
+inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeatReply::Builder::disownConfigSource() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t MeshOwnedRun::Reader::getNextTargetStartedUnixMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MeshConfigRequest::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t MeshOwnedRun::Builder::getNextTargetStartedUnixMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MeshConfigRequest::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MeshOwnedRun::Builder::setNextTargetStartedUnixMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void MeshConfigRequest::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MeshOwnedRun::Reader::getNextFence() const {
+inline  ::uint64_t MeshConfigChange::Reader::getFromVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MeshOwnedRun::Builder::getNextFence() {
+inline  ::uint64_t MeshConfigChange::Builder::getFromVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MeshOwnedRun::Builder::setNextFence( ::uint64_t value) {
+inline void MeshConfigChange::Builder::setFromVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshKeyOwners::Reader::hasService() const {
+inline  ::uint64_t MeshConfigChange::Reader::getToVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshConfigChange::Builder::getToVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MeshConfigChange::Builder::setToVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshConfigChange::Reader::getHasStoreNext() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool MeshConfigChange::Builder::getHasStoreNext() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void MeshConfigChange::Builder::setHasStoreNext(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshConfigChange::Reader::getStoreNext() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshConfigChange::Builder::getStoreNext() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void MeshConfigChange::Builder::setStoreNext( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshConfigChange::Reader::hasLimits() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshKeyOwners::Builder::hasService() {
+inline bool MeshConfigChange::Builder::hasLimits() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshKeyOwners::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::citrongrade::rpc::MeshConfigChange::Limits::Reader MeshConfigChange::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::MeshConfigChange::Limits>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshKeyOwners::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::citrongrade::rpc::MeshConfigChange::Limits::Builder MeshConfigChange::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::MeshConfigChange::Limits>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MeshKeyOwners::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::MeshConfigChange::Limits::Pipeline MeshConfigChange::Pipeline::getLimits() {
+  return  ::citrongrade::rpc::MeshConfigChange::Limits::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void MeshConfigChange::Builder::setLimits( ::citrongrade::rpc::MeshConfigChange::Limits::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::MeshConfigChange::Limits>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshKeyOwners::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::citrongrade::rpc::MeshConfigChange::Limits::Builder MeshConfigChange::Builder::initLimits() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::MeshConfigChange::Limits>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MeshKeyOwners::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void MeshConfigChange::Builder::adoptLimits(
+    ::capnp::Orphan< ::citrongrade::rpc::MeshConfigChange::Limits>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::MeshConfigChange::Limits>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshKeyOwners::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::citrongrade::rpc::MeshConfigChange::Limits> MeshConfigChange::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::MeshConfigChange::Limits>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MeshKeyOwners::Reader::hasOwners() const {
+inline bool MeshConfigChange::Reader::hasRemovedRoutes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshKeyOwners::Builder::hasOwners() {
+inline bool MeshConfigChange::Builder::hasRemovedRoutes() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader MeshKeyOwners::Reader::getOwners() const {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader MeshConfigChange::Reader::getRemovedRoutes() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshKeyOwners::Builder::getOwners() {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Builder::getRemovedRoutes() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MeshKeyOwners::Builder::setOwners( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+inline void MeshConfigChange::Builder::setRemovedRoutes( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void MeshKeyOwners::Builder::setOwners(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+inline void MeshConfigChange::Builder::setRemovedRoutes(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshKeyOwners::Builder::initOwners(unsigned int size) {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Builder::initRemovedRoutes(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MeshKeyOwners::Builder::adoptOwners(
+inline void MeshConfigChange::Builder::adoptRemovedRoutes(
     ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> MeshKeyOwners::Builder::disownOwners() {
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> MeshConfigChange::Builder::disownRemovedRoutes() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MeshKeyOwners::Reader::hasFirst() const {
+inline bool MeshConfigChange::Reader::hasRemovedServices() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshKeyOwners::Builder::hasFirst() {
+inline bool MeshConfigChange::Builder::hasRemovedServices() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshKeyOwners::Reader::getFirst() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader MeshConfigChange::Reader::getRemovedServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::getFirst() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Builder::getRemovedServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MeshKeyOwners::Builder::setFirst( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void MeshConfigChange::Builder::setRemovedServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void MeshKeyOwners::Builder::setFirst(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void MeshConfigChange::Builder::setRemovedServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::initFirst(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Builder::initRemovedServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void MeshKeyOwners::Builder::adoptFirst(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void MeshConfigChange::Builder::adoptRemovedServices(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> MeshKeyOwners::Builder::disownFirst() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> MeshConfigChange::Builder::disownRemovedServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool MeshConfigChange::Reader::hasServices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshConfigChange::Builder::hasServices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>::Reader MeshConfigChange::Reader::getServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>::Builder MeshConfigChange::Builder::getServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void MeshConfigChange::Builder::setServices( ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>::Builder MeshConfigChange::Builder::initServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void MeshConfigChange::Builder::adoptServices(
+    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>> MeshConfigChange::Builder::disownServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Service,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool MeshConfigChange::Reader::hasHosts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshConfigChange::Builder::hasHosts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader MeshConfigChange::Reader::getHosts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Builder::getHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void MeshConfigChange::Builder::setHosts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void MeshConfigChange::Builder::setHosts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Builder::initHosts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void MeshConfigChange::Builder::adoptHosts(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> MeshConfigChange::Builder::disownHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool MeshConfigChange::Reader::hasTerms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshConfigChange::Builder::hasTerms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>::Reader MeshConfigChange::Reader::getTerms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>::Builder MeshConfigChange::Builder::getTerms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void MeshConfigChange::Builder::setTerms( ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>::Builder MeshConfigChange::Builder::initTerms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void MeshConfigChange::Builder::adoptTerms(
+    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>> MeshConfigChange::Builder::disownTerms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Terms,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool MeshConfigChange::Reader::hasNames() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshConfigChange::Builder::hasNames() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader MeshConfigChange::Reader::getNames() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder MeshConfigChange::Builder::getNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void MeshConfigChange::Builder::setNames( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder MeshConfigChange::Builder::initNames(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void MeshConfigChange::Builder::adoptNames(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> MeshConfigChange::Builder::disownNames() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool MeshKeyOwners::Reader::hasLast() const {
+inline bool MeshConfigChange::Reader::hasNameLength() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshKeyOwners::Builder::hasLast() {
+inline bool MeshConfigChange::Builder::hasNameLength() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshKeyOwners::Reader::getLast() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshConfigChange::Reader::getNameLength() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::getLast() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshConfigChange::Builder::getNameLength() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void MeshKeyOwners::Builder::setLast( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void MeshConfigChange::Builder::setNameLength( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline void MeshKeyOwners::Builder::setLast(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void MeshConfigChange::Builder::setNameLength(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::initLast(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshConfigChange::Builder::initNameLength(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void MeshKeyOwners::Builder::adoptLast(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void MeshConfigChange::Builder::adoptNameLength(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> MeshKeyOwners::Builder::disownLast() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> MeshConfigChange::Builder::disownNameLength() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline bool MeshKeyOwners::Reader::hasOwner() const {
+inline bool MeshConfigChange::Reader::hasPrefixes() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshKeyOwners::Builder::hasOwner() {
+inline bool MeshConfigChange::Builder::hasPrefixes() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshKeyOwners::Reader::getOwner() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::getOwner() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader MeshConfigChange::Reader::getPrefixes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void MeshKeyOwners::Builder::setOwner( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline  ::capnp::Data::Builder MeshConfigChange::Builder::getPrefixes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void MeshKeyOwners::Builder::setOwner(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void MeshConfigChange::Builder::setPrefixes( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::initOwner(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::Data::Builder MeshConfigChange::Builder::initPrefixes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
-inline void MeshKeyOwners::Builder::adoptOwner(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void MeshConfigChange::Builder::adoptPrefixes(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> MeshKeyOwners::Builder::disownOwner() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> MeshConfigChange::Builder::disownPrefixes() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline bool MeshKeyOwners::Reader::hasFence() const {
+inline bool MeshConfigChange::Reader::hasPrefixLength() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshKeyOwners::Builder::hasFence() {
+inline bool MeshConfigChange::Builder::hasPrefixLength() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshKeyOwners::Reader::getFence() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshConfigChange::Reader::getPrefixLength() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::getFence() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshConfigChange::Builder::getPrefixLength() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void MeshKeyOwners::Builder::setFence( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void MeshConfigChange::Builder::setPrefixLength( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-inline void MeshKeyOwners::Builder::setFence(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void MeshConfigChange::Builder::setPrefixLength(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshKeyOwners::Builder::initFence(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshConfigChange::Builder::initPrefixLength(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
-inline void MeshKeyOwners::Builder::adoptFence(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline void MeshConfigChange::Builder::adoptPrefixLength(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshKeyOwners::Builder::disownFence() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> MeshConfigChange::Builder::disownPrefixLength() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeatReply::Reader::getIsLeader() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool MeshConfigChange::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool MeshHeartbeatReply::Builder::getIsLeader() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool MeshConfigChange::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
 }
-inline void MeshHeartbeatReply::Builder::setIsLeader(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshConfigChange::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshConfigChange::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void MeshConfigChange::Builder::setHost( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline void MeshConfigChange::Builder::setHost(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshConfigChange::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void MeshConfigChange::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> MeshConfigChange::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeatReply::Reader::hasLeaderHint() const {
+inline bool MeshConfigChange::Reader::hasTerm() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeatReply::Builder::hasLeaderHint() {
+inline bool MeshConfigChange::Builder::hasTerm() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MeshHeartbeatReply::Reader::getLeaderHint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshConfigChange::Reader::getTerm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MeshHeartbeatReply::Builder::getLeaderHint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshConfigChange::Builder::getTerm() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeatReply::Builder::setLeaderHint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void MeshConfigChange::Builder::setTerm( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MeshHeartbeatReply::Builder::initLeaderHint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void MeshConfigChange::Builder::setTerm(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
 }
-inline void MeshHeartbeatReply::Builder::adoptLeaderHint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshConfigChange::Builder::initTerm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> MeshHeartbeatReply::Builder::disownLeaderHint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void MeshConfigChange::Builder::adoptTerm(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> MeshConfigChange::Builder::disownTerm() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeatReply::Reader::getHasResigned() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MeshConfigChange::Limits::Reader::getMaxHeaderBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool MeshHeartbeatReply::Builder::getHasResigned() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MeshConfigChange::Limits::Builder::getMaxHeaderBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeatReply::Builder::setHasResigned(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void MeshConfigChange::Limits::Builder::setMaxHeaderBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MeshHeartbeatReply::Reader::getNonce() const {
+inline  ::uint64_t MeshConfigChange::Limits::Reader::getMaxBodyBytes() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MeshHeartbeatReply::Builder::getNonce() {
+inline  ::uint64_t MeshConfigChange::Limits::Builder::getMaxBodyBytes() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeatReply::Builder::setNonce( ::uint64_t value) {
+inline void MeshConfigChange::Limits::Builder::setMaxBodyBytes( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t MeshHeartbeatReply::Reader::getStampNs() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint64_t MeshConfigChange::Limits::Reader::getHeaderTimeoutMs() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t MeshHeartbeatReply::Builder::getStampNs() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t MeshConfigChange::Limits::Builder::getHeaderTimeoutMs() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeatReply::Builder::setStampNs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void MeshConfigChange::Limits::Builder::setHeaderTimeoutMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t MeshHeartbeatReply::Reader::getLeaseMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MeshConfigChange::Limits::Reader::getIdleTimeoutMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t MeshHeartbeatReply::Builder::getLeaseMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void MeshHeartbeatReply::Builder::setLeaseMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::uint64_t MeshConfigChange::Limits::Builder::getIdleTimeoutMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-
-inline bool MeshHeartbeatReply::Reader::getFollowStore() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void MeshConfigChange::Limits::Builder::setIdleTimeoutMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshHeartbeatReply::Builder::getFollowStore() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool MeshConfigChange::Service::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void MeshHeartbeatReply::Builder::setFollowStore(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool MeshConfigChange::Service::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t MeshHeartbeatReply::Reader::getViewEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader MeshConfigChange::Service::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t MeshHeartbeatReply::Builder::getViewEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder MeshConfigChange::Service::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeatReply::Builder::setViewEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void MeshConfigChange::Service::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t MeshHeartbeatReply::Reader::getViewVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder MeshConfigChange::Service::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t MeshHeartbeatReply::Builder::getViewVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void MeshConfigChange::Service::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void MeshHeartbeatReply::Builder::setViewVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> MeshConfigChange::Service::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeatReply::Reader::getViewIsWhole() const {
+inline bool MeshConfigChange::Service::Reader::getIsDividedByKey() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool MeshHeartbeatReply::Builder::getViewIsWhole() {
+inline bool MeshConfigChange::Service::Builder::getIsDividedByKey() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeatReply::Builder::setViewIsWhole(bool value) {
+inline void MeshConfigChange::Service::Builder::setIsDividedByKey(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshHeartbeatReply::Reader::hasMembers() const {
+inline bool MeshConfigChange::Service::Reader::hasHealthPath() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeatReply::Builder::hasMembers() {
+inline bool MeshConfigChange::Service::Builder::hasHealthPath() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>::Reader MeshHeartbeatReply::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader MeshConfigChange::Service::Reader::getHealthPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder MeshConfigChange::Service::Builder::getHealthPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeatReply::Builder::setMembers( ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void MeshConfigChange::Service::Builder::setHealthPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder MeshConfigChange::Service::Builder::initHealthPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeatReply::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void MeshConfigChange::Service::Builder::adoptHealthPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>> MeshHeartbeatReply::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshMemberEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> MeshConfigChange::Service::Builder::disownHealthPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeatReply::Reader::hasRuns() const {
+inline  ::uint32_t MeshConfigChange::Service::Reader::getMaxConnections() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshConfigChange::Service::Builder::getMaxConnections() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MeshConfigChange::Service::Builder::setMaxConnections( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshConfigChange::Destination::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeatReply::Builder::hasRuns() {
+inline bool MeshConfigChange::Destination::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Reader MeshHeartbeatReply::Reader::getRuns() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MeshConfigChange::Destination::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::getRuns() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MeshConfigChange::Destination::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeatReply::Builder::setRuns( ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void MeshConfigChange::Destination::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::initRuns(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder MeshConfigChange::Destination::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeatReply::Builder::adoptRuns(
-    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void MeshConfigChange::Destination::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>> MeshHeartbeatReply::Builder::disownRuns() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MeshConfigChange::Destination::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeatReply::Reader::hasCrashSuspects() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t MeshConfigChange::Destination::Reader::getWeight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool MeshHeartbeatReply::Builder::hasCrashSuspects() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t MeshConfigChange::Destination::Builder::getWeight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeatReply::Reader::getCrashSuspects() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void MeshConfigChange::Destination::Builder::setWeight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeatReply::Builder::getCrashSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline bool MeshConfigChange::Terms::Reader::getIsIdempotent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeatReply::Builder::setCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+
+inline bool MeshConfigChange::Terms::Builder::getIsIdempotent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeatReply::Builder::setCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void MeshConfigChange::Terms::Builder::setIsIdempotent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeatReply::Builder::initCrashSuspects(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t MeshConfigChange::Terms::Reader::getTimeoutMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeatReply::Builder::adoptCrashSuspects(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t MeshConfigChange::Terms::Builder::getTimeoutMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeatReply::Builder::disownCrashSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void MeshConfigChange::Terms::Builder::setTimeoutMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MeshHeartbeatReply::Reader::getConfigVersion() const {
+inline  ::uint64_t MeshConfigChange::Terms::Reader::getTargetLatencyMs() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MeshHeartbeatReply::Builder::getConfigVersion() {
+inline  ::uint64_t MeshConfigChange::Terms::Builder::getTargetLatencyMs() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeatReply::Builder::setConfigVersion( ::uint64_t value) {
+inline void MeshConfigChange::Terms::Builder::setTargetLatencyMs( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshHeartbeatReply::Reader::hasConfigDocument() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool MeshHeartbeatReply::Builder::hasConfigDocument() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader MeshHeartbeatReply::Reader::getConfigDocument() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::uint32_t MeshConfigChange::Terms::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Data::Builder MeshHeartbeatReply::Builder::getConfigDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint32_t MeshConfigChange::Terms::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeatReply::Builder::setConfigDocument( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void MeshConfigChange::Terms::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Data::Builder MeshHeartbeatReply::Builder::initConfigDocument(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t MeshConfigChange::Terms::Reader::getMaxAttempts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void MeshHeartbeatReply::Builder::adoptConfigDocument(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t MeshConfigChange::Terms::Builder::getMaxAttempts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Data> MeshHeartbeatReply::Builder::disownConfigDocument() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void MeshConfigChange::Terms::Builder::setMaxAttempts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshHeartbeatReply::Reader::hasOwners() const {
+inline bool MeshConfigChange::Terms::Reader::hasDestinations() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeatReply::Builder::hasOwners() {
+inline bool MeshConfigChange::Terms::Builder::hasDestinations() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>::Reader MeshHeartbeatReply::Reader::getOwners() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::getOwners() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void MeshHeartbeatReply::Builder::setOwners( ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>::Builder MeshHeartbeatReply::Builder::initOwners(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
-}
-inline void MeshHeartbeatReply::Builder::adoptOwners(
-    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>> MeshHeartbeatReply::Builder::disownOwners() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshKeyOwners,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool MeshHeartbeatReply::Reader::getIsNewProcess() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>::Reader MeshConfigChange::Terms::Reader::getDestinations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool MeshHeartbeatReply::Builder::getIsNewProcess() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>::Builder MeshConfigChange::Terms::Builder::getDestinations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeatReply::Builder::setIsNewProcess(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void MeshConfigChange::Terms::Builder::setDestinations( ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t MeshHeartbeatReply::Reader::getLongestLeaseMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>::Builder MeshConfigChange::Terms::Builder::initDestinations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t MeshHeartbeatReply::Builder::getLongestLeaseMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline void MeshConfigChange::Terms::Builder::adoptDestinations(
+    ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void MeshHeartbeatReply::Builder::setLongestLeaseMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>> MeshConfigChange::Terms::Builder::disownDestinations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool MeshVoteRequest::Reader::hasCandidate() const {
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -1,10 +1,5 @@
 #include "modules/protocol/mesh_message_codec.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
-
 #include <cstdint>
 #include <map>
 #include <string>
@@ -14,34 +9,12 @@
 
 #include "modules/protocol/malformed_message_error.h"
 #include "modules/protocol/mesh.capnp.h"
+#include "modules/protocol/packed_message.h"
 
 namespace citrongrade {
 
 namespace {
 
-template <typename Builder>
-std::string Pack(Builder& message) {
-  kj::VectorOutputStream stream;
-  capnp::writePackedMessage(stream, message);
-  const auto bytes = stream.getArray();
-  return std::string(reinterpret_cast<const char*>(bytes.begin()),
-                     bytes.size());
-}
-
-// Runs `read` on the message's root; whatever is wrong with the bytes is a
-// MalformedMessageError.
-template <typename Root, typename Read>
-auto Unpack(std::string_view bytes, Read read) {
-  try {
-    kj::ArrayInputStream stream(kj::arrayPtr(
-        reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
-    capnp::PackedMessageReader message(stream);
-    return read(message.getRoot<Root>());
-  } catch (const kj::Exception& error) {
-    throw MalformedMessageError(error.getDescription().cStr());
-  }
-}
-
 void CheckRange(const SlotRange& range) {
   if (range.first > range.last || range.last >= kSlotCount)
     throw MalformedMessageError("not a range of slots");
@@ -130,16 +103,6 @@
   return kj::arrayPtr(numbers.data(), numbers.size());
 }
 
-std::string ReadBytes(capnp::Data::Reader bytes) {
-  return std::string(reinterpret_cast<const char*>(bytes.begin()),
-                     bytes.size());
-}
-
-kj::ArrayPtr<const kj::byte> BytesOf(const std::string& bytes) {
-  return kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()),
-                      bytes.size());
-}
-
 void WriteReleased(const std::vector<Heartbeat::Released>& released,
                    rpc::MeshHeartbeat::Builder out) {
   auto list = out.initReleased(static_cast<unsigned>(released.size()));
@@ -188,9 +151,9 @@
   heartbeat.epoch = in.getEpoch();
   heartbeat.view_version = in.getViewVersion();
   heartbeat.config_version = in.getConfigVersion();
+  heartbeat.config_fetch_failed = in.getConfigFetchFailed();
   heartbeat.is_leaving = in.getIsLeaving();
   heartbeat.store_answers = in.getStoreAnswers();
-  heartbeat.store_failed = in.getStoreFailed();
   heartbeat.is_urgent = in.getIsUrgent();
   heartbeat.target = ReadTarget(in);
   for (const auto released : in.getReleased()) {
@@ -203,7 +166,6 @@
     heartbeat.arrivals.push_back({arrivals[i], arrivals[i + 1]});
   heartbeat.mean_work_us = in.getMeanWorkUs();
   heartbeat.crash_suspects = ReadNumbers(in.getCrashSuspects());
-  heartbeat.config_document = ReadBytes(in.getConfigDocument());
   return heartbeat;
 }
 
@@ -317,7 +279,7 @@
     ReadKeyOwners(owners, reply.view.runs);
   reply.crash_suspects = ReadNumbers(in.getCrashSuspects());
   reply.config_version = in.getConfigVersion();
-  reply.config_document = ReadBytes(in.getConfigDocument());
+  reply.config_source = in.getConfigSource();
   return reply;
 }
 
@@ -449,9 +411,9 @@
   out.setEpoch(heartbeat.epoch);
   out.setViewVersion(heartbeat.view_version);
   out.setConfigVersion(heartbeat.config_version);
+  out.setConfigFetchFailed(heartbeat.config_fetch_failed);
   out.setIsLeaving(heartbeat.is_leaving);
   out.setStoreAnswers(heartbeat.store_answers);
-  out.setStoreFailed(heartbeat.store_failed);
   out.setIsUrgent(heartbeat.is_urgent);
   out.setTargetState(static_cast<std::uint8_t>(heartbeat.target.state));
   out.setTargetId(heartbeat.target.life.id);
@@ -463,7 +425,6 @@
   WriteArrivals(heartbeat.arrivals, out);
   out.setMeanWorkUs(heartbeat.mean_work_us);
   out.setCrashSuspects(NumbersOf(heartbeat.crash_suspects));
-  out.setConfigDocument(BytesOf(heartbeat.config_document));
   return Pack(message);
 }
 
@@ -489,7 +450,7 @@
   WriteViewRuns(reply.view.runs, out);
   out.setCrashSuspects(NumbersOf(reply.crash_suspects));
   out.setConfigVersion(reply.config_version);
-  out.setConfigDocument(BytesOf(reply.config_document));
+  out.setConfigSource(reply.config_source);
   return Pack(message);
 }
 
--- /dev/null
+++ b/modules/state/mesh/config_change_test.cc
@@ -0,0 +1,62 @@
+#include "modules/state/mesh/config_change.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace citrongrade {
+
+namespace {
+
+RouteRule Route(const std::string& name, const std::string& service) {
+  RouteRule route;
+  route.name = name;
+  route.host = "h.example";
+  route.path_prefix = "/" + name + "/";
+  route.destinations = {{service, 1}};
+  return route;
+}
+
+RoutingConfig Older() {
+  RoutingConfig config;
+  config.version = 4;
+  config.routes = {Route("a", "one"), Route("b", "one"), Route("c", "two")};
+  config.services["one"].name = "one";
+  config.services["two"].name = "two";
+  return config;
+}
+
+// A route moved, one is gone and one is new, as is a service.
+RoutingConfig Newer() {
+  RoutingConfig config = Older();
+  config.version = 9;
+  config.routes = {Route("a", "two"), Route("c", "two"), Route("d", "three")};
+  config.services.erase("one");
+  config.services["three"].name = "three";
+  config.limits.idle_timeout = std::chrono::seconds(7);
+  return config;
+}
+
+}  // namespace
+
+TEST_CASE("a change leads from one version to the other") {
+  const ConfigChange change = ConfigChange::Between(Older(), Newer());
+  CHECK(change.routes.size() == 2);
+  CHECK(change.ApplyTo(Older()) == Newer());
+}
+
+TEST_CASE("a change from nothing names everything and needs no base") {
+  CHECK(ConfigChange::Whole(Newer()).ApplyTo(Older()) == Newer());
+}
+
+TEST_CASE("a change is as long as the difference, not as the configuration") {
+  RoutingConfig older = Older();
+  for (int i = 0; i < 3000; ++i)
+    older.routes.push_back(Route("route-" + std::to_string(i), "one"));
+  RoutingConfig newer = older;
+  newer.version = 10;
+  newer.routes.front().timeout = std::chrono::milliseconds(700);
+  CHECK(ConfigChange::Between(older, newer).routes.size() == 1);
+}
+
+}  // namespace citrongrade
--- a/modules/transport/async/async_http_connection.cc
+++ b/modules/transport/async/async_http_connection.cc
@@ -120,8 +120,11 @@
         m_stream(loop) {}
 
   Task<> Connect(Clock::Duration timeout);
+  // `next_timeout`: of each piece of the answer but the first; zero: `timeout`
+  // is for all of it.
   Task<HttpResponse> Call(HttpRequest request,
                           Clock::Duration timeout,
+                          Clock::Duration next_timeout,
                           IsAnswer is_answer);
   void Close() {
     m_is_usable = false;
@@ -132,7 +135,10 @@
   Clock::Duration peer_keep_alive() const { return m_peer_keep_alive; }
 
  private:
-  Task<HttpResponse> ReadOne();
+  Task<HttpResponse> ReadOne(Clock::Duration next_timeout);
+  Task<> ReadInPieces(Parser& parser,
+                      Clock::Duration next_timeout,
+                      boost::system::error_code& error);
 
   const std::string m_host;
   const tcp::endpoint m_endpoint;
@@ -164,14 +170,33 @@
   m_is_usable = true;
 }
 
-Task<HttpResponse> AsyncHttpConnection::Implementation::ReadOne() {
+Task<> AsyncHttpConnection::Implementation::ReadInPieces(
+    Parser& parser,
+    Clock::Duration next_timeout,
+    boost::system::error_code& error) {
+  parser.eager(true);
+  while (!error && !parser.is_done()) {
+    co_await http::async_read_some(
+        m_stream, m_buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    m_stream.expires_after(next_timeout);
+  }
+}
+
+Task<HttpResponse> AsyncHttpConnection::Implementation::ReadOne(
+    Clock::Duration next_timeout) {
   while (true) {
     Parser parser;
     parser.body_limit(kMaxAnswerBytes);
     parser.header_limit(kMaxHeadBytes);
     boost::system::error_code error;
-    co_await http::async_read(m_stream, m_buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    if (next_timeout > Clock::Duration(0)) {
+      co_await ReadInPieces(parser, next_timeout, error);
+    } else {
+      co_await http::async_read(
+          m_stream, m_buffer, parser,
+          asio::redirect_error(asio::use_awaitable, error));
+    }
     if (error)
       ThrowReadError(error, parser.got_some(), m_host);
     if (parser.get().result_int() < kFirstFinalStatus)
@@ -184,6 +209,7 @@
 Task<HttpResponse> AsyncHttpConnection::Implementation::Call(
     HttpRequest request,
     Clock::Duration timeout,
+    Clock::Duration next_timeout,
     IsAnswer is_answer) {
   // Opening the connection, or a pause of the process, may have taken all the
   // time. Sent now it would arrive when its sender has given it up: a grant
@@ -202,7 +228,7 @@
                     });
   bool was_exact = true;
   while (true) {
-    HttpResponse response = co_await ReadOne();
+    HttpResponse response = co_await ReadOne(next_timeout);
     if (is_answer && !is_answer(response)) {
       was_exact = false;
       if (!m_peer_keeps_open)
@@ -247,10 +273,21 @@
                                              Clock::Duration timeout,
                                              IsAnswer is_answer) {
   const auto implementation = m_implementation;
-  co_return co_await implementation->Call(std::move(request), timeout,
+  constexpr Clock::Duration kForAll{0};
+  co_return co_await implementation->Call(std::move(request), timeout, kForAll,
                                           std::move(is_answer));
 }
 
+Task<HttpResponse> AsyncHttpConnection::CallForLongAnswer(
+    HttpRequest request,
+    Clock::Duration first_timeout,
+    Clock::Duration next_timeout) {
+  const auto implementation = m_implementation;
+  const IsAnswer is_answer;
+  co_return co_await implementation->Call(std::move(request), first_timeout,
+                                          next_timeout, is_answer);
+}
+
 void AsyncHttpConnection::Close() {
   m_implementation->Close();
 }
--- a/modules/transport/async/async_http_connection.h
+++ b/modules/transport/async/async_http_connection.h
@@ -43,6 +43,13 @@
                           Clock::Duration timeout,
                           IsAnswer is_answer = nullptr);
 
+  // The same for an answer that may be long: its first bytes have to come
+  // within `first_timeout`, each next ones within `next_timeout`. So the time
+  // it takes is bounded by whether it moves on, not by its length.
+  Task<HttpResponse> CallForLongAnswer(HttpRequest request,
+                                       Clock::Duration first_timeout,
+                                       Clock::Duration next_timeout);
+
   // Makes a call that waits fail at once: the peer sees its connection reset,
   // and what is still on its way does not arrive.
   void Close();
--- a/modules/transport/async/async_http_test.cc
+++ b/modules/transport/async/async_http_test.cc
@@ -145,6 +145,43 @@
   return end;
 }
 
+// An answer that comes piece by piece, read with a timeout for each.
+CallEnd CallForPieces(int pieces, milliseconds between, milliseconds timeout) {
+  asio::io_context loop;
+  tcp::acceptor acceptor(
+      loop, {asio::ip::make_address(kRawServer.ip), kRawServer.port});
+  const auto serve = [&]() -> Task<> {
+    tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::string text =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces) +
+        "\r\n\r\n";
+    asio::steady_timer timer(loop);
+    for (int i = 0; i < pieces; ++i) {
+      text += "x";
+      boost::system::error_code ignored;
+      co_await asio::async_write(
+          socket, asio::buffer(text),
+          asio::redirect_error(asio::use_awaitable, ignored));
+      text.clear();
+      timer.expires_after(between);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  };
+  asio::co_spawn(loop, serve, asio::detached);
+  CallEnd end = CallEnd::kAnswered;
+  RunTask(loop, [&]() -> Task<> {
+    auto connection =
+        co_await AsyncHttpConnection::Open(loop, kRawServer, kTimeout);
+    HttpRequest request;
+    try {
+      co_await connection->CallForLongAnswer(request, kTimeout, timeout);
+    } catch (const ResponseTimeoutError&) {
+      end = CallEnd::kTimedOut;
+    }
+  });
+  return end;
+}
+
 // How a connection ends for a peer that reads nothing until the call on it has
 // been given up.
 boost::system::error_code EndAfterGivingUp() {
@@ -409,6 +446,15 @@
   CHECK(was_refused);
 }
 
+// Guards against long answers over narrow links that are given up after a fixed
+// time, though they move on.
+TEST_CASE("a long answer may take as long as it moves on") {
+  constexpr int kPieces = 8;
+  constexpr milliseconds kBetween{60};
+  CHECK(CallForPieces(kPieces, kBetween, 2 * kBetween) == CallEnd::kAnswered);
+  CHECK(CallForPieces(kPieces, kBetween, kBetween / 3) == CallEnd::kTimedOut);
+}
+
 // An answer that ends early must not look complete, whichever way it ends.
 TEST_CASE("answers that break off, or are none, are told apart") {
   const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
--- a/modules/transport/mesh/config_follower.cc
+++ b/modules/transport/mesh/config_follower.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -46,52 +47,77 @@
   boost::asio::co_spawn(m_loop, Follow(), boost::asio::detached);
 }
 
-void ConfigFollower::OnDocument(const std::string& document) {
-  if (document == m_document)
+void ConfigFollower::PutInForce(RoutingConfig config) {
+  const std::uint64_t previous = version();
+  const auto added = std::make_shared<const RoutingConfig>(std::move(config));
+  if (!m_history.Add(added))
     return;
+  m_routes.emplace(*added);
+  m_newest_known = std::max(m_newest_known, version());
+  spdlog::info("event=config-in-force version={} previous={} routes={}",
+               version(), previous, added->routes.size());
+  m_listener.OnConfig(*added);
+}
+
+void ConfigFollower::OnDocument(const std::string& document) {
   try {
-    RoutingConfig config = m_decoder.Decode(document);
-    if (m_config && config.version <= m_config->version)
-      return;
-    spdlog::info("event=config-in-force version={} previous={} routes={}",
-                 config.version, version(), config.routes.size());
-    m_config = std::make_shared<const RoutingConfig>(std::move(config));
-    m_routes.emplace(*m_config);
-    m_document = document;
-    m_listener.OnConfig(*m_config);
+    PutInForce(m_decoder.Decode(document));
   } catch (const InvalidConfigError& error) {
     spdlog::error("event=config-unreadable kept_version={} reason=\"{}\"",
                   version(), error.what());
   }
 }
 
+bool ConfigFollower::OnChange(const ConfigChange& change) {
+  if (change.to_version <= version())
+    return true;
+  if (change.from_version != 0 && change.from_version != version())
+    return false;
+  const RoutingConfig none;
+  PutInForce(change.ApplyTo(config() ? *config() : none));
+  if (change.store_next)
+    m_store_next = change.store_next;
+  return true;
+}
+
+ConfigChange ConfigFollower::ChangeFrom(std::uint64_t version) const {
+  ConfigChange change = m_history.ChangeFrom(version);
+  change.store_next = m_store_next;
+  return change;
+}
+
+void ConfigFollower::OnNewerVersion(std::uint64_t version) {
+  m_newest_known = std::max(m_newest_known, version);
+  m_heard_at = m_clock.Now();
+}
+
 const RouteRule* ConfigFollower::FindRoute(std::string_view host,
                                            std::string_view path) const {
   return m_routes ? m_routes->Find(host, path) : nullptr;
 }
 
-bool ConfigFollower::store_answers() const {
-  return m_store_answered && m_clock.Now() - m_answered_at < kAnswerCounts;
+bool ConfigFollower::MayBeBehind() const {
+  const Clock::TimePoint heard = std::max(m_heard_at, m_answered_at);
+  return m_newest_known > version() || m_clock.Now() - heard > kAnswerCounts;
 }
 
-bool ConfigFollower::store_failed() const {
-  return m_failed_at && m_clock.Now() - *m_failed_at < kAnswerCounts;
+bool ConfigFollower::store_answers() const {
+  return m_store_answered && m_clock.Now() - m_answered_at < kAnswerCounts;
 }
 
 Task<> ConfigFollower::ReadOnce() {
   MeshStore::ConfigDocument read;
-  if (m_has_position)
-    read = co_await m_store.AwaitConfig(m_next, kWait);
+  if (m_store_next)
+    read = co_await m_store.AwaitConfig(*m_store_next, kWait);
   else
     read = co_await m_store.ReadConfig();
-  m_next = read.next;
-  m_has_position = true;
   if (!std::exchange(m_store_answered, true))
     spdlog::info("event=store-answers");
   m_answered_at = m_clock.Now();
-  m_failed_at.reset();
   if (read.bytes)
     OnDocument(*read.bytes);
+  // A change from another node may have come meanwhile, from further on.
+  m_store_next = std::max(m_store_next.value_or(0), read.next);
 }
 
 Task<> ConfigFollower::Follow() {
@@ -100,16 +126,18 @@
     milliseconds pause{0};
     if (!m_is_wanted()) {
       pause = kIdlePause;
-      m_has_position = false;
     } else {
       try {
         co_await ReadOnce();
+      } catch (const StoreHistoryGoneError& error) {
+        spdlog::info("event=store-history-gone reason=\"{}\"", error.what());
+        m_store_next.reset();
+        pause = kPauseAfterFailure;
       } catch (const StoreError& error) {
         if (std::exchange(m_store_answered, false)) {
-          spdlog::warn("event=store-lost reason=\"{}\"", error.what());
+          spdlog::warn("event=store-lost next={} reason=\"{}\"",
+                       m_store_next.value_or(0), error.what());
         }
-        m_has_position = false;
-        m_failed_at = m_clock.Now();
         pause = kPauseAfterFailure;
       }
     }
--- a/modules/transport/mesh/config_follower.h
+++ b/modules/transport/mesh/config_follower.h
@@ -8,8 +8,8 @@
 #include <string_view>
 
 #include "modules/coordination/clock.h"
+#include "modules/state/mesh/config_history.h"
 #include "modules/state/mesh/route_index.h"
-#include "modules/state/mesh/routing_config.h"
 #include "modules/transport/async/task.h"
 
 namespace boost::asio {
@@ -24,9 +24,10 @@
 // The operators' configuration in force at this node: the newest version that
 // came from the store or from another node. Never an older one again.
 //
-// Reads the store only while told to: the leader and two more nodes do, the
-// others hear of it from the leader, and read there what is too long for it to
-// send to all. On the event loop.
+// Reads the store only while told to: the leader and two more nodes do, and
+// whoever hears from no leader or got nothing from the source that was named.
+// All others get the difference to what they have from a node that has it: see
+// ConfigTransfer. On the event loop.
 class ConfigFollower {
  public:
   class Listener {
@@ -44,25 +45,38 @@
   // Whether the store is to be read is asked again before each call to it.
   void Start(std::function<bool()> is_wanted);
 
-  // From another node. What can't be read is logged, and changes nothing.
-  void OnDocument(const std::string& document);
+  // From another node. False if it leads from another version than this node
+  // has; one that brings nothing new is dropped.
+  bool OnChange(const ConfigChange& change);
+  bool IsKept(std::uint64_t version) const { return m_history.IsKept(version); }
+  // What leads from that version to this node's. Needs a configuration.
+  ConfigChange ChangeFrom(std::uint64_t version) const;
+
+  // Some node has that version.
+  void OnNewerVersion(std::uint64_t version);
+  // A route that is missing here may be in force elsewhere: this node knows of
+  // a newer version than its own, or has heard of none for a while.
+  bool MayBeBehind() const;
 
   // Nothing until the first one.
-  std::shared_ptr<const RoutingConfig> config() const { return m_config; }
+  const std::shared_ptr<const RoutingConfig>& config() const {
+    return m_history.newest();
+  }
+  std::uint64_t version() const { return m_history.version(); }
   // Nothing where there is none, or no configuration yet. Of config(): it ends
   // with it.
   const RouteRule* FindRoute(std::string_view host,
                              std::string_view path) const;
-  const std::string& document() const { return m_document; }
-  std::uint64_t version() const { return m_config ? m_config->version : 0; }
+  // The newest version that this node has heard of.
+  std::uint64_t newest_known() const { return m_newest_known; }
   // The store answered lately.
   bool store_answers() const;
-  // The last call to it failed, a short while ago.
-  bool store_failed() const;
 
  private:
   Task<> Follow();
   Task<> ReadOnce();
+  void OnDocument(const std::string& document);
+  void PutInForce(RoutingConfig config);
 
   boost::asio::io_context& m_loop;
   const Clock& m_clock;
@@ -70,15 +84,15 @@
   const ConfigDecoder& m_decoder;
   Listener& m_listener;
   std::function<bool()> m_is_wanted;
-  std::shared_ptr<const RoutingConfig> m_config;
+  ConfigHistory m_history;
   std::optional<RouteIndex> m_routes;
-  std::string m_document;
-  // From where the store is followed; none: it has to be read anew.
-  bool m_has_position = false;
-  std::uint64_t m_next = 0;
+  std::uint64_t m_newest_known = 0;
+  Clock::TimePoint m_heard_at;
+  // From where the store is followed; nothing: it has to be read anew. Kept
+  // when a call fails: what was read need not be read again.
+  std::optional<std::uint64_t> m_store_next;
   bool m_store_answered = false;
   Clock::TimePoint m_answered_at;
-  std::optional<Clock::TimePoint> m_failed_at;
 };
 
 }  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/config_follower_test.cc
@@ -0,0 +1,161 @@
+#include "modules/transport/mesh/config_follower.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "modules/coordination/steady_clock.h"
+#include "modules/transport/mesh/config_decoder.h"
+#include "modules/transport/mesh/mesh_store.h"
+
+namespace citrongrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A document is its version, as text.
+class NumberDecoder final : public ConfigDecoder {
+ public:
+  RoutingConfig Decode(const std::string& document) const override {
+    RoutingConfig config;
+    config.version = std::stoull(document);
+    return config;
+  }
+};
+
+// Gives what a test has put down, one after the other, then nothing.
+class ScriptedStore final : public MeshStore {
+ public:
+  enum class Event { kDocument, kUnanswered, kHistoryGone };
+  struct Step {
+    Event event;
+    std::string document;
+    std::uint64_t next = 0;
+  };
+
+  explicit ScriptedStore(boost::asio::io_context& loop) : m_loop(loop) {}
+
+  Task<StoredRecord> ReadRecord() override { co_return StoredRecord(); }
+  Task<std::uint64_t> WriteRecord(std::string /*bytes*/,
+                                  std::uint64_t end) override {
+    co_return end;
+  }
+  Task<ConfigDocument> ReadConfig() override {
+    asked.emplace_back(std::nullopt);
+    co_return co_await Play(0);
+  }
+  Task<ConfigDocument> AwaitConfig(std::uint64_t next,
+                                   milliseconds /*wait*/) override {
+    asked.emplace_back(next);
+    co_return co_await Play(next);
+  }
+
+  std::deque<Step> steps;
+  // From where each call read; nothing: the newest, anew.
+  std::vector<std::optional<std::uint64_t>> asked;
+
+ private:
+  Task<ConfigDocument> Play(std::uint64_t next) {
+    if (steps.empty()) {
+      m_loop.stop();
+      boost::asio::steady_timer timer(m_loop, milliseconds(1));
+      co_await timer.async_wait(boost::asio::use_awaitable);
+      co_return ConfigDocument{std::nullopt, next};
+    }
+    const Step step = steps.front();
+    steps.pop_front();
+    if (step.event == Event::kUnanswered)
+      throw StoreUnansweredError("no answer");
+    if (step.event == Event::kHistoryGone)
+      throw StoreHistoryGoneError("trimmed");
+    co_return ConfigDocument{step.document, step.next};
+  }
+
+  boost::asio::io_context& m_loop;
+};
+
+class FollowedStore : public ConfigFollower::Listener {
+ public:
+  void OnConfig(const RoutingConfig& config) override {
+    in_force.push_back(config.version);
+  }
+
+  void Play(std::deque<ScriptedStore::Step> steps) {
+    store.steps = std::move(steps);
+    follower.Start([] { return true; });
+    loop.run();
+  }
+
+  boost::asio::io_context loop;
+  SteadyClock clock;
+  ScriptedStore store{loop};
+  NumberDecoder decoder;
+  ConfigFollower follower{loop, clock, store, decoder, *this};
+  std::vector<std::uint64_t> in_force;
+};
+
+using Event = ScriptedStore::Event;
+using Asked = std::vector<std::optional<std::uint64_t>>;
+
+}  // namespace
+
+// Guards against a whole document that is read again after each failed call.
+TEST_CASE_FIXTURE(FollowedStore, "a failed call goes on from its position") {
+  Play({{Event::kDocument, "4", 7}, {Event::kUnanswered, "", 0}});
+  CHECK(store.asked == Asked{std::nullopt, 7, 7});
+}
+
+TEST_CASE_FIXTURE(FollowedStore, "a trimmed history is read anew") {
+  Play({{Event::kDocument, "4", 7},
+        {Event::kHistoryGone, "", 0},
+        {Event::kDocument, "9", 12}});
+  CHECK(store.asked == Asked{std::nullopt, 7, std::nullopt, 12});
+  CHECK(in_force == std::vector<std::uint64_t>{4, 9});
+}
+
+TEST_CASE_FIXTURE(FollowedStore, "an older document changes nothing") {
+  Play({{Event::kDocument, "9", 7}, {Event::kDocument, "4", 8}});
+  CHECK(in_force == std::vector<std::uint64_t>{9});
+}
+
+// Guards against a node that reads from the store what another has brought it.
+TEST_CASE_FIXTURE(FollowedStore, "a change brings its place in the store") {
+  ConfigChange change;
+  change.to_version = 5;
+  change.store_next = 31;
+  CHECK(follower.OnChange(change));
+  Play({});
+  CHECK(store.asked == Asked{31});
+}
+
+// Guards against a configuration that is mixed of two versions.
+TEST_CASE_FIXTURE(FollowedStore, "a change from another version is refused") {
+  ConfigChange change;
+  change.from_version = 3;
+  change.to_version = 5;
+  CHECK_FALSE(follower.OnChange(change));
+  CHECK(follower.version() == 0);
+}
+
+// Guards against 404 for a route that the next version has.
+TEST_CASE_FIXTURE(FollowedStore,
+                  "a node that knows of a newer version may be behind") {
+  Play({{Event::kDocument, "4", 7}});
+  CHECK_FALSE(follower.MayBeBehind());
+  follower.OnNewerVersion(5);
+  CHECK(follower.MayBeBehind());
+  ConfigChange change;
+  change.to_version = 5;
+  follower.OnChange(change);
+  CHECK_FALSE(follower.MayBeBehind());
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/config_transfer.cc
@@ -0,0 +1,120 @@
+#include "modules/transport/mesh/config_transfer.h"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <utility>
+
+#include "modules/protocol/config_change_codec.h"
+#include "modules/protocol/malformed_message_error.h"
+#include "modules/transport/async/async_connection_pool.h"
+#include "modules/transport/mesh/config_follower.h"
+#include "modules/transport/mesh/loop_monitor.h"
+
+namespace citrongrade {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr milliseconds kFirstTimeout{400};
+constexpr milliseconds kNextTimeout{300};
+constexpr milliseconds kPeerIdle{3000};
+
+}  // namespace
+
+ConfigTransfer::ConfigTransfer(boost::asio::io_context& loop,
+                               const Clock& clock,
+                               ConfigFollower& config,
+                               AsyncConnectionPool& peers,
+                               LoopMonitor& monitor)
+    : m_loop(loop),
+      m_clock(clock),
+      m_config(config),
+      m_peers(peers),
+      m_monitor(monitor) {}
+
+void ConfigTransfer::FetchFrom(const std::string& source,
+                               std::function<void()> on_end) {
+  if (m_is_fetching)
+    return;
+  m_is_fetching = true;
+  boost::asio::co_spawn(m_loop, Fetch(source, std::move(on_end)),
+                        boost::asio::detached);
+}
+
+bool ConfigTransfer::TakeFailure() {
+  return std::exchange(m_has_failed, false);
+}
+
+Task<> ConfigTransfer::Fetch(std::string source, std::function<void()> on_end) {
+  const Clock::TimePoint began = m_clock.Now();
+  const std::uint64_t previous = m_config.version();
+  std::string failure;
+  try {
+    co_await FetchOnce(source);
+  } catch (const std::exception& error) {
+    failure = error.what();
+  }
+  const auto took =
+      std::chrono::duration_cast<milliseconds>(m_clock.Now() - began);
+  if (failure.empty()) {
+    spdlog::info("event=config-fetched source={} from={} to={} took_ms={}",
+                 source, previous, m_config.version(), took.count());
+  } else {
+    spdlog::warn(
+        "event=config-fetch-failed source={} have={} took_ms={} "
+        "reason=\"{}\"",
+        source, previous, took.count(), failure);
+  }
+  m_has_failed = !failure.empty();
+  m_is_fetching = false;
+  on_end();
+}
+
+Task<> ConfigTransfer::FetchOnce(std::string source) {
+  const HttpAddress address = HttpAddress::Parse(source);
+  HttpRequest request;
+  request.method = "POST";
+  request.target = kPath;
+  request.body = ConfigChangeCodec::EncodeRequest(m_config.version());
+  auto connection = co_await m_peers.Take(address, kPeerIdle);
+  const HttpResponse response = co_await connection->CallForLongAnswer(
+      std::move(request), kFirstTimeout, kNextTimeout);
+  m_peers.GiveBack(address, std::move(connection));
+  if (response.head.status != kOk) {
+    throw MalformedMessageError(source + " answered " +
+                                std::to_string(response.head.status));
+  }
+  const LoopMonitor::Section section(m_monitor, LoopMonitor::Activity::kConfig);
+  if (!m_config.OnChange(ConfigChangeCodec::Decode(response.body)))
+    throw MalformedMessageError("a change from another version");
+}
+
+HttpResponse ConfigTransfer::Answer(const HttpRequest& request) {
+  const std::uint64_t version = ConfigChangeCodec::DecodeRequest(request.body);
+  HttpResponse response;
+  if (m_config.version() == 0) {
+    response.head.status = kUnavailable;
+    return response;
+  }
+  const LoopMonitor::Section section(m_monitor, LoopMonitor::Activity::kConfig);
+  if (m_answers_for != m_config.version()) {
+    m_answers.clear();
+    m_answers_for = m_config.version();
+  }
+  const std::uint64_t from = m_config.IsKept(version) ? version : 0;
+  std::string& answer = m_answers[from];
+  if (answer.empty())
+    answer = ConfigChangeCodec::Encode(m_config.ChangeFrom(from));
+  response.head.status = kOk;
+  response.body = answer;
+  return response;
+}
+
+}  // namespace citrongrade
--- /dev/null
+++ b/modules/transport/mesh/config_transfer.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "modules/coordination/clock.h"
+#include "modules/transport/async/task.h"
+#include "modules/transport/http_request.h"
+#include "modules/transport/http_response.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace citrongrade {
+
+class AsyncConnectionPool;
+class ConfigFollower;
+class LoopMonitor;
+
+// Brings the configuration from node to node: fetches the difference to what
+// this node has from the source that the leader names, and answers nodes that
+// were sent here. On connections of its own, so that heartbeats carry none of
+// it. On the event loop. Kin: ConfigSpread, by which the leader names sources.
+class ConfigTransfer {
+ public:
+  static constexpr const char* kPath = "/mesh/config";
+
+  ConfigTransfer(boost::asio::io_context& loop,
+                 const Clock& clock,
+                 ConfigFollower& config,
+                 AsyncConnectionPool& peers,
+                 LoopMonitor& monitor);
+
+  // `on_end` is called when it has ended, whether it brought anything or not.
+  // Does nothing while another transfer is under way.
+  void FetchFrom(const std::string& source, std::function<void()> on_end);
+  // Whether the last one failed; once asked, it is forgotten.
+  bool TakeFailure();
+
+  // Throws MalformedMessageError.
+  HttpResponse Answer(const HttpRequest& request);
+
+ private:
+  Task<> Fetch(std::string source, std::function<void()> on_end);
+  Task<> FetchOnce(std::string source);
+
+  boost::asio::io_context& m_loop;
+  const Clock& m_clock;
+  ConfigFollower& m_config;
+  AsyncConnectionPool& m_peers;
+  LoopMonitor& m_monitor;
+  bool m_is_fetching = false;
+  bool m_has_failed = false;
+  // Answers to those that come from one version or another to m_answers_for.
+  std::map<std::uint64_t, std::string> m_answers;
+  std::uint64_t m_answers_for = 0;
+};
+
+}  // namespace citrongrade
--- a/modules/transport/mesh/loop_monitor.cc
+++ b/modules/transport/mesh/loop_monitor.cc
@@ -16,7 +16,7 @@
 constexpr std::chrono::seconds kLogEvery{1};
 
 constexpr std::array<const char*, LoopMonitor::kActivityCount> kNames = {
-    "lead", "answer-heartbeat", "take-view", "record"};
+    "lead", "answer-heartbeat", "take-view", "record", "config"};
 
 std::size_t IndexOf(LoopMonitor::Activity activity) {
   return static_cast<std::size_t>(activity);
@@ -53,10 +53,10 @@
   };
   spdlog::warn(
       "event=loop-late late_ms={} since_ms={} lead_ms={} "
-      "answer_heartbeat_ms={} take_view_ms={} record_ms={}",
+      "answer_heartbeat_ms={} take_view_ms={} record_ms={} config_ms={}",
       Milliseconds(late), Milliseconds(now - m_logged), recent(Activity::kLead),
       recent(Activity::kAnswerHeartbeat), recent(Activity::kTakeView),
-      recent(Activity::kRecord));
+      recent(Activity::kRecord), recent(Activity::kConfig));
   m_logged = now;
   for (Times& times : m_times)
     times.recent = Clock::Duration(0);
--- a/modules/transport/mesh/loop_monitor.h
+++ b/modules/transport/mesh/loop_monitor.h
@@ -27,8 +27,10 @@
     kTakeView,
     // Reading and writing the mesh's stored record.
     kRecord,
+    // Taking over the configuration, and telling it to other nodes.
+    kConfig,
   };
-  static constexpr std::size_t kActivityCount = 4;
+  static constexpr std::size_t kActivityCount = 5;
 
   // Counts the time until its end for an activity.
   class Section {
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -12,12 +12,14 @@
 #include <utility>
 
 #include "modules/coordination/mesh/campaign_turn.h"
+#include "modules/coordination/mesh/config_spread.h"
 #include "modules/coordination/mesh/mesh_leader.h"
 #include "modules/protocol/malformed_message_error.h"
 #include "modules/protocol/mesh_message_codec.h"
 #include "modules/transport/async/async_connection_pool.h"
 #include "modules/transport/http_errors.h"
 #include "modules/transport/mesh/config_follower.h"
+#include "modules/transport/mesh/config_transfer.h"
 #include "modules/transport/mesh/loop_monitor.h"
 #include "modules/transport/mesh/mesh_store.h"
 
@@ -52,10 +54,10 @@
 // Longer than the other reader's wait for news and its timeout: in an outage
 // for all it would still be said to have an answer, and nobody could lead then.
 constexpr milliseconds kStoreLost{2000};
-// A longer document is read from the store by each node. Sent by the leader to
-// 83 nodes, 460 kB took its link for seconds; their heartbeats went unanswered,
-// and the mesh was without a leader while the new routes were due.
-constexpr std::size_t kLongestSentDocument = std::size_t{32} * 1024;
+// A node that no source has brought the configuration by then reads the store.
+// Not all at the same moment: together they would wait for its reads.
+constexpr milliseconds kShortestBehind{1000};
+constexpr milliseconds kBehindSpread{500};
 constexpr milliseconds kHelloEvery{400};
 constexpr milliseconds kPeerIdle{3000};
 constexpr milliseconds kNoAuthority{1500};
@@ -77,6 +79,8 @@
   boost::asio::steady_timer timer;
   // The one that waits for an answer; nothing for this node's own pauses.
   const Heartbeat* heartbeat = nullptr;
+  // Named to it once there is one.
+  std::string config_source;
 };
 
 struct MeshAgent::VoteCount {
@@ -93,6 +97,7 @@
                      Identity identity,
                      MeshStore& store,
                      ConfigFollower& config,
+                     ConfigTransfer& transfer,
                      AsyncConnectionPool& peers,
                      LoopMonitor& monitor,
                      Listener& listener)
@@ -102,13 +107,17 @@
       m_identity(std::move(identity)),
       m_store(store),
       m_config(config),
+      m_transfer(transfer),
       m_peers(peers),
       m_monitor(monitor),
       m_listener(listener),
       m_random(std::random_device()()),
       m_incarnation(m_random()),
       m_promise(clock, timing.promise),
-      m_tracker(clock, timing.promise) {}
+      m_tracker(clock, timing.promise),
+      m_behind_since(clock.Now()),
+      m_behind_limit(kShortestBehind +
+                     milliseconds(m_random() % kBehindSpread.count())) {}
 
 MeshAgent::~MeshAgent() = default;
 
@@ -154,9 +163,11 @@
 }
 
 bool MeshAgent::follows_store() const {
-  return m_leader != nullptr || m_follow_store ||
-         m_leader_config > m_config.version() ||
-         TimeWithoutLeader() > m_timing.promise || m_config.version() == 0;
+  if (m_leader || m_follow_store || TimeWithoutLeader() > m_timing.promise)
+    return true;
+  if (m_config.version() == 0 && m_may_lead)
+    return true;
+  return m_behind_since && m_clock.Now() - *m_behind_since > m_behind_limit;
 }
 
 Clock::Duration MeshAgent::TimeWithoutLeader() const {
@@ -244,10 +255,7 @@
   heartbeat.config_version = m_config.version();
   heartbeat.is_leaving = m_is_leaving;
   heartbeat.store_answers = m_config.store_answers();
-  heartbeat.store_failed = m_config.store_failed();
-  const bool is_long = m_config.document().size() > kLongestSentDocument;
-  if (m_config.version() > m_leader_config && (!is_long || m_follow_store))
-    heartbeat.config_document = m_config.document();
+  heartbeat.config_fetch_failed = m_transfer.TakeFailure();
   m_listener.FillHeartbeat(heartbeat);
   return heartbeat;
 }
@@ -356,14 +364,12 @@
   m_leader_nonce = reply.nonce;
   m_leader_stamp_ns = reply.stamp_ns;
   m_follow_store = reply.follow_store;
-  m_leader_config = reply.config_version;
   m_longest_lease =
       std::max(m_longest_lease, milliseconds(reply.longest_lease_ms));
   if (reply.lease_ms > 0)
     m_lease_until =
         std::max(m_lease_until, sent + milliseconds(reply.lease_ms));
-  if (!reply.config_document.empty())
-    m_config.OnDocument(reply.config_document);
+  TakeConfigNews(reply);
   const bool is_news = !reply.view.is_empty();
   m_view.Apply(reply.view);
   // First what the node has lost: with the new lease it could hold on to it.
@@ -373,7 +379,19 @@
   return true;
 }
 
-HeartbeatReply MeshAgent::Reply(const Heartbeat& heartbeat) {
+void MeshAgent::TakeConfigNews(const HeartbeatReply& reply) {
+  m_config.OnNewerVersion(reply.config_version);
+  if (m_config.version() > 0 && m_config.version() >= reply.config_version)
+    m_behind_since.reset();
+  else if (!m_behind_since)
+    m_behind_since = m_clock.Now();
+  // The leader should hear at once that this node can be a source.
+  if (!reply.config_source.empty())
+    m_transfer.FetchFrom(reply.config_source, [this] { Urge(); });
+}
+
+HeartbeatReply MeshAgent::Reply(const Heartbeat& heartbeat,
+                                const std::string& config_source) {
   if (!m_leader) {
     HeartbeatReply reply;
     reply.leader_hint =
@@ -386,11 +404,8 @@
     return reply;
   }
   HeartbeatReply reply = m_leader->MakeReply(heartbeat);
-  reply.config_version = m_config.version();
-  const bool is_long = m_config.document().size() > kLongestSentDocument;
-  if (reply.is_leader && m_config.version() > heartbeat.config_version &&
-      (!is_long || heartbeat.store_failed))
-    reply.config_document = m_config.document();
+  reply.config_version = std::max(m_config.version(), m_spread->newest());
+  reply.config_source = config_source;
   return reply;
 }
 
@@ -401,6 +416,8 @@
       co_return co_await HandleHeartbeat(request);
     if (request.target == kVotePath)
       co_return HandleVote(request);
+    if (request.target == ConfigTransfer::kPath)
+      co_return m_transfer.Answer(request);
   } catch (const MalformedMessageError& error) {
     spdlog::warn("event=peer-message-unreadable target={} reason=\"{}\"",
                  request.target, error.what());
@@ -411,10 +428,10 @@
 
 Task<HttpResponse> MeshAgent::HandleHeartbeat(const HttpRequest& request) {
   const Heartbeat heartbeat = TakeHeartbeat(request.body);
+  std::string config_source;
   if (m_leader) {
-    const bool has_news = m_leader->HasNewsFor(heartbeat) ||
-                          m_config.version() > heartbeat.config_version;
-    if (!has_news) {
+    config_source = m_spread->AssignSource(heartbeat.address);
+    if (config_source.empty() && !m_leader->HasNewsFor(heartbeat)) {
       auto waiting = std::make_shared<Waiting>(m_loop);
       waiting->heartbeat = &heartbeat;
       waiting->timer.expires_after(m_timing.heartbeat);
@@ -423,9 +440,10 @@
       co_await waiting->timer.async_wait(
           boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
       m_waiting.erase(waiting);
+      config_source = waiting->config_source;
     }
   }
-  co_return AnswerHeartbeat(heartbeat);
+  co_return AnswerHeartbeat(heartbeat, config_source);
 }
 
 Heartbeat MeshAgent::TakeHeartbeat(const std::string& bytes) {
@@ -437,17 +455,18 @@
   if (!m_leader)
     return heartbeat;
   m_leader->OnHeartbeat(heartbeat);
-  if (!heartbeat.config_document.empty())
-    m_config.OnDocument(heartbeat.config_document);
+  m_spread->OnHeartbeat(heartbeat);
   if (heartbeat.is_urgent)
     Urge();
   return heartbeat;
 }
 
-HttpResponse MeshAgent::AnswerHeartbeat(const Heartbeat& heartbeat) {
+HttpResponse MeshAgent::AnswerHeartbeat(const Heartbeat& heartbeat,
+                                        const std::string& config_source) {
   const LoopMonitor::Section section(m_monitor,
                                      LoopMonitor::Activity::kAnswerHeartbeat);
-  return MakeResponse(kOk, MeshMessageCodec::Encode(Reply(heartbeat)));
+  return MakeResponse(
+      kOk, MeshMessageCodec::Encode(Reply(heartbeat, config_source)));
 }
 
 HeartbeatReply MeshAgent::DecodeReply(const std::string& bytes) {
@@ -531,6 +550,7 @@
     co_return;
   }
   if (!stored.bytes) {
+    m_may_lead = true;
     co_await ClaimNewMesh(stored.end);
     co_return;
   }
@@ -541,6 +561,7 @@
     m_tracker.Follow(record.leader);
     co_return;
   }
+  m_may_lead = true;
   co_await Campaign(record, stored.end, std::exchange(m_was_named, false));
 }
 
@@ -600,6 +621,7 @@
   m_leader = std::make_shared<MeshLeader>(m_clock, m_timing, m_identity.address,
                                           nonce, record);
   m_leader->SetDividedServices(m_divided_services);
+  m_spread = std::make_unique<ConfigSpread>(m_clock);
   m_tracker.Forget();
   m_tracker.NoteOwnLead();
   m_is_storing = false;
@@ -728,10 +750,12 @@
   const Clock::TimePoint now = m_clock.Now();
   const Heartbeat heartbeat = Compose(false);
   leader->OnHeartbeat(heartbeat);
+  m_spread->OnHeartbeat(heartbeat);
   Plan(*leader);
   if (leader->HasAuthority())
     m_tracker.NoteOwnLead();
-  OnReply(Reply(heartbeat), m_identity.address, now);
+  const std::string config_source = m_spread->AssignSource(m_identity.address);
+  OnReply(Reply(heartbeat, config_source), m_identity.address, now);
   if (m_leader != leader)
     co_return;
   ResignToFitter();
@@ -842,19 +866,20 @@
   if (m_leader && !m_leader->has_resigned()) {
     const std::uint64_t version = m_leader->view().version();
     const Clock::TimePoint now = m_clock.Now();
-    const bool is_config = m_config.version() != m_notified_config;
-    const bool is_due =
-        version != m_notified_version &&
-        now - m_notified_at >= kNewsPause * m_leader->node_count();
-    is_for_all = is_config || is_due;
+    is_for_all = version != m_notified_version &&
+                 now - m_notified_at >= kNewsPause * m_leader->node_count();
     if (is_for_all) {
       m_notified_at = now;
       m_notified_version = version;
-      m_notified_config = m_config.version();
     }
   }
   for (const std::shared_ptr<Waiting>& waiting : m_waiting) {
-    if (is_for_all || m_leader->HasNewsFor(*waiting->heartbeat))
+    if (m_leader && waiting->config_source.empty()) {
+      waiting->config_source =
+          m_spread->AssignSource(waiting->heartbeat->address);
+    }
+    if (is_for_all || !waiting->config_source.empty() ||
+        m_leader->HasNewsFor(*waiting->heartbeat))
       waiting->timer.cancel();
   }
 }
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -30,6 +30,8 @@
 
 class AsyncConnectionPool;
 class ConfigFollower;
+class ConfigSpread;
+class ConfigTransfer;
 class LoopMonitor;
 class MeshLeader;
 class MeshStore;
@@ -70,6 +72,7 @@
             Identity identity,
             MeshStore& store,
             ConfigFollower& config,
+            ConfigTransfer& transfer,
             AsyncConnectionPool& peers,
             LoopMonitor& monitor,
             Listener& listener);
@@ -135,11 +138,15 @@
   bool OnReply(const HeartbeatReply& reply,
                const std::string& from,
                Clock::TimePoint sent);
-  HeartbeatReply Reply(const Heartbeat& heartbeat);
+  HeartbeatReply Reply(const Heartbeat& heartbeat,
+                       const std::string& config_source);
+  // What the leader says of the configuration.
+  void TakeConfigNews(const HeartbeatReply& reply);
   Task<HttpResponse> HandleHeartbeat(const HttpRequest& request);
   // Steps whose cost grows with the mesh, each timed by the LoopMonitor.
   Heartbeat TakeHeartbeat(const std::string& bytes);
-  HttpResponse AnswerHeartbeat(const Heartbeat& heartbeat);
+  HttpResponse AnswerHeartbeat(const Heartbeat& heartbeat,
+                               const std::string& config_source);
   HeartbeatReply DecodeReply(const std::string& bytes);
   MeshRecord DecodeRecord(const std::string& bytes);
   std::string EncodeRecord(const MeshRecord& record);
@@ -171,6 +178,7 @@
   const Identity m_identity;
   MeshStore& m_store;
   ConfigFollower& m_config;
+  ConfigTransfer& m_transfer;
   AsyncConnectionPool& m_peers;
   LoopMonitor& m_monitor;
   Listener& m_listener;
@@ -185,8 +193,13 @@
   std::chrono::milliseconds m_longest_lease{0};
   MeshView m_view;
   bool m_follow_store = false;
-  // Version of the configuration that the leader has.
-  std::uint64_t m_leader_config = 0;
+  // Since when another node has a newer configuration, or this one has none;
+  // nothing: it has the newest that it knows of.
+  std::optional<Clock::TimePoint> m_behind_since;
+  // How long this node waits then before it reads the store for itself.
+  std::chrono::milliseconds m_behind_limit;
+  // It may have to lead a mesh in which nobody has the configuration.
+  bool m_may_lead = false;
   bool m_is_leaving = false;
   bool m_was_named = false;
   // Of the stored record that was read last.
@@ -198,6 +211,8 @@
   std::map<std::string, Clock::TimePoint> m_refused_since;
 
   std::shared_ptr<MeshLeader> m_leader;
+  // While this node leads.
+  std::unique_ptr<ConfigSpread> m_spread;
   std::uint64_t m_record_end = 0;
   bool m_is_storing = false;
   // Until then replies say that this node gave up leading.
@@ -205,7 +220,6 @@
   std::set<std::string> m_divided_services;
   Clock::TimePoint m_last_hello;
   std::uint64_t m_notified_version = 0;
-  std::uint64_t m_notified_config = 0;
   Clock::TimePoint m_notified_at;
 
   struct Waiting;
--- a/modules/transport/mesh/mesh_store.h
+++ b/modules/transport/mesh/mesh_store.h
@@ -22,6 +22,12 @@
   using StoreError::StoreError;
 };
 
+// The log was trimmed: what was to be read from there on is gone.
+class StoreHistoryGoneError : public StoreRefusedError {
+ public:
+  using StoreRefusedError::StoreRefusedError;
+};
+
 // Somebody else wrote since the state that the write was made for.
 class StoreConflictError : public StoreRefusedError {
  public:
@@ -68,7 +74,7 @@
 
   virtual Task<ConfigDocument> ReadConfig() = 0;
   // Waits for a document written at `next` or later, at most for `wait`. Throws
-  // StoreRefusedError when the history since then is gone: read it anew.
+  // StoreHistoryGoneError when the history since then is gone: read it anew.
   virtual Task<ConfigDocument> AwaitConfig(std::uint64_t next,
                                            std::chrono::milliseconds wait) = 0;
 };
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -21,6 +21,7 @@
 #include "modules/transport/async/async_connection_pool.h"
 #include "modules/transport/async/async_http_server.h"
 #include "modules/transport/mesh/config_follower.h"
+#include "modules/transport/mesh/config_transfer.h"
 #include "modules/transport/mesh/instance_chooser.h"
 #include "modules/transport/mesh/loop_monitor.h"
 #include "modules/transport/mesh/mesh_agent.h"
@@ -189,6 +190,7 @@
   AsyncConnectionPool m_store_pool;
   platform::PlatformStore m_store;
   ConfigFollower m_config;
+  ConfigTransfer m_transfer;
   TargetKeeper m_keeper;
   TargetGateway m_gateway;
   InstanceChooser m_chooser;
@@ -219,6 +221,7 @@
       m_store_pool(m_loop, m_clock, {}),
       m_store(m_store_pool, {file.store}),
       m_config(m_loop, m_clock, m_store, m_decoder, *this),
+      m_transfer(m_loop, m_clock, m_config, m_peer_pool, m_monitor),
       m_keeper(m_loop,
                m_clock,
                KeeperSettings(file),
@@ -233,6 +236,7 @@
               IdentityOf(settings, file),
               m_store,
               m_config,
+              m_transfer,
               m_peer_pool,
               m_monitor,
               *this),
@@ -490,6 +494,8 @@
   add("citrongrade_longest_lease_seconds",
       std::chrono::duration<double>(m_agent.longest_lease()).count());
   add("citrongrade_config_version", static_cast<double>(m_config.version()));
+  add("citrongrade_config_newest_known_version",
+      static_cast<double>(m_config.newest_known()));
   add("citrongrade_store_calls_total",
       static_cast<double>(m_store.counts().calls));
   add("citrongrade_store_calls_failed_total",
