Answer not run, come back, for an unknown route while a newer configuration is known

What callers saw: 404 for a route that other nodes served (DENIED); a caller does not come again after that. Cause: a node that the leader had told of a newer version, or that had heard from neither leader nor store for seconds, took its own routes for all there are. Change: such a node says 503 with Retry-After until it has caught up. Test: test_a_node_that_is_behind_does_not_say_that_a_route_is_missing (platform_long_config_process_test) and config_follower_test.

--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -168,8 +168,10 @@
     co_return refuse_unrouted(kUnavailable);
   const RouteRule* found =
       m_dependencies.config.FindRoute(facts.host, facts.path);
-  if (found == nullptr)
-    co_return refuse_unrouted(kNotFound);
+  if (found == nullptr) {
+    const bool is_sure = !m_dependencies.config.MayBeBehind();
+    co_return refuse_unrouted(is_sure ? kNotFound : kUnavailable);
+  }
   const RouteRule& route = *found;
   WorkOrder& order = attempt.order;
   order.service = ChooseService(route);
