Let no lost node, answer or source keep the configuration from anybody

Change: transfers end by progress, by what the receiver says, or by time, at both ends; a newly named source replaces the transfer under way; heartbeats and answers carry how old the knowledge is that nothing is newer; only who leads and its readers read at once, the fittest hosts first; any call that the store answers shows that it answers.

--- a/modules/coordination/mesh/config_spread.cc
+++ b/modules/coordination/mesh/config_spread.cc
@@ -13,8 +13,14 @@
 constexpr unsigned kMostTransfers = 2;
 constexpr unsigned kMoreForFitHosts = 6;
 constexpr unsigned kFullMerit = 1000;
-// A node that did not report by then is given a source again.
+// A transfer that has not ended by then is given up, at both ends.
 constexpr milliseconds kLongestTransfer{1000};
+// By then a node that was named a source says that it fetches.
+constexpr milliseconds kUntilFetching{300};
+// For so long a source of the node's own zone is waited for.
+constexpr milliseconds kWaitForZone{300};
+// A source that failed a node is not named to it again for so long.
+constexpr milliseconds kAvoidFailed{400};
 // One that was silent for longer is not named as a source.
 constexpr milliseconds kFresh{800};
 
@@ -23,93 +29,110 @@
 ConfigSpread::ConfigSpread(const Clock& clock) : m_clock(clock) {}
 
 void ConfigSpread::OnHeartbeat(const Heartbeat& heartbeat) {
+  Node& node = m_nodes[heartbeat.address];
+  if (heartbeat.incarnation == node.incarnation &&
+      heartbeat.sequence < node.sequence)
+    return;
   if (heartbeat.config_version > m_newest)
     BeginVersion(heartbeat.config_version);
-  Node& node = m_nodes[heartbeat.address];
+  if (node.version != heartbeat.config_version) {
+    EndTransfer(heartbeat.address, node);
+    node.failed_source.clear();
+    node.behind_since = m_clock.Now();
+    m_holders[node.zone].erase(heartbeat.address);
+  }
+  TakeState(heartbeat, node);
+  if (node.version == m_newest) {
+    m_holders[node.zone].insert(heartbeat.address);
+    return;
+  }
+  const bool is_idle = !heartbeat.is_fetching_config &&
+                       m_clock.Now() - node.assigned > kUntilFetching;
+  if (heartbeat.config_fetch_failed)
+    FailTransfer(heartbeat.address, node);
+  else if (is_idle)
+    EndTransfer(heartbeat.address, node);
+}
+
+void ConfigSpread::TakeState(const Heartbeat& heartbeat, Node& node) {
+  node.incarnation = heartbeat.incarnation;
+  node.sequence = heartbeat.sequence;
+  node.version = heartbeat.config_version;
   node.heard = m_clock.Now();
   node.zone = heartbeat.zone;
   node.most_serving = kMostTransfers + kMoreForFitHosts *
                                            heartbeat.leader_merit_milli /
                                            kFullMerit;
-  if (node.version == m_newest && heartbeat.config_version != m_newest)
-    Withdraw(heartbeat.address, node);
-  node.version = heartbeat.config_version;
-  if (heartbeat.config_fetch_failed && !node.source.empty()) {
-    node.failed_source = node.source;
-    EndTransfer(node);
-  }
-  if (node.version != m_newest)
-    return;
-  EndTransfer(node);
-  node.failed_source.clear();
-  m_holders[node.zone].insert(heartbeat.address);
-  OfferIfFree(heartbeat.address, node);
 }
 
 void ConfigSpread::BeginVersion(std::uint64_t version) {
   m_newest = version;
   m_holders.clear();
-  m_free.clear();
   // What is under way brings an earlier version, and still takes its source's
   // link.
+  for (auto& [address, node] : m_nodes)
+    node.behind_since = m_clock.Now();
 }
 
-void ConfigSpread::EndTransfer(Node& node) {
-  if (node.source.empty())
-    return;
+void ConfigSpread::EndTransfer(const std::string& address, Node& node) {
   const auto source = m_nodes.find(node.source);
   node.source.clear();
-  if (source == m_nodes.end() || source->second.serving == 0)
+  if (source != m_nodes.end())
+    source->second.serving.erase(address);
+}
+
+void ConfigSpread::FailTransfer(const std::string& address, Node& node) {
+  if (node.source.empty())
     return;
-  --source->second.serving;
-  OfferIfFree(source->first, source->second);
+  node.failed_source = node.source;
+  node.failed = m_clock.Now();
+  EndTransfer(address, node);
 }
 
-void ConfigSpread::Withdraw(const std::string& address, const Node& node) {
-  m_holders[node.zone].erase(address);
-  m_free[node.zone].erase(address);
+bool ConfigSpread::IsFresh(const Node& node) const {
+  return m_clock.Now() - node.heard < kFresh;
 }
 
-bool ConfigSpread::HasHolder(const std::string& zone) const {
-  const auto found = m_holders.find(zone);
-  if (found == m_holders.end())
-    return false;
-  return std::any_of(found->second.begin(), found->second.end(),
-                     [this](const std::string& address) {
-                       return IsFresh(m_nodes.at(address));
-                     });
+bool ConfigSpread::HasRoom(Node& source) const {
+  const Clock::TimePoint now = m_clock.Now();
+  std::erase_if(source.serving,
+                [now](const auto& entry) { return now >= entry.second; });
+  return source.serving.size() < source.most_serving;
 }
 
-bool ConfigSpread::IsFresh(const Node& node) const {
-  return m_clock.Now() - node.heard < kFresh;
+bool ConfigSpread::MayUse(const std::string& source, const Node& node) const {
+  return IsFresh(m_nodes.at(source)) &&
+         (source != node.failed_source ||
+          m_clock.Now() - node.failed > kAvoidFailed);
 }
 
-void ConfigSpread::OfferIfFree(const std::string& address, const Node& node) {
-  if (node.version == m_newest && node.serving < node.most_serving)
-    m_free[node.zone].insert(address);
+bool ConfigSpread::WaitsForZone(const Node& node) const {
+  const auto holders = m_holders.find(node.zone);
+  if (holders == m_holders.end() ||
+      m_clock.Now() - node.behind_since > kWaitForZone)
+    return false;
+  return std::any_of(
+      holders->second.begin(), holders->second.end(),
+      [&](const std::string& address) { return MayUse(address, node); });
 }
 
-std::string ConfigSpread::FindIn(const Addresses& free,
-                                 const Node& node) const {
-  for (const std::string& address : free) {
-    const auto found = m_nodes.find(address);
-    if (address != node.failed_source && IsFresh(found->second))
+std::string ConfigSpread::FindIn(const std::string& zone, const Node& node) {
+  const auto holders = m_holders.find(zone);
+  if (holders == m_holders.end())
+    return {};
+  for (const std::string& address : holders->second) {
+    if (MayUse(address, node) && HasRoom(m_nodes.at(address)))
       return address;
   }
   return {};
 }
 
-std::string ConfigSpread::FindSource(const Node& node) const {
-  const auto own = m_free.find(node.zone);
-  if (own != m_free.end()) {
-    std::string source = FindIn(own->second, node);
-    if (!source.empty())
-      return source;
-  }
-  if (node.failed_source.empty() && HasHolder(node.zone))
-    return {};
-  for (const auto& [zone, free] : m_free) {
-    std::string source = FindIn(free, node);
+std::string ConfigSpread::FindSource(const Node& node) {
+  std::string source = FindIn(node.zone, node);
+  if (!source.empty() || WaitsForZone(node))
+    return source;
+  for (const auto& [zone, holders] : m_holders) {
+    source = FindIn(zone, node);
     if (!source.empty())
       return source;
   }
@@ -121,21 +144,16 @@
   if (found == m_nodes.end() || found->second.version == m_newest)
     return {};
   Node& node = found->second;
-  if (!node.source.empty()) {
-    if (m_clock.Now() - node.assigned < kLongestTransfer)
-      return {};
-    node.failed_source = node.source;
-    EndTransfer(node);
-  }
+  const Clock::TimePoint now = m_clock.Now();
+  if (!node.source.empty() && now - node.assigned < kLongestTransfer)
+    return {};
+  FailTransfer(address, node);
   std::string source = FindSource(node);
   if (source.empty())
     return {};
-  Node& giver = m_nodes.at(source);
-  ++giver.serving;
-  if (giver.serving >= giver.most_serving)
-    m_free[giver.zone].erase(source);
+  m_nodes.at(source).serving[address] = now + kLongestTransfer;
   node.source = source;
-  node.assigned = m_clock.Now();
+  node.assigned = now;
   return source;
 }
 
--- a/modules/coordination/mesh/config_spread.h
+++ b/modules/coordination/mesh/config_spread.h
@@ -17,14 +17,15 @@
 //
 // How to use it: the leader tells it each heartbeat, and asks for a source
 // before it answers one. A source of the node's own availability zone is
-// preferred, and waited for while it is busy; a node whose last transfer failed
-// gets another one.
+// preferred, and waited for a little while it is busy. What is not heard of any
+// more, a node, a source or a transfer, is given up after a time.
 //
 // Thread-confined, no input or output. Kin: ConfigTransfer, which fetches.
 class ConfigSpread {
  public:
   explicit ConfigSpread(const Clock& clock);
 
+  // One that was overtaken by a later one of the same process is dropped.
   void OnHeartbeat(const Heartbeat& heartbeat);
 
   // The newest version that any node has.
@@ -37,37 +38,40 @@
  private:
   struct Node {
     std::string zone;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
     std::uint64_t version = 0;
     Clock::TimePoint heard;
-    // Transfers from it at the same time, those under way and the most.
-    unsigned serving = 0;
+    // Since when it has had this version, or the newest has been another.
+    Clock::TimePoint behind_since;
     unsigned most_serving = 0;
+    // Who fetches from it, and when that is given up at the latest.
+    std::map<std::string, Clock::TimePoint> serving;
     // From whom it fetches; empty: from nobody.
     std::string source;
     Clock::TimePoint assigned;
-    // Whose transfer to it failed last.
+    // Whose transfer to it failed last, and when.
     std::string failed_source;
+    Clock::TimePoint failed;
   };
-  using Addresses = std::set<std::string>;
 
   void BeginVersion(std::uint64_t version);
-  void EndTransfer(Node& node);
+  void TakeState(const Heartbeat& heartbeat, Node& node);
+  void EndTransfer(const std::string& address, Node& node);
+  void FailTransfer(const std::string& address, Node& node);
   bool IsFresh(const Node& node) const;
-  // It has the newest version no more: its process is another one.
-  void Withdraw(const std::string& address, const Node& node);
-  bool HasHolder(const std::string& zone) const;
-  void OfferIfFree(const std::string& address, const Node& node);
-  // Of those with room; empty when there is none.
-  std::string FindIn(const Addresses& free, const Node& node) const;
-  std::string FindSource(const Node& node) const;
+  bool HasRoom(Node& source) const;
+  bool MayUse(const std::string& source, const Node& node) const;
+  bool WaitsForZone(const Node& node) const;
+  // Empty when nobody there has room.
+  std::string FindIn(const std::string& zone, const Node& node);
+  std::string FindSource(const Node& node);
 
   const Clock& m_clock;
   std::uint64_t m_newest = 0;
   std::map<std::string, Node> m_nodes;
-  // By availability zone: who has the newest version, and which of them have
-  // room for another transfer.
-  std::map<std::string, Addresses> m_holders;
-  std::map<std::string, Addresses> m_free;
+  // Who has the newest version, by availability zone.
+  std::map<std::string, std::set<std::string>> m_holders;
 };
 
 }  // namespace citrongrade
--- a/modules/coordination/mesh/config_spread_test.cc
+++ b/modules/coordination/mesh/config_spread_test.cc
@@ -39,6 +39,21 @@
   bool HasNew(std::size_t node) const { return m_versions[node] == kNew; }
   void Lose(std::size_t node) { m_lost.insert(node); }
   void Restart(std::size_t node) { m_versions[node] = 0; }
+  void SetVersion(std::size_t node, std::uint64_t version) {
+    m_versions[node] = version;
+  }
+  void SetFetching(std::size_t node) { m_fetching.insert(node); }
+  std::string Assign(std::size_t node) {
+    return m_spread.AssignSource(AddressOf(node));
+  }
+  // Beats of all each 200 ms.
+  void Pass(milliseconds duration) {
+    constexpr milliseconds kBeat{200};
+    for (milliseconds passed{0}; passed < duration; passed += kBeat) {
+      m_clock.Advance(kBeat);
+      BeatAll();
+    }
+  }
 
   void Beat(std::size_t node, bool has_failed = false) {
     if (m_lost.contains(node))
@@ -48,6 +63,8 @@
     heartbeat.zone = "zone-" + std::to_string(ZoneOf(node));
     heartbeat.config_version = m_versions[node];
     heartbeat.config_fetch_failed = has_failed;
+    heartbeat.sequence = ++m_sequence;
+    heartbeat.is_fetching_config = m_fetching.contains(node);
     heartbeat.leader_merit_milli = node == 0 ? m_leader_merit : kWeak;
     m_spread.OnHeartbeat(heartbeat);
   }
@@ -114,6 +131,8 @@
   const std::uint32_t m_leader_merit;
   std::vector<std::uint64_t> m_versions;
   std::set<std::size_t> m_lost;
+  std::set<std::size_t> m_fetching;
+  std::uint64_t m_sequence = 0;
   ManualClock m_clock;
   ConfigSpread m_spread{m_clock};
 };
@@ -155,16 +174,85 @@
   CHECK(mesh.PlayUntilAllHaveIt(20) < 20);
 }
 
-// Guards against a transfer whose end nobody hears of: its node would never be
-// named another source, and its source would be busy for ever.
-TEST_CASE("a transfer that is not heard of again ends by itself") {
-  SpreadMesh mesh(3, 1, kWeak);
+// Guards against a node that is named no source any more, because the answer
+// that named one was lost.
+TEST_CASE("a source that a node has not heard of is named again") {
+  SpreadMesh mesh(2, 1, kWeak);
   mesh.BeatAll();
-  CHECK(mesh.spread().AssignSource(mesh.AddressOf(1)) == mesh.AddressOf(0));
-  CHECK(mesh.spread().AssignSource(mesh.AddressOf(1)).empty());
-  mesh.clock().Advance(milliseconds(1500));
+  CHECK(mesh.Assign(1) == mesh.AddressOf(0));
+  CHECK(mesh.Assign(1).empty());
+  mesh.Pass(milliseconds(400));
+  CHECK(mesh.Assign(1) == mesh.AddressOf(0));
+}
+
+// Guards against a transfer that never ends: its node waits for ever.
+TEST_CASE("a transfer that takes too long is given up") {
+  SpreadMesh mesh(2, 1, kWeak);
+  mesh.BeatAll();
+  CHECK(mesh.Assign(1) == mesh.AddressOf(0));
+  mesh.SetFetching(1);
+  mesh.Pass(milliseconds(800));
+  CHECK(mesh.Assign(1).empty());
+  mesh.Pass(milliseconds(800));
+  mesh.Assign(1);
+  mesh.Pass(milliseconds(600));
+  CHECK(mesh.Assign(1) == mesh.AddressOf(0));
+}
+
+// Guards against the only source there is, named no more after one failure.
+TEST_CASE("a source that failed once is tried again") {
+  SpreadMesh mesh(2, 1, kWeak);
+  mesh.BeatAll();
+  CHECK(mesh.Assign(1) == mesh.AddressOf(0));
+  mesh.Beat(1, true);
+  CHECK(mesh.Assign(1).empty());
+  mesh.Pass(milliseconds(600));
+  CHECK(mesh.Assign(1) == mesh.AddressOf(0));
+}
+
+// Guards against a source that is busy for ever with nodes that are gone.
+TEST_CASE("a source is free again when those who fetched from it are lost") {
+  SpreadMesh mesh(4, 1, kWeak);
   mesh.BeatAll();
-  CHECK(mesh.PlayUntilAllHaveIt(5) < 5);
+  CHECK(mesh.Assign(1) == mesh.AddressOf(0));
+  CHECK(mesh.Assign(2) == mesh.AddressOf(0));
+  CHECK(mesh.Assign(3).empty());
+  mesh.Lose(1);
+  mesh.Lose(2);
+  mesh.Pass(milliseconds(1200));
+  CHECK(mesh.Assign(3) == mesh.AddressOf(0));
+}
+
+// Guards against sources that are held busy by transfers of the version before.
+TEST_CASE("a node that got the version before is named a source at once") {
+  constexpr std::uint64_t kNewer = 15;
+  SpreadMesh mesh(2, 1, kWeak);
+  mesh.BeatAll();
+  CHECK(mesh.Assign(1) == mesh.AddressOf(0));
+  mesh.SetVersion(0, kNewer);
+  mesh.Beat(0);
+  mesh.SetVersion(1, kNew);
+  mesh.Beat(1);
+  CHECK(mesh.Assign(1) == mesh.AddressOf(0));
+}
+
+// Guards against a late heartbeat by which a node seems to be behind again.
+TEST_CASE("a heartbeat that was overtaken changes nothing") {
+  const ManualClock clock;
+  ConfigSpread spread(clock);
+  Heartbeat late;
+  late.address = "10.0.0.1:7240";
+  late.sequence = 1;
+  late.config_version = kOld;
+  Heartbeat last = late;
+  last.sequence = 2;
+  last.config_version = kNew;
+  Heartbeat other = last;
+  other.address = "10.0.0.2:7240";
+  spread.OnHeartbeat(other);
+  spread.OnHeartbeat(last);
+  spread.OnHeartbeat(late);
+  CHECK(spread.AssignSource(late.address).empty());
 }
 
 // Guards against a source that was restarted and has nothing to give.
@@ -173,7 +261,7 @@
   mesh.Restart(0);
   mesh.BeatAll();
   CHECK(mesh.spread().newest() == kOld);
-  CHECK(mesh.spread().AssignSource(mesh.AddressOf(0)) == mesh.AddressOf(1));
+  CHECK(mesh.Assign(0) == mesh.AddressOf(1));
   mesh.Restart(1);
   mesh.BeatAll();
   mesh.clock().Advance(milliseconds(1500));
--- a/modules/coordination/mesh/heartbeat.h
+++ b/modules/coordination/mesh/heartbeat.h
@@ -70,9 +70,13 @@
   std::uint64_t epoch = 0;
   std::uint64_t view_version = 0;
   std::uint64_t config_version = 0;
+  // For so long it has not been known that no newer one is in force.
+  std::uint32_t config_age_ms = 0;
   // The node was told to stop.
   bool is_leaving = false;
-  // The configuration could not be fetched from the source named last.
+  // The configuration is being fetched from the source named last, or could not
+  // be.
+  bool is_fetching_config = false;
   bool config_fetch_failed = false;
   // Its last call to the platform's store was answered.
   bool store_answers = false;
--- a/modules/coordination/mesh/heartbeat_reply.h
+++ b/modules/coordination/mesh/heartbeat_reply.h
@@ -33,6 +33,8 @@
   std::vector<std::uint64_t> crash_suspects;
   // The newest that any node has.
   std::uint64_t config_version = 0;
+  // For so long it has not been known that no newer one is in force.
+  std::uint32_t config_age_ms = 0;
   // The node from which to fetch it; empty: from nobody yet.
   std::string config_source;
 
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -16,6 +16,8 @@
 constexpr std::size_t kMaxSuspects = 1024;
 // A node that is to read the store has its first answer within this.
 constexpr std::chrono::milliseconds kReaderTrial{600};
+// After so many in a row without an answer, those on weak hosts are tried too.
+constexpr unsigned kVainFitReaders = 6;
 // Moves that are over stand in the record as if they still went on for at most
 // this long. Each is then asked for again by the next leader: an order more. To
 // store each at once would double the writes.
@@ -141,22 +143,46 @@
   const Clock::TimePoint now = m_clock.Now();
   for (StoreReader& reader : m_store_readers) {
     const auto current = m_nodes.find(reader.address);
-    if (current != m_nodes.end() && !IsSilent(current->second) &&
-        (current->second.last.store_answers ||
-         now - reader.since < kReaderTrial))
+    const bool is_there =
+        current != m_nodes.end() && !IsSilent(current->second);
+    if (is_there && current->second.last.store_answers) {
+      m_vain_readers = 0;
       continue;
-    auto next = m_nodes.upper_bound(reader.address);
-    for (std::size_t i = 0; i < m_nodes.size(); ++i, ++next) {
-      if (next == m_nodes.end())
-        next = m_nodes.begin();
-      const Node& node = next->second;
-      if (next->first == m_self || IsSilent(node) || node.last.is_leaving ||
-          ReadsStore(next->first))
-        continue;
-      reader = {next->first, now};
-      break;
     }
+    if (is_there && now - reader.since < kReaderTrial)
+      continue;
+    const std::string next = FindStoreReader(reader.address);
+    if (next.empty())
+      continue;
+    reader = {next, now};
+    ++m_vain_readers;
+  }
+}
+
+std::string MeshLeader::FindStoreReader(const std::string& previous) const {
+  const auto is_eligible = [&](const auto& entry) {
+    return entry.first != m_self && entry.first != previous &&
+           !IsSilent(entry.second) && !entry.second.last.is_leaving &&
+           !ReadsStore(entry.first);
+  };
+  // A long document takes a weak host's link and loop for most of a second.
+  std::uint32_t least_merit = 0;
+  if (m_vain_readers < kVainFitReaders) {
+    for (const auto& entry : m_nodes) {
+      if (is_eligible(entry))
+        least_merit =
+            std::max(least_merit, entry.second.last.leader_merit_milli);
+    }
+  }
+  auto next = m_nodes.upper_bound(previous);
+  for (std::size_t i = 0; i < m_nodes.size(); ++i, ++next) {
+    if (next == m_nodes.end())
+      next = m_nodes.begin();
+    if (is_eligible(*next) &&
+        next->second.last.leader_merit_milli >= least_merit)
+      return next->first;
   }
+  return {};
 }
 
 HeartbeatReply MeshLeader::MakeReply(const Heartbeat& heartbeat) {
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -105,6 +105,9 @@
   std::vector<std::chrono::milliseconds> MeanWorkOfOwners() const;
   // Has other nodes read the store when those that should can't.
   void ChooseStoreReaders();
+  // The next after `previous` on one of the fittest hosts; empty: there is
+  // none.
+  std::string FindStoreReader(const std::string& previous) const;
   bool ReadsStore(const std::string& address) const;
   std::vector<KeyAssigner::Member> AssignableMembers() const;
   std::vector<std::string> WantedVoters() const;
@@ -141,6 +144,8 @@
     Clock::TimePoint since;
   };
   std::array<StoreReader, 2> m_store_readers;
+  // Named in a row since one of them had an answer.
+  unsigned m_vain_readers = 0;
   std::vector<std::uint64_t> m_crash_suspects;
   // By node: the view version from which on it knows what concerns itself.
   std::map<std::string, std::uint64_t> m_concerned;
--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -359,6 +359,25 @@
   CHECK(leader->SuccessorHasStore());
 }
 
+// Guards against a long configuration that takes a weak host's link and loop,
+// and against fit hosts that are all cut off from the store.
+TEST_CASE_FIXTURE(Fixture, "the fittest hosts read the store while they can") {
+  for (const char* address : {"a", "b", "c", "d", "e"})
+    Node(address).leader_merit_milli = address[0] >= 'd' ? 1000 : 200;
+  Run(milliseconds(500));
+  const auto reads = [this](const char* address) {
+    return replies[address].follow_store;
+  };
+  CHECK(reads("d"));
+  CHECK(reads("e"));
+  bool was_weak_tried = false;
+  for (int i = 0; i < 50 && !was_weak_tried; ++i) {
+    Run(milliseconds(100));
+    was_weak_tried = reads("b") || reads("c");
+  }
+  CHECK(was_weak_tried);
+}
+
 TEST_CASE_FIXTURE(Fixture, "among equal hosts no leader gives way") {
   for (const char* address : {"a", "b", "c"})
     Node(address).store_answers = true;
--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -42,6 +42,8 @@
   leaderMeritMilli @25 :UInt32;
   obsoleteStoreFailed @26 :Bool;
   configFetchFailed @27 :Bool;
+  configAgeMs @28 :UInt32;
+  isFetchingConfig @29 :Bool;
 
   struct Released {
     service @0 :Text;
@@ -113,6 +115,7 @@
   isNewProcess @16 :Bool;
   longestLeaseMs @17 :UInt32;
   configSource @18 :Text;
+  configAgeMs @19 :UInt32;
 }
 
 struct MeshConfigRequest {
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -482,6 +482,10 @@
 
   inline bool getConfigFetchFailed() const;
 
+  inline  ::uint32_t getConfigAgeMs() const;
+
+  inline bool getIsFetchingConfig() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -632,6 +636,12 @@
   inline bool getConfigFetchFailed();
   inline void setConfigFetchFailed(bool value);
 
+  inline  ::uint32_t getConfigAgeMs();
+  inline void setConfigAgeMs( ::uint32_t value);
+
+  inline bool getIsFetchingConfig();
+  inline void setIsFetchingConfig(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1271,6 +1281,8 @@
   inline bool hasConfigSource() const;
   inline  ::capnp::Text::Reader getConfigSource() const;
 
+  inline  ::uint32_t getConfigAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1385,6 +1397,9 @@
   inline void adoptConfigSource(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownConfigSource();
 
+  inline  ::uint32_t getConfigAgeMs();
+  inline void setConfigAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3267,6 +3282,34 @@
       ::capnp::bounded<133>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t MeshHeartbeat::Reader::getConfigAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshHeartbeat::Builder::getConfigAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setConfigAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MeshHeartbeat::Reader::getIsFetchingConfig() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS);
+}
+
+inline bool MeshHeartbeat::Builder::getIsFetchingConfig() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setIsFetchingConfig(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<134>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MeshHeartbeat::Released::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4561,6 +4604,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t MeshHeartbeatReply::Reader::getConfigAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshHeartbeatReply::Builder::getConfigAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeatReply::Builder::setConfigAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t MeshConfigRequest::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -151,7 +151,9 @@
   heartbeat.epoch = in.getEpoch();
   heartbeat.view_version = in.getViewVersion();
   heartbeat.config_version = in.getConfigVersion();
+  heartbeat.is_fetching_config = in.getIsFetchingConfig();
   heartbeat.config_fetch_failed = in.getConfigFetchFailed();
+  heartbeat.config_age_ms = in.getConfigAgeMs();
   heartbeat.is_leaving = in.getIsLeaving();
   heartbeat.store_answers = in.getStoreAnswers();
   heartbeat.is_urgent = in.getIsUrgent();
@@ -280,6 +282,7 @@
   reply.crash_suspects = ReadNumbers(in.getCrashSuspects());
   reply.config_version = in.getConfigVersion();
   reply.config_source = in.getConfigSource();
+  reply.config_age_ms = in.getConfigAgeMs();
   return reply;
 }
 
@@ -411,7 +414,9 @@
   out.setEpoch(heartbeat.epoch);
   out.setViewVersion(heartbeat.view_version);
   out.setConfigVersion(heartbeat.config_version);
+  out.setIsFetchingConfig(heartbeat.is_fetching_config);
   out.setConfigFetchFailed(heartbeat.config_fetch_failed);
+  out.setConfigAgeMs(heartbeat.config_age_ms);
   out.setIsLeaving(heartbeat.is_leaving);
   out.setStoreAnswers(heartbeat.store_answers);
   out.setIsUrgent(heartbeat.is_urgent);
@@ -451,6 +456,7 @@
   out.setCrashSuspects(NumbersOf(reply.crash_suspects));
   out.setConfigVersion(reply.config_version);
   out.setConfigSource(reply.config_source);
+  out.setConfigAgeMs(reply.config_age_ms);
   return Pack(message);
 }
 
--- a/modules/protocol/mesh_message_codec_test.cc
+++ b/modules/protocol/mesh_message_codec_test.cc
@@ -70,6 +70,7 @@
   reply.view.runs.push_back({"divided", Run(20, 29, "")});
   reply.view.runs.push_back({"other", Run(0, kSlotCount - 1, "10.0.0.3:7240")});
   reply.config_source = "10.0.0.4:7240";
+  reply.config_age_ms = 340;
   return reply;
 }
 
--- a/modules/transport/mesh/config_follower.cc
+++ b/modules/transport/mesh/config_follower.cc
@@ -28,6 +28,10 @@
 constexpr milliseconds kIdlePause{100};
 // An answer that is older says nothing of the store's present state.
 constexpr milliseconds kAnswerCounts{2500};
+// A confirmed configuration has to be in force within 2 s. The store is known
+// to have nothing newer each 0.9 s, and others hear of that within 0.6 s.
+constexpr milliseconds kSureFor{1800};
+constexpr milliseconds kLongestAge{std::chrono::minutes(1)};
 
 }  // namespace
 
@@ -86,9 +90,17 @@
   return change;
 }
 
-void ConfigFollower::OnNewerVersion(std::uint64_t version) {
+void ConfigFollower::OnHeard(std::uint64_t version, milliseconds age) {
   m_newest_known = std::max(m_newest_known, version);
-  m_heard_at = m_clock.Now();
+  const Clock::TimePoint known = m_clock.Now() - age;
+  m_known_at = std::max(m_known_at.value_or(known), known);
+}
+
+milliseconds ConfigFollower::age() const {
+  if (!m_known_at)
+    return kLongestAge;
+  return std::min(kLongestAge,
+                  std::chrono::ceil<milliseconds>(m_clock.Now() - *m_known_at));
 }
 
 const RouteRule* ConfigFollower::FindRoute(std::string_view host,
@@ -97,41 +109,59 @@
 }
 
 bool ConfigFollower::MayBeBehind() const {
-  const Clock::TimePoint heard = std::max(m_heard_at, m_answered_at);
-  return m_newest_known > version() || m_clock.Now() - heard > kAnswerCounts;
+  return m_newest_known > version() || age() > kSureFor;
+}
+
+void ConfigFollower::OnStoreAnswered() {
+  if (!std::exchange(m_store_answered, true))
+    spdlog::info("event=store-answers");
+  m_answered_at = m_clock.Now();
 }
 
 bool ConfigFollower::store_answers() const {
   return m_store_answered && m_clock.Now() - m_answered_at < kAnswerCounts;
 }
 
-Task<> ConfigFollower::ReadOnce() {
+Task<> ConfigFollower::ReadOnce(milliseconds wait) {
   MeshStore::ConfigDocument read;
   if (m_store_next)
-    read = co_await m_store.AwaitConfig(*m_store_next, kWait);
+    read = co_await m_store.AwaitConfig(*m_store_next, wait);
   else
     read = co_await m_store.ReadConfig();
-  if (!std::exchange(m_store_answered, true))
-    spdlog::info("event=store-answers");
-  m_answered_at = m_clock.Now();
+  OnStoreAnswered();
+  if (read.is_newest)
+    OnHeard(0, milliseconds(0));
   if (read.bytes)
     OnDocument(*read.bytes);
   // A change from another node may have come meanwhile, from further on.
   m_store_next = std::max(m_store_next.value_or(0), read.next);
 }
 
+void ConfigFollower::ForgetPosition(const char* reason) {
+  spdlog::info("event=store-position-lost next={} reason=\"{}\"",
+               m_store_next.value_or(0), reason);
+  m_store_next.reset();
+}
+
 Task<> ConfigFollower::Follow() {
   boost::asio::steady_timer timer(m_loop);
+  // Whoever has just begun is asked soon whether the store answers it.
+  milliseconds wait{0};
   while (true) {
     milliseconds pause{0};
     if (!m_is_wanted()) {
       pause = kIdlePause;
+      wait = milliseconds(0);
     } else {
       try {
-        co_await ReadOnce();
+        co_await ReadOnce(wait);
+        wait = kWait;
       } catch (const StoreHistoryGoneError& error) {
-        spdlog::info("event=store-history-gone reason=\"{}\"", error.what());
-        m_store_next.reset();
+        ForgetPosition(error.what());
+        pause = kPauseAfterFailure;
+      } catch (const StoreAnswerError& error) {
+        // The same bytes would come again.
+        ForgetPosition(error.what());
         pause = kPauseAfterFailure;
       } catch (const StoreError& error) {
         if (std::exchange(m_store_answered, false)) {
--- a/modules/transport/mesh/config_follower.h
+++ b/modules/transport/mesh/config_follower.h
@@ -52,10 +52,12 @@
   // What leads from that version to this node's. Needs a configuration.
   ConfigChange ChangeFrom(std::uint64_t version) const;
 
-  // Some node has that version.
-  void OnNewerVersion(std::uint64_t version);
-  // A route that is missing here may be in force elsewhere: this node knows of
-  // a newer version than its own, or has heard of none for a while.
+  // Another node has that version, and knew `age` ago that none was newer.
+  void OnHeard(std::uint64_t version, std::chrono::milliseconds age);
+  // For so long this node has not known that none is newer.
+  std::chrono::milliseconds age() const;
+  // A route that is missing here may be in force: this node knows of a newer
+  // version than its own, or has not known for too long that there is none.
   bool MayBeBehind() const;
 
   // Nothing until the first one.
@@ -69,12 +71,17 @@
                              std::string_view path) const;
   // The newest version that this node has heard of.
   std::uint64_t newest_known() const { return m_newest_known; }
+  // It answered another call of this node: a long document may still be on its
+  // way.
+  void OnStoreAnswered();
   // The store answered lately.
   bool store_answers() const;
 
  private:
   Task<> Follow();
-  Task<> ReadOnce();
+  Task<> ReadOnce(std::chrono::milliseconds wait);
+  // The store is read anew.
+  void ForgetPosition(const char* reason);
   void OnDocument(const std::string& document);
   void PutInForce(RoutingConfig config);
 
@@ -87,7 +94,8 @@
   ConfigHistory m_history;
   std::optional<RouteIndex> m_routes;
   std::uint64_t m_newest_known = 0;
-  Clock::TimePoint m_heard_at;
+  // When it was last known that none is newer; nothing: never yet.
+  std::optional<Clock::TimePoint> m_known_at;
   // From where the store is followed; nothing: it has to be read anew. Kept
   // when a call fails: what was read need not be read again.
   std::optional<std::uint64_t> m_store_next;
--- a/modules/transport/mesh/config_follower_test.cc
+++ b/modules/transport/mesh/config_follower_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "modules/coordination/manual_clock.h"
 #include "modules/coordination/steady_clock.h"
 #include "modules/transport/mesh/config_decoder.h"
 #include "modules/transport/mesh/mesh_store.h"
@@ -34,7 +35,7 @@
 // Gives what a test has put down, one after the other, then nothing.
 class ScriptedStore final : public MeshStore {
  public:
-  enum class Event { kDocument, kUnanswered, kHistoryGone };
+  enum class Event { kDocument, kUnanswered, kHistoryGone, kUnreadable };
   struct Step {
     Event event;
     std::string document;
@@ -76,6 +77,8 @@
       throw StoreUnansweredError("no answer");
     if (step.event == Event::kHistoryGone)
       throw StoreHistoryGoneError("trimmed");
+    if (step.event == Event::kUnreadable)
+      throw StoreAnswerError("no record");
     co_return ConfigDocument{step.document, step.next};
   }
 
@@ -102,6 +105,9 @@
   std::vector<std::uint64_t> in_force;
 };
 
+// The least that any of the users' pages gives a confirmed configuration.
+constexpr milliseconds kShortestConfigApply{2000};
+
 using Event = ScriptedStore::Event;
 using Asked = std::vector<std::optional<std::uint64_t>>;
 
@@ -121,6 +127,12 @@
   CHECK(in_force == std::vector<std::uint64_t>{4, 9});
 }
 
+// Guards against bytes that can't be read and are asked for again for ever.
+TEST_CASE_FIXTURE(FollowedStore, "what can't be read is not asked for again") {
+  Play({{Event::kDocument, "4", 7}, {Event::kUnreadable, "", 0}});
+  CHECK(store.asked == Asked{std::nullopt, 7, std::nullopt});
+}
+
 TEST_CASE_FIXTURE(FollowedStore, "an older document changes nothing") {
   Play({{Event::kDocument, "9", 7}, {Event::kDocument, "4", 8}});
   CHECK(in_force == std::vector<std::uint64_t>{9});
@@ -150,7 +162,7 @@
                   "a node that knows of a newer version may be behind") {
   Play({{Event::kDocument, "4", 7}});
   CHECK_FALSE(follower.MayBeBehind());
-  follower.OnNewerVersion(5);
+  follower.OnHeard(5, milliseconds(0));
   CHECK(follower.MayBeBehind());
   ConfigChange change;
   change.to_version = 5;
@@ -158,4 +170,37 @@
   CHECK_FALSE(follower.MayBeBehind());
 }
 
+// Guards against a leader without the store whose replies make all others sure.
+TEST_CASE("hearing from who knows nothing lately proves nothing") {
+  boost::asio::io_context loop;
+  ManualClock clock;
+  ScriptedStore store(loop);
+  const NumberDecoder decoder;
+  FollowedStore listener;
+  ConfigFollower follower(loop, clock, store, decoder, listener);
+  ConfigChange change;
+  change.to_version = 4;
+  follower.OnChange(change);
+  follower.OnHeard(4, kShortestConfigApply);
+  CHECK(follower.MayBeBehind());
+}
+
+// Guards against 404 for a route that was confirmed just after this node last
+// heard of a version: the shortest time that users allow has passed since.
+TEST_CASE("what was heard too long ago is no proof that a route is missing") {
+  boost::asio::io_context loop;
+  ManualClock clock;
+  ScriptedStore store(loop);
+  const NumberDecoder decoder;
+  FollowedStore listener;
+  ConfigFollower follower(loop, clock, store, decoder, listener);
+  ConfigChange change;
+  change.to_version = 4;
+  follower.OnChange(change);
+  follower.OnHeard(4, milliseconds(0));
+  REQUIRE_FALSE(follower.MayBeBehind());
+  clock.Advance(kShortestConfigApply);
+  CHECK(follower.MayBeBehind());
+}
+
 }  // namespace citrongrade
--- a/modules/transport/mesh/config_transfer.cc
+++ b/modules/transport/mesh/config_transfer.cc
@@ -21,7 +21,7 @@
 using std::chrono::milliseconds;
 
 constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
+constexpr int kNothingNewer = 404;
 constexpr milliseconds kFirstTimeout{400};
 constexpr milliseconds kNextTimeout{300};
 constexpr milliseconds kPeerIdle{3000};
@@ -41,10 +41,11 @@
 
 void ConfigTransfer::FetchFrom(const std::string& source,
                                std::function<void()> on_end) {
-  if (m_is_fetching)
-    return;
+  ++m_number;
+  if (m_connection != nullptr)
+    std::exchange(m_connection, nullptr)->Close();
   m_is_fetching = true;
-  boost::asio::co_spawn(m_loop, Fetch(source, std::move(on_end)),
+  boost::asio::co_spawn(m_loop, Fetch(source, m_number, std::move(on_end)),
                         boost::asio::detached);
 }
 
@@ -52,40 +53,58 @@
   return std::exchange(m_has_failed, false);
 }
 
-Task<> ConfigTransfer::Fetch(std::string source, std::function<void()> on_end) {
+Task<> ConfigTransfer::Fetch(std::string source,
+                             std::uint64_t number,
+                             std::function<void()> on_end) {
   const Clock::TimePoint began = m_clock.Now();
   const std::uint64_t previous = m_config.version();
   std::string failure;
   try {
-    co_await FetchOnce(source);
+    co_await FetchOnce(source, number);
   } catch (const std::exception& error) {
     failure = error.what();
   }
   const auto took =
       std::chrono::duration_cast<milliseconds>(m_clock.Now() - began);
-  if (failure.empty()) {
-    spdlog::info("event=config-fetched source={} from={} to={} took_ms={}",
-                 source, previous, m_config.version(), took.count());
-  } else {
+  // What was wanted may have come another way meanwhile.
+  const bool has_failed = !failure.empty() && m_config.version() == previous;
+  if (has_failed) {
     spdlog::warn(
         "event=config-fetch-failed source={} have={} took_ms={} "
         "reason=\"{}\"",
         source, previous, took.count(), failure);
+  } else {
+    spdlog::info("event=config-fetched source={} from={} to={} took_ms={}",
+                 source, previous, m_config.version(), took.count());
   }
-  m_has_failed = !failure.empty();
+  if (number != m_number)
+    co_return;
+  m_has_failed = has_failed;
   m_is_fetching = false;
   on_end();
 }
 
-Task<> ConfigTransfer::FetchOnce(std::string source) {
+Task<> ConfigTransfer::FetchOnce(std::string source, std::uint64_t number) {
   const HttpAddress address = HttpAddress::Parse(source);
   HttpRequest request;
   request.method = "POST";
   request.target = kPath;
   request.body = ConfigChangeCodec::EncodeRequest(m_config.version());
   auto connection = co_await m_peers.Take(address, kPeerIdle);
-  const HttpResponse response = co_await connection->CallForLongAnswer(
-      std::move(request), kFirstTimeout, kNextTimeout);
+  if (number != m_number)
+    throw MalformedMessageError("another source was named");
+  m_connection = connection.get();
+  HttpResponse response;
+  try {
+    response = co_await connection->CallForLongAnswer(
+        std::move(request), kFirstTimeout, kNextTimeout);
+  } catch (...) {
+    if (number == m_number)
+      m_connection = nullptr;
+    throw;
+  }
+  if (number == m_number)
+    m_connection = nullptr;
   m_peers.GiveBack(address, std::move(connection));
   if (response.head.status != kOk) {
     throw MalformedMessageError(source + " answered " +
@@ -99,8 +118,8 @@
 HttpResponse ConfigTransfer::Answer(const HttpRequest& request) {
   const std::uint64_t version = ConfigChangeCodec::DecodeRequest(request.body);
   HttpResponse response;
-  if (m_config.version() == 0) {
-    response.head.status = kUnavailable;
+  if (m_config.version() <= version) {
+    response.head.status = kNothingNewer;
     return response;
   }
   const LoopMonitor::Section section(m_monitor, LoopMonitor::Activity::kConfig);
--- a/modules/transport/mesh/config_transfer.h
+++ b/modules/transport/mesh/config_transfer.h
@@ -17,13 +17,15 @@
 namespace citrongrade {
 
 class AsyncConnectionPool;
+class AsyncHttpConnection;
 class ConfigFollower;
 class LoopMonitor;
 
 // Brings the configuration from node to node: fetches the difference to what
 // this node has from the source that the leader names, and answers nodes that
-// were sent here. On connections of its own, so that heartbeats carry none of
-// it. On the event loop. Kin: ConfigSpread, by which the leader names sources.
+// were sent here. In calls of its own, so that heartbeats carry none of it and
+// wait for none. On the event loop. Kin: ConfigSpread, by which the leader
+// names sources.
 class ConfigTransfer {
  public:
   static constexpr const char* kPath = "/mesh/config";
@@ -34,9 +36,10 @@
                  AsyncConnectionPool& peers,
                  LoopMonitor& monitor);
 
-  // `on_end` is called when it has ended, whether it brought anything or not.
-  // Does nothing while another transfer is under way.
+  // In place of a transfer that is under way. `on_end` is called when it has
+  // ended by itself, whether it brought anything or not.
   void FetchFrom(const std::string& source, std::function<void()> on_end);
+  bool is_fetching() const { return m_is_fetching; }
   // Whether the last one failed; once asked, it is forgotten.
   bool TakeFailure();
 
@@ -44,14 +47,19 @@
   HttpResponse Answer(const HttpRequest& request);
 
  private:
-  Task<> Fetch(std::string source, std::function<void()> on_end);
-  Task<> FetchOnce(std::string source);
+  Task<> Fetch(std::string source,
+               std::uint64_t number,
+               std::function<void()> on_end);
+  Task<> FetchOnce(std::string source, std::uint64_t number);
 
   boost::asio::io_context& m_loop;
   const Clock& m_clock;
   ConfigFollower& m_config;
   AsyncConnectionPool& m_peers;
   LoopMonitor& m_monitor;
+  // Of the transfer that was begun last.
+  std::uint64_t m_number = 0;
+  AsyncHttpConnection* m_connection = nullptr;
   bool m_is_fetching = false;
   bool m_has_failed = false;
   // Answers to those that come from one version or another to m_answers_for.
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -54,10 +54,12 @@
 // Longer than the other reader's wait for news and its timeout: in an outage
 // for all it would still be said to have an answer, and nobody could lead then.
 constexpr milliseconds kStoreLost{2000};
-// A node that no source has brought the configuration by then reads the store.
-// Not all at the same moment: together they would wait for its reads.
+// A node that no source has brought a configuration by then reads the store, or
+// one without a leader for so long: the next leader reads it as well. Not all
+// at the same moment: together they would wait for its reads.
 constexpr milliseconds kShortestBehind{1000};
-constexpr milliseconds kBehindSpread{500};
+constexpr milliseconds kLongestLeaderless{2000};
+constexpr milliseconds kLongestPatience{500};
 constexpr milliseconds kHelloEvery{400};
 constexpr milliseconds kPeerIdle{3000};
 constexpr milliseconds kNoAuthority{1500};
@@ -115,9 +117,7 @@
       m_incarnation(m_random()),
       m_promise(clock, timing.promise),
       m_tracker(clock, timing.promise),
-      m_behind_since(clock.Now()),
-      m_behind_limit(kShortestBehind +
-                     milliseconds(m_random() % kBehindSpread.count())) {}
+      m_patience(m_random() % kLongestPatience.count()) {}
 
 MeshAgent::~MeshAgent() = default;
 
@@ -163,11 +163,11 @@
 }
 
 bool MeshAgent::follows_store() const {
-  if (m_leader || m_follow_store || TimeWithoutLeader() > m_timing.promise)
+  if (m_leader || m_follow_store ||
+      TimeWithoutLeader() > kLongestLeaderless + m_patience)
     return true;
-  if (m_config.version() == 0 && m_may_lead)
-    return true;
-  return m_behind_since && m_clock.Now() - *m_behind_since > m_behind_limit;
+  return m_behind_since &&
+         m_clock.Now() - *m_behind_since > kShortestBehind + m_patience;
 }
 
 Clock::Duration MeshAgent::TimeWithoutLeader() const {
@@ -255,7 +255,9 @@
   heartbeat.config_version = m_config.version();
   heartbeat.is_leaving = m_is_leaving;
   heartbeat.store_answers = m_config.store_answers();
+  heartbeat.is_fetching_config = m_transfer.is_fetching();
   heartbeat.config_fetch_failed = m_transfer.TakeFailure();
+  heartbeat.config_age_ms = static_cast<std::uint32_t>(m_config.age().count());
   m_listener.FillHeartbeat(heartbeat);
   return heartbeat;
 }
@@ -380,11 +382,14 @@
 }
 
 void MeshAgent::TakeConfigNews(const HeartbeatReply& reply) {
-  m_config.OnNewerVersion(reply.config_version);
-  if (m_config.version() > 0 && m_config.version() >= reply.config_version)
+  m_config.OnHeard(reply.config_version, milliseconds(reply.config_age_ms));
+  const std::uint64_t version = m_config.version();
+  if (version > 0 && version >= m_config.newest_known()) {
     m_behind_since.reset();
-  else if (!m_behind_since)
+  } else if (!m_behind_since || m_behind_with != version) {
     m_behind_since = m_clock.Now();
+    m_behind_with = version;
+  }
   // The leader should hear at once that this node can be a source.
   if (!reply.config_source.empty())
     m_transfer.FetchFrom(reply.config_source, [this] { Urge(); });
@@ -404,7 +409,8 @@
     return reply;
   }
   HeartbeatReply reply = m_leader->MakeReply(heartbeat);
-  reply.config_version = std::max(m_config.version(), m_spread->newest());
+  reply.config_version = m_config.newest_known();
+  reply.config_age_ms = static_cast<std::uint32_t>(m_config.age().count());
   reply.config_source = config_source;
   return reply;
 }
@@ -456,6 +462,8 @@
     return heartbeat;
   m_leader->OnHeartbeat(heartbeat);
   m_spread->OnHeartbeat(heartbeat);
+  m_config.OnHeard(heartbeat.config_version,
+                   milliseconds(heartbeat.config_age_ms));
   if (heartbeat.is_urgent)
     Urge();
   return heartbeat;
@@ -550,7 +558,6 @@
     co_return;
   }
   if (!stored.bytes) {
-    m_may_lead = true;
     co_await ClaimNewMesh(stored.end);
     co_return;
   }
@@ -561,7 +568,6 @@
     m_tracker.Follow(record.leader);
     co_return;
   }
-  m_may_lead = true;
   co_await Campaign(record, stored.end, std::exchange(m_was_named, false));
 }
 
@@ -636,6 +642,7 @@
   if (m_leader->has_resigned() && !successor.empty())
     m_tracker.Follow(successor);
   m_leader.reset();
+  m_spread.reset();
   NotifyWaiting();
 }
 
@@ -804,6 +811,7 @@
                                 const std::shared_ptr<MeshLeader>& leader) {
   try {
     m_record_end = co_await m_store.WriteRecord(bytes, m_record_end);
+    m_config.OnStoreAnswered();
     TakeStored(*leader);
     co_return true;
   } catch (const StoreConflictError&) {
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -193,13 +193,12 @@
   std::chrono::milliseconds m_longest_lease{0};
   MeshView m_view;
   bool m_follow_store = false;
-  // Since when another node has a newer configuration, or this one has none;
-  // nothing: it has the newest that it knows of.
+  // Since when this node has had a version that is not the newest, or none, and
+  // which; nothing: it has the newest that it knows of.
   std::optional<Clock::TimePoint> m_behind_since;
-  // How long this node waits then before it reads the store for itself.
-  std::chrono::milliseconds m_behind_limit;
-  // It may have to lead a mesh in which nobody has the configuration.
-  bool m_may_lead = false;
+  std::uint64_t m_behind_with = 0;
+  // How much longer than others this node waits before it reads the store.
+  const std::chrono::milliseconds m_patience;
   bool m_is_leaving = false;
   bool m_was_named = false;
   // Of the stored record that was read last.
--- a/modules/transport/mesh/mesh_store.h
+++ b/modules/transport/mesh/mesh_store.h
@@ -62,6 +62,8 @@
     std::optional<std::string> bytes;
     // From where to wait for the next one.
     std::uint64_t next = 0;
+    // Nothing newer was stored when the store answered.
+    bool is_newest = true;
   };
 
   virtual ~MeshStore() = default;
