Take heads as long as the configuration in force allows

Cause: the caller's server was bound to heads of 16 KiB, whatever MaxHeaderBytes says; a longer proper one was answered 431 (found while looking for every way in which a node answers 4xx of its own). The same holds for bodies and 8 MiB: that bound protects the memory of small hosts, which hold bodies whole. Change: the head's limit follows the configuration, twice as long between nodes. Tests: platform_proper_requests_process_test (431 before).

--- a/modules/transport/async/async_http_server.cc
+++ b/modules/transport/async/async_http_server.cc
@@ -106,6 +106,9 @@
   void SetIdleTimeout(std::chrono::milliseconds timeout) {
     m_settings.idle_timeout = timeout;
   }
+  void SetMaxHeaderBytes(std::size_t bytes) {
+    m_settings.max_header_bytes = bytes;
+  }
 
  private:
   struct Session;
@@ -493,6 +496,10 @@
   m_implementation->SetIdleTimeout(timeout);
 }
 
+void AsyncHttpServer::SetMaxHeaderBytes(std::size_t bytes) {
+  m_implementation->SetMaxHeaderBytes(bytes);
+}
+
 void AsyncHttpServer::StopKeeping() {
   m_implementation->StopKeeping();
 }
--- a/modules/transport/async/async_http_server.h
+++ b/modules/transport/async/async_http_server.h
@@ -63,6 +63,7 @@
   AsyncHttpServer& operator=(const AsyncHttpServer&) = delete;
 
   void SetIdleTimeout(std::chrono::milliseconds timeout);
+  void SetMaxHeaderBytes(std::size_t bytes);
 
   // Every answer from now on asks its client to use another connection.
   void StopKeeping();
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -55,6 +55,8 @@
 // This node's part of the mesh's retries; the rest is a reserve, as nodes do
 // not tell each other how many they have used.
 constexpr double kRetryPart = 0.5;
+// A caller's head and what nodes add to it.
+constexpr std::size_t kHopHeaderFactor = 2;
 constexpr std::size_t kStatusHeaderBytes = std::size_t{8} * 1024;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -98,8 +100,7 @@
 
 AsyncHttpServer::Settings WorkServer(const platform::SettingsFile& file) {
   AsyncHttpServer::Settings server = ServerAt(file.work);
-  // A caller's head and what nodes add to it.
-  server.max_header_bytes *= 2;
+  server.max_header_bytes *= kHopHeaderFactor;
   server.max_body_bytes *= 2;
   return server;
 }
@@ -289,6 +290,9 @@
   }
   m_agent.SetDividedServices(std::move(divided));
   m_callers.SetIdleTimeout(config.limits.idle_timeout);
+  const std::size_t header_bytes = config.limits.max_header_bytes;
+  m_callers.SetMaxHeaderBytes(header_bytes);
+  m_work.SetMaxHeaderBytes(kHopHeaderFactor * header_bytes);
   // The leader may not have it yet.
   if (m_agent.follows_store())
     m_agent.Urge();
