Log: where on its way a try spends its time

The logs said that a call had timed out, not whether it had waited for a connection, in a link, for its turn or for the target. Change: request-answered, request-try and request-run have connect_ms, way_ms, body_ms, queue_ms, door_ms and target_ms, and the latter two the route; no line more than before. The owner's node tells its part in a header of its own, so that nodes of an older version still read the result.

--- a/modules/transport/mesh/request_log.cc
+++ b/modules/transport/mesh/request_log.cc
@@ -60,11 +60,12 @@
     return;
   spdlog::info(
       "event=request-try id={} service={} key={} node={} outcome={} reason={} "
-      "took_ms={} view={} left_out={} detail=\"{}\"",
+      "took_ms={} {} view={} route={} left_out={} detail=\"{}\"",
       order.request_id, order.service,
       order.key ? std::to_string(*order.key) : "none", member,
-      ToString(result.outcome), ReasonOf(result), took.count(), view_version,
-      left_out, result.message);
+      ToString(result.outcome), ReasonOf(result), took.count(),
+      result.times.ToText(), view_version, order.kind, left_out,
+      result.message);
 }
 
 void RequestLog::OnAnswered(const WorkOrder& order,
@@ -79,10 +80,12 @@
   spdlog::info(
       "event=request-answered id={} priority={} route={} service={} status={} "
       "outcome={} "
-      "reason={} tries={} took_ms={} retry_after_ms={} config={} left_out={}",
+      "reason={} tries={} took_ms={} {} retry_after_ms={} config={} "
+      "left_out={}",
       order.request_id, order.priority, order.kind, order.service, status,
       ToString(result.outcome), ReasonOf(result), tries, took.count(),
-      result.retry_after.count(), config_version, left_out);
+      result.times.ToText(), result.retry_after.count(), config_version,
+      left_out);
 }
 
 void RequestLog::OnRun(const WorkOrder& order,
@@ -93,13 +96,14 @@
     return;
   spdlog::info(
       "event=request-run id={} service={} key={} from={} outcome={} reason={} "
-      "status={} time_left_ms={} hold_left_ms={} left_out={} detail=\"{}\"",
+      "status={} time_left_ms={} {} hold_left_ms={} route={} left_out={} "
+      "detail=\"{}\"",
       order.request_id, order.service,
       order.key ? std::to_string(*order.key) : "none", from,
       ToString(result.outcome), ReasonOf(result), result.response.head.status,
-      order.time_left.count(),
+      order.time_left.count(), result.times.ToText(),
       result.hold_left ? std::to_string(result.hold_left->count()) : "none",
-      left_out, result.message);
+      order.kind, left_out, result.message);
 }
 
 void RequestLog::OnUnrouted(const std::string& request_id,
--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -309,25 +309,28 @@
   order.sent = clock.Now().time_since_epoch();
   order.WriteTo(request);
   context.SetStop([&connection] { connection->Close(); });
+  WorkResult result;
   try {
     HttpResponse response = co_await connection->Call(
         std::move(request), order.time_left + kHopSlack);
     context.ClearStop();
     m_dependencies.peers.GiveBack(address, std::move(connection));
     StripConnectionHeaders(response.head.headers);
-    co_return WorkResult::FromHop(std::move(response));
+    result = WorkResult::FromHop(std::move(response));
   } catch (const ResponseTimeoutError& error) {
     context.ClearStop();
-    co_return WorkResult::Unknown(RequestErrorCode::kTargetTimeout,
-                                  error.what());
+    result =
+        WorkResult::Unknown(RequestErrorCode::kTargetTimeout, error.what());
   } catch (const HttpError& error) {
     context.ClearStop();
-    co_return WorkResult::Unknown(RequestErrorCode::kOwnerUnreachable,
-                                  error.what());
+    result =
+        WorkResult::Unknown(RequestErrorCode::kOwnerUnreachable, error.what());
   } catch (const MalformedMessageError& error) {
-    co_return WorkResult::Unknown(RequestErrorCode::kOwnerUnreachable,
-                                  error.what());
+    result =
+        WorkResult::Unknown(RequestErrorCode::kOwnerUnreachable, error.what());
   }
+  result.times.connect = spent;
+  co_return result;
 }
 
 Task<bool> RequestRouter::MayTryAgain(const WorkResult& result,
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -179,13 +179,22 @@
   const RequestTicket ticket = m_next_ticket;
   m_next_ticket = m_next_ticket.Next();
   WorkResult turn = co_await AwaitTurn(order, ticket, context);
+  turn.times.queue = std::chrono::floor<milliseconds>(m_clock.Now() - now);
   if (!turn.has_answer()) {
     Count(turn);
     co_return turn;
   }
   m_running_marks[ticket] = mark;
-  WorkResult result =
-      co_await Pass(std::move(request), order, deadline, ticket, context);
+  const Clock::TimePoint admitted = m_clock.Now();
+  std::optional<Clock::TimePoint> passed;
+  WorkResult result = co_await Pass(std::move(request), order, deadline, ticket,
+                                    passed, context);
+  const Clock::TimePoint ended = m_clock.Now();
+  result.times.queue = turn.times.queue;
+  result.times.door =
+      std::chrono::floor<milliseconds>(passed.value_or(ended) - admitted);
+  result.times.target =
+      std::chrono::floor<milliseconds>(ended - passed.value_or(ended));
   Count(result);
   co_return result;
 }
@@ -240,6 +249,7 @@
                                      const WorkOrder& order,
                                      Clock::TimePoint deadline,
                                      RequestTicket ticket,
+                                     std::optional<Clock::TimePoint>& passed,
                                      RequestContext& context) {
   Admitted place(*this, ticket);
   const HttpAddress address = m_keeper.address();
@@ -281,6 +291,7 @@
   addressing.expected_target = m_keeper.life().id;
   addressing.origin_service = order.origin_service;
   context.SetStop([&connection] { connection->Close(); });
+  passed = started;
   try {
     AsyncHttpConnection::IsAnswer is_answer =
         [this, id = order.request_id](const HttpResponse& answer) {
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -90,10 +91,12 @@
   Task<WorkResult> AwaitTurn(const WorkOrder& order,
                              RequestTicket ticket,
                              RequestContext& context);
+  // Sets `passed` when it is about to write to the target.
   Task<WorkResult> Pass(HttpRequest request,
                         const WorkOrder& order,
                         Clock::TimePoint deadline,
                         RequestTicket ticket,
+                        std::optional<Clock::TimePoint>& passed,
                         RequestContext& context);
   WorkResult Judge(HttpResponse response, const TargetAnswerFacts& facts);
   // A request's connection broke. If the target's process is gone, the request
--- a/modules/transport/mesh/work_handler.cc
+++ b/modules/transport/mesh/work_handler.cc
@@ -31,6 +31,8 @@
       m_transit_delay.OnArrived(order.sender, order.sent, context.arrived()));
   order.time_left -= held_up;
   order.aim_left -= held_up;
+  const auto body = std::chrono::floor<std::chrono::milliseconds>(
+      m_clock.Now() - context.arrived());
   WorkResult result;
   if (order.time_left <= std::chrono::milliseconds(0)) {
     result = WorkResult::NotRun(RequestErrorCode::kDeadlinePassed,
@@ -38,6 +40,8 @@
   } else {
     result = co_await m_gateway.Run(std::move(request), order, context);
   }
+  result.times.way = held_up;
+  result.times.body = body;
   m_log.OnRun(order, result, context.caller_ip());
   co_return result.ToHop();
 }
--- a/modules/transport/mesh/work_handler.h
+++ b/modules/transport/mesh/work_handler.h
@@ -13,12 +13,16 @@
 class WorkHandler final : public AsyncHttpServer::Handler {
  public:
   WorkHandler(const Clock& clock, TargetGateway& gateway, RequestLog& log)
-      : m_gateway(gateway), m_log(log), m_transit_delay(clock) {}
+      : m_clock(clock),
+        m_gateway(gateway),
+        m_log(log),
+        m_transit_delay(clock) {}
 
   Task<HttpResponse> Handle(HttpRequest request,
                             RequestContext& context) override;
 
  private:
+  const Clock& m_clock;
   TargetGateway& m_gateway;
   RequestLog& m_log;
   TransitDelay m_transit_delay;
--- a/modules/transport/mesh/work_order_test.cc
+++ b/modules/transport/mesh/work_order_test.cc
@@ -56,6 +56,26 @@
   CHECK(WorkResult::FromHop(answered.ToHop()).response == response);
 }
 
+// A call was late, and no log said where on its way it had been.
+TEST_CASE("where a try spent its time comes back with its result") {
+  WorkTimes times;
+  times.way = milliseconds(700);
+  times.body = milliseconds(34);
+  times.queue = milliseconds(5);
+  times.door = milliseconds(1);
+  times.target = milliseconds(30);
+  WorkResult refused =
+      WorkResult::NotRun(RequestErrorCode::kOverloaded, "full");
+  refused.times = times;
+  CHECK(WorkResult::FromHop(refused.ToHop()).times == times);
+  WorkResult answered = WorkResult::Answered(HttpResponse());
+  answered.times = times;
+  CHECK(WorkResult::FromHop(answered.ToHop()).times == times);
+  CHECK(WorkResult::FromHop(answered.ToHop()).response.head.headers.empty());
+  CHECK(times.ToText() ==
+        "connect_ms=0 way_ms=700 body_ms=34 queue_ms=5 door_ms=1 target_ms=30");
+}
+
 // What another process, or another version, answers must never pass for the
 // target's answer.
 TEST_CASE("an answer without a result is no result") {
--- a/modules/transport/mesh/work_result.cc
+++ b/modules/transport/mesh/work_result.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "modules/protocol/malformed_message_error.h"
 
@@ -12,10 +13,15 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 // "answered", or outcome, number of the error, retry time in ms, and whether
 // the request came to a target.
 constexpr std::string_view kHeader = "Mesh-Result";
 constexpr std::string_view kAnswered = "answered";
+// Where the try spent its time, in ms; a node of another version may leave it
+// out.
+constexpr std::string_view kTimesHeader = "Mesh-Times";
 constexpr int kNotRunStatus = 503;
 constexpr int kUnknownStatus = 502;
 constexpr int kLastError =
@@ -33,6 +39,28 @@
   return number;
 }
 
+void WriteTimes(const WorkTimes& times, std::vector<HttpHeader>& headers) {
+  std::string text;
+  for (const milliseconds time :
+       {times.way, times.body, times.queue, times.door, times.target}) {
+    text += text.empty() ? "" : " ";
+    text += std::to_string(time.count());
+  }
+  headers.push_back({std::string(kTimesHeader), std::move(text)});
+}
+
+WorkTimes TakeTimes(std::vector<HttpHeader>& headers) {
+  WorkTimes times;
+  const std::optional<std::string> value = TakeHeader(headers, kTimesHeader);
+  if (!value)
+    return times;
+  std::string_view text = *value;
+  for (milliseconds* time :
+       {&times.way, &times.body, &times.queue, &times.door, &times.target})
+    *time = milliseconds(ReadNumber(text));
+  return times;
+}
+
 }  // namespace
 
 WorkResult WorkResult::Answered(HttpResponse response) {
@@ -67,6 +95,7 @@
   if (has_answer()) {
     HttpResponse hop = response;
     hop.head.headers.push_back({std::string(kHeader), std::string(kAnswered)});
+    WriteTimes(times, hop.head.headers);
     return hop;
   }
   HttpResponse hop;
@@ -77,6 +106,7 @@
                                  std::to_string(static_cast<int>(*error)) +
                                  " " + std::to_string(retry_after.count()) +
                                  " " + std::to_string(has_arrived ? 1 : 0)});
+  WriteTimes(times, hop.head.headers);
   hop.body = message;
   return hop;
 }
@@ -86,8 +116,12 @@
       TakeHeader(response.head.headers, kHeader);
   if (!value)
     throw MalformedMessageError("an answer without a result");
-  if (*value == kAnswered)
-    return Answered(std::move(response));
+  const WorkTimes times = TakeTimes(response.head.headers);
+  if (*value == kAnswered) {
+    WorkResult answered = Answered(std::move(response));
+    answered.times = times;
+    return answered;
+  }
   std::string_view text = *value;
   const bool not_run = ReadNumber(text) != 0;
   const int error = ReadNumber(text);
@@ -101,6 +135,7 @@
   result.message = std::move(response.body);
   result.retry_after = std::chrono::milliseconds(retry_ms);
   result.has_arrived = has_arrived;
+  result.times = times;
   return result;
 }
 
--- a/modules/transport/mesh/work_result.h
+++ b/modules/transport/mesh/work_result.h
@@ -8,6 +8,7 @@
 #include "modules/state/request_error_code.h"
 #include "modules/state/request_outcome.h"
 #include "modules/transport/http_response.h"
+#include "modules/transport/mesh/work_times.h"
 
 namespace citrongrade {
 
@@ -24,6 +25,7 @@
   // Left of the target's hold on the key when the run began, at the node beside
   // it. A run that takes longer fails at the target.
   std::optional<std::chrono::milliseconds> hold_left;
+  WorkTimes times;
   // The target's, when it answered.
   HttpResponse response;
 
