Long bodies ask the owner's node for room on its link before they are sent

Calls of bollard-cert, 400 ms of time, stand in the links behind them: 738 ms on the way those that came too late. Each that fails fails the run of berth-status that made it (455 ms in its slot in place of 191), so berth-board sheds. Ruled out, by the trace before: the processor (no loop late by 150 ms in any node), the wait for a connection (2 ms), the owner's queue (27 ms), the target (31 ms), links as such (way into berth-board's hosts, mostly of the same 13 Mbit/s, 1 to 4 ms). Change: bodies of 16 KiB and more go with "Expect: 100-continue" between nodes. What can't come in time is refused when that shows, not run, with when to come back; none of it was sent. Beside: the time that a body took on its way is taken off the time left of its request.

--- a/modules/transport/async/async_http_connection.cc
+++ b/modules/transport/async/async_http_connection.cc
@@ -16,6 +16,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -34,6 +35,7 @@
 
 constexpr unsigned kHttpVersion = 11;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kContinue = 100;
 constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{16} << 20U;
 constexpr std::uint32_t kMaxHeadBytes = 32 * 1024;
 // Bytes that the peer's host does not confirm for so long: the connection was
@@ -42,8 +44,20 @@
 
 using Parser = http::response_parser<http::string_body>;
 
+// How a call differs from a plain one.
+struct CallTerms {
+  AsyncHttpConnection::IsAnswer is_answer;
+  // Of each piece of the answer but the first; zero: the call's timeout is for
+  // all of it.
+  Clock::Duration next_timeout{0};
+  // The body is sent once the peer has asked for it.
+  bool asks_first = false;
+};
+
 struct Outgoing {
   http::request<http::string_body> message;
+  // Where the body waits for the peer to ask for it.
+  std::optional<http::request_serializer<http::string_body>> rest;
   bool is_written = false;
 };
 
@@ -120,12 +134,9 @@
         m_stream(loop) {}
 
   Task<> Connect(Clock::Duration timeout);
-  // `next_timeout`: of each piece of the answer but the first; zero: `timeout`
-  // is for all of it.
   Task<HttpResponse> Call(HttpRequest request,
                           Clock::Duration timeout,
-                          Clock::Duration next_timeout,
-                          IsAnswer is_answer);
+                          CallTerms terms);
   void Close() {
     m_is_usable = false;
     m_stream.close();
@@ -135,7 +146,11 @@
   Clock::Duration peer_keep_alive() const { return m_peer_keep_alive; }
 
  private:
-  Task<HttpResponse> ReadOne(Clock::Duration next_timeout);
+  Task<> WriteHead(std::shared_ptr<Outgoing> outgoing);
+  // All of it, or what WriteHead() has left.
+  void Write(const std::shared_ptr<Outgoing>& outgoing);
+  Task<HttpResponse> ReadOne(std::shared_ptr<Outgoing> outgoing,
+                             Clock::Duration next_timeout);
   Task<> ReadInPieces(Parser& parser,
                       Clock::Duration next_timeout,
                       boost::system::error_code& error);
@@ -183,8 +198,35 @@
   }
 }
 
+Task<> AsyncHttpConnection::Implementation::WriteHead(
+    std::shared_ptr<Outgoing> outgoing) {
+  outgoing->message.set(http::field::expect, "100-continue");
+  outgoing->rest.emplace(outgoing->message);
+  boost::system::error_code error;
+  co_await http::async_write_header(
+      m_stream, *outgoing->rest,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (error)
+    ThrowReadError(error, false, m_host);
+}
+
+void AsyncHttpConnection::Implementation::Write(
+    const std::shared_ptr<Outgoing>& outgoing) {
+  auto on_written = [self = shared_from_this(), outgoing](
+                        const boost::system::error_code& error,
+                        std::size_t /*bytes*/) {
+    outgoing->is_written = !error;
+  };
+  if (outgoing->rest)
+    http::async_write(m_stream, *outgoing->rest, std::move(on_written));
+  else
+    http::async_write(m_stream, outgoing->message, std::move(on_written));
+}
+
 Task<HttpResponse> AsyncHttpConnection::Implementation::ReadOne(
+    std::shared_ptr<Outgoing> outgoing,
     Clock::Duration next_timeout) {
+  bool is_asked = false;
   while (true) {
     Parser parser;
     parser.body_limit(kMaxAnswerBytes);
@@ -199,6 +241,10 @@
     }
     if (error)
       ThrowReadError(error, parser.got_some(), m_host);
+    if (parser.get().result_int() == kContinue && outgoing->rest && !is_asked) {
+      is_asked = true;
+      Write(outgoing);
+    }
     if (parser.get().result_int() < kFirstFinalStatus)
       continue;
     m_peer_keeps_open = parser.keep_alive() && !parser.need_eof();
@@ -209,27 +255,24 @@
 Task<HttpResponse> AsyncHttpConnection::Implementation::Call(
     HttpRequest request,
     Clock::Duration timeout,
-    Clock::Duration next_timeout,
-    IsAnswer is_answer) {
+    CallTerms terms) {
   // Opening the connection, or a pause of the process, may have taken all the
   // time. Sent now it would arrive when its sender has given it up: a grant
   // would hold keys that are another's by then.
   if (timeout <= Clock::Duration(0))
     throw ResponseTimeoutError(m_host + ": no time is left");
-  const auto self = shared_from_this();
   const std::shared_ptr<Outgoing> outgoing =
       MakeOutgoing(std::move(request), m_host);
   m_is_usable = false;
   m_stream.expires_after(timeout);
-  http::async_write(m_stream, outgoing->message,
-                    [self, outgoing](const boost::system::error_code& error,
-                                     std::size_t /*bytes*/) {
-                      outgoing->is_written = !error;
-                    });
+  if (terms.asks_first)
+    co_await WriteHead(outgoing);
+  else
+    Write(outgoing);
   bool was_exact = true;
   while (true) {
-    HttpResponse response = co_await ReadOne(next_timeout);
-    if (is_answer && !is_answer(response)) {
+    HttpResponse response = co_await ReadOne(outgoing, terms.next_timeout);
+    if (terms.is_answer && !terms.is_answer(response)) {
       was_exact = false;
       if (!m_peer_keeps_open)
         throw ConnectionClosedError(m_host + ": closed after another answer");
@@ -273,9 +316,18 @@
                                              Clock::Duration timeout,
                                              IsAnswer is_answer) {
   const auto implementation = m_implementation;
-  constexpr Clock::Duration kForAll{0};
-  co_return co_await implementation->Call(std::move(request), timeout, kForAll,
-                                          std::move(is_answer));
+  CallTerms terms;
+  terms.is_answer = std::move(is_answer);
+  co_return co_await implementation->Call(std::move(request), timeout, terms);
+}
+
+Task<HttpResponse> AsyncHttpConnection::CallAskingFirst(
+    HttpRequest request,
+    Clock::Duration timeout) {
+  const auto implementation = m_implementation;
+  CallTerms terms;
+  terms.asks_first = true;
+  co_return co_await implementation->Call(std::move(request), timeout, terms);
 }
 
 Task<HttpResponse> AsyncHttpConnection::CallForLongAnswer(
@@ -283,9 +335,10 @@
     Clock::Duration first_timeout,
     Clock::Duration next_timeout) {
   const auto implementation = m_implementation;
-  const IsAnswer is_answer;
+  CallTerms terms;
+  terms.next_timeout = next_timeout;
   co_return co_await implementation->Call(std::move(request), first_timeout,
-                                          next_timeout, is_answer);
+                                          terms);
 }
 
 void AsyncHttpConnection::Close() {
--- a/modules/transport/async/async_http_connection.h
+++ b/modules/transport/async/async_http_connection.h
@@ -42,6 +42,10 @@
   Task<HttpResponse> Call(HttpRequest request,
                           Clock::Duration timeout,
                           IsAnswer is_answer = nullptr);
+  // The same, but the body is sent only when the peer asks for it; it may
+  // answer instead.
+  Task<HttpResponse> CallAskingFirst(HttpRequest request,
+                                     Clock::Duration timeout);
 
   // The same for an answer that may be long: its first bytes have to come
   // within `first_timeout`, each next ones within `next_timeout`. So the time
--- a/modules/transport/async/async_http_server.cc
+++ b/modules/transport/async/async_http_server.cc
@@ -59,16 +59,28 @@
   return static_cast<int>(http::status::bad_request);
 }
 
-HttpRequest TakeRequest(Parser& parser) {
+HttpRequest HeadOf(Parser& parser) {
   auto& message = parser.get();
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   request.headers = HeadersOf(message);
+  return request;
+}
+
+HttpRequest TakeRequest(Parser& parser) {
+  auto& message = parser.get();
+  HttpRequest request = HeadOf(parser);
   request.body = std::move(message.body());
   return request;
 }
 
+HttpResponse Respond(int status) {
+  HttpResponse response;
+  response.head.status = status;
+  return response;
+}
+
 http::response<http::string_body> MakeMessage(HttpResponse response,
                                               bool keeps_alive) {
   http::response<http::string_body> message;
@@ -163,7 +175,14 @@
                       SessionPointer session);
   // Nothing when the connection is to end.
   Task<ExchangePointer> ReadOne(SessionPointer session, HttpRequest& request);
-  Task<bool> ReadBody(SessionPointer session, Parser& parser);
+  Task<bool> ReadBody(SessionPointer session,
+                      ExchangePointer exchange,
+                      Parser& parser);
+  // False when the body is not taken.
+  Task<bool> AskForBody(SessionPointer session,
+                        ExchangePointer exchange,
+                        Parser& parser,
+                        std::shared_ptr<void>& place);
   Task<> AwaitRoom(SessionPointer session, bool may_overlap);
   static Task<> HandleOne(std::shared_ptr<Implementation> self,
                           SessionPointer session,
@@ -171,7 +190,7 @@
                           HttpRequest request);
   // Writes the answers that are due by the order of the requests.
   Task<> WriteAnswers(SessionPointer session);
-  Task<> Refuse(SessionPointer session, int status);
+  Task<> Refuse(SessionPointer session, HttpResponse refusal);
   void ArmIdle(const SessionPointer& session);
   void End(const SessionPointer& session);
   static void OnCallerGone(Session& session);
@@ -268,8 +287,6 @@
       if (session->is_ending)
         break;
       ++session->served;
-      exchange->context.SetProbe(
-          [session] { return IsClosedByPeer(*session); });
       if (exchange->context.LooksGone()) {
         OnCallerGone(*session);
         break;
@@ -317,7 +334,7 @@
   if (is_malformed) {
     co_await AwaitRoom(session, false);
     if (!session->is_ending)
-      co_await Refuse(session, StatusOf(error));
+      co_await Refuse(session, Respond(StatusOf(error)));
     co_return nullptr;
   }
   if (error) {
@@ -328,7 +345,8 @@
   session->idle.cancel();
   auto exchange =
       std::make_shared<Exchange>(m_in_flight, m_clock.Now(), session->peer_ip);
-  if (!co_await ReadBody(session, parser))
+  exchange->context.SetProbe([session] { return IsClosedByPeer(*session); });
+  if (!co_await ReadBody(session, exchange, parser))
     co_return nullptr;
   exchange->keeps_alive = parser.keep_alive();
   request = TakeRequest(parser);
@@ -337,15 +355,13 @@
 }
 
 Task<bool> AsyncHttpServer::Implementation::ReadBody(SessionPointer session,
+                                                     ExchangePointer exchange,
                                                      Parser& parser) {
+  std::shared_ptr<void> place;
+  const bool asks = parser.get()[http::field::expect] == "100-continue";
+  if (asks && !co_await AskForBody(session, exchange, parser, place))
+    co_return false;
   session->stream.expires_after(m_settings.read_timeout);
-  if (parser.get()[http::field::expect] == "100-continue") {
-    // An answer that is still due goes before it.
-    co_await AwaitRoom(session, false);
-    co_await asio::async_write(session->stream,
-                               asio::buffer(kContinue.data(), kContinue.size()),
-                               asio::use_awaitable);
-  }
   if (parser.is_done())
     co_return true;
   boost::system::error_code error;
@@ -353,7 +369,7 @@
                             asio::redirect_error(asio::use_awaitable, error));
   if (error == http::error::body_limit) {
     co_await AwaitRoom(session, false);
-    co_await Refuse(session, StatusOf(error));
+    co_await Refuse(session, Respond(StatusOf(error)));
     co_return false;
   }
   if (error)
@@ -361,6 +377,31 @@
   co_return !error;
 }
 
+Task<bool> AsyncHttpServer::Implementation::AskForBody(
+    SessionPointer session,
+    ExchangePointer exchange,
+    Parser& parser,
+    std::shared_ptr<void>& place) {
+  // An answer that is still due goes before it.
+  co_await AwaitRoom(session, false);
+  std::optional<HttpResponse> refusal = co_await m_handler.AdmitBody(
+      HeadOf(parser), parser.content_length().value_or(0), exchange->context,
+      place);
+  session->stream.expires_after(m_settings.read_timeout);
+  if (refusal) {
+    co_await Refuse(session, std::move(*refusal));
+    co_return false;
+  }
+  if (exchange->context.LooksGone()) {
+    OnCallerGone(*session);
+    co_return false;
+  }
+  co_await asio::async_write(session->stream,
+                             asio::buffer(kContinue.data(), kContinue.size()),
+                             asio::use_awaitable);
+  co_return true;
+}
+
 Task<> AsyncHttpServer::Implementation::AwaitRoom(SessionPointer session,
                                                   bool may_overlap) {
   const std::size_t most = may_overlap ? kMostOverlapping - 1 : 0;
@@ -451,9 +492,7 @@
 }
 
 Task<> AsyncHttpServer::Implementation::Refuse(SessionPointer session,
-                                               int status) {
-  HttpResponse refusal;
-  refusal.head.status = status;
+                                               HttpResponse refusal) {
   auto message = MakeMessage(std::move(refusal), false);
   co_await http::async_write(session->stream, message, asio::use_awaitable);
 }
--- a/modules/transport/async/async_http_server.h
+++ b/modules/transport/async/async_http_server.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 #include "modules/transport/async/task.h"
 #include "modules/transport/http_address.h"
@@ -45,6 +46,17 @@
     // What it throws closes the connection without an answer.
     virtual Task<HttpResponse> Handle(HttpRequest request,
                                       RequestContext& context) = 0;
+    // Before the body of a request that asks for it ("Expect: 100-continue") is
+    // read; none of it has been sent yet. An answer refuses it, is given in
+    // place of the request's, and ends the connection. `place` is kept until
+    // the body has come, or won't.
+    virtual Task<std::optional<HttpResponse>> AdmitBody(
+        HttpRequest /*head*/,
+        std::uint64_t /*bytes*/,
+        RequestContext& /*context*/,
+        std::shared_ptr<void>& /*place*/) {
+      co_return std::nullopt;
+    }
     // Whether it may be started while earlier requests of its connection are
     // still being served. Only for idempotent ones: a caller whose connection
     // ends sends again what it sent behind the last answer.
--- a/modules/transport/async/async_http_test.cc
+++ b/modules/transport/async/async_http_test.cc
@@ -69,6 +69,26 @@
     return request.target.starts_with("/ahead");
   }
 
+  // Bodies for "/full" are not taken.
+  Task<std::optional<HttpResponse>> AdmitBody(
+      HttpRequest head,
+      std::uint64_t /*bytes*/,
+      RequestContext& /*context*/,
+      std::shared_ptr<void>& place) override {
+    if (head.target == "/full") {
+      HttpResponse refusal;
+      refusal.head.status = 503;
+      co_return refusal;
+    }
+    ++places_given;
+    ++places_open;
+    place = std::shared_ptr<void>(
+        &places_open, [](void* open) { --*static_cast<int*>(open); });
+    co_return std::nullopt;
+  }
+
+  int places_given = 0;
+  int places_open = 0;
   int handled = 0;
   int running = 0;
   int most_running = 0;
@@ -403,6 +423,70 @@
   CHECK(server->in_flight() == 0);
 }
 
+// Long bodies filled the link into a node that would have refused them.
+TEST_CASE("a body that is asked for first is sent when it is taken, else not") {
+  asio::io_context loop;
+  const SteadyClock clock;
+  EchoHandler handler(loop);
+  AsyncHttpServer::Settings settings;
+  settings.address = kServer;
+  AsyncHttpServer server(loop, clock, settings, handler);
+  const auto calls = [&]() -> Task<> {
+    auto connection =
+        co_await AsyncHttpConnection::Open(loop, kServer, kTimeout);
+    HttpRequest request;
+    request.method = "POST";
+    request.body = std::string(100'000, 'x');
+    for (int i = 0; i < 2; ++i) {
+      const HttpResponse taken =
+          co_await connection->CallAskingFirst(request, kTimeout);
+      CHECK(taken.body == "echo:" + request.body);
+      CHECK(connection->is_reusable());
+    }
+    CHECK(handler.places_open == 0);
+    request.target = "/full";
+    const HttpResponse refused =
+        co_await connection->CallAskingFirst(request, kTimeout);
+    CHECK(refused.head.status == 503);
+    CHECK_FALSE(connection->is_reusable());
+  };
+  RunTask(loop, calls);
+  CHECK(handler.handled == 2);
+  CHECK(handler.places_given == 2);
+}
+
+// A place that its sender left while it waited would be held for good.
+TEST_CASE("the place of a body whose sender goes is given back") {
+  asio::io_context loop;
+  const SteadyClock clock;
+  EchoHandler handler(loop);
+  AsyncHttpServer::Settings settings;
+  settings.address = kServer;
+  AsyncHttpServer server(loop, clock, settings, handler);
+  const auto call = [&]() -> Task<> {
+    tcp::socket socket(loop);
+    co_await socket.async_connect(
+        {asio::ip::make_address(kServer.ip), kServer.port},
+        asio::use_awaitable);
+    const std::string head =
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+        "Expect: 100-continue\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(head), asio::use_awaitable);
+    std::string answer;
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(answer),
+                                    "\r\n\r\n", asio::use_awaitable);
+    CHECK(answer.starts_with("HTTP/1.1 100"));
+    CHECK(handler.places_open == 1);
+    socket.close();
+    asio::steady_timer timer(loop, milliseconds(100));
+    co_await timer.async_wait(asio::use_awaitable);
+  };
+  RunTask(loop, call);
+  CHECK(handler.places_given == 1);
+  CHECK(handler.places_open == 0);
+  CHECK(handler.handled == 0);
+}
+
 // A grant waits for its connection while its node is paused. Sent after that it
 // would count from then, and two targets would hold the same keys.
 TEST_CASE("a call whose time is over is not sent") {
--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -52,6 +52,9 @@
 // The answer's way from node to node.
 constexpr milliseconds kHopSlack{15};
 constexpr milliseconds kPeerIdle{4000};
+// A body as long as this holds up others on a narrow link; it asks for room
+// before it is sent, which costs a way there and back.
+constexpr std::size_t kLongBody = std::size_t{16} * 1024;
 // Part of first tries that may be repeated. Half of what users allow: the calls
 // that a repeated request makes count as repeated as well.
 constexpr double kRetryShare = 0.1;
@@ -311,8 +314,13 @@
   context.SetStop([&connection] { connection->Close(); });
   WorkResult result;
   try {
-    HttpResponse response = co_await connection->Call(
-        std::move(request), order.time_left + kHopSlack);
+    const milliseconds longest = order.time_left + kHopSlack;
+    HttpResponse response;
+    if (request.body.size() < kLongBody)
+      response = co_await connection->Call(std::move(request), longest);
+    else
+      response =
+          co_await connection->CallAskingFirst(std::move(request), longest);
     context.ClearStop();
     m_dependencies.peers.GiveBack(address, std::move(connection));
     StripConnectionHeaders(response.head.headers);
--- a/modules/transport/mesh/work_handler.cc
+++ b/modules/transport/mesh/work_handler.cc
@@ -4,6 +4,7 @@
 
 #include "modules/protocol/malformed_message_error.h"
 #include "modules/transport/async/request_context.h"
+#include "modules/transport/mesh/body_gate.h"
 #include "modules/transport/mesh/request_log.h"
 #include "modules/transport/mesh/target_gateway.h"
 #include "modules/transport/mesh/work_order.h"
@@ -19,6 +20,7 @@
 
 Task<HttpResponse> WorkHandler::Handle(HttpRequest request,
                                        RequestContext& context) {
+  TakeHeader(request.headers, "Expect");
   WorkOrder order;
   try {
     order = WorkOrder::TakeFrom(request);
@@ -29,10 +31,10 @@
   }
   const auto held_up = std::chrono::floor<std::chrono::milliseconds>(
       m_transit_delay.OnArrived(order.sender, order.sent, context.arrived()));
-  order.time_left -= held_up;
-  order.aim_left -= held_up;
   const auto body = std::chrono::floor<std::chrono::milliseconds>(
       m_clock.Now() - context.arrived());
+  order.time_left -= held_up + body;
+  order.aim_left -= held_up + body;
   WorkResult result;
   if (order.time_left <= std::chrono::milliseconds(0)) {
     result = WorkResult::NotRun(RequestErrorCode::kDeadlinePassed,
@@ -46,4 +48,34 @@
   co_return result.ToHop();
 }
 
+Task<std::optional<HttpResponse>> WorkHandler::AdmitBody(
+    HttpRequest head,
+    std::uint64_t bytes,
+    RequestContext& context,
+    std::shared_ptr<void>& place) {
+  WorkOrder order;
+  try {
+    order = WorkOrder::TakeFrom(head);
+  } catch (const MalformedMessageError&) {
+    // Handle() says so.
+    co_return std::nullopt;
+  }
+  const Clock::Duration held_up =
+      m_transit_delay.OnArrived(order.sender, order.sent, context.arrived());
+  const Clock::TimePoint sent = context.arrived() - held_up;
+  const std::chrono::microseconds work(m_gateway.mean_work_us());
+  place = co_await m_gate.Enter(bytes, sent + order.aim_left - work,
+                                sent + order.time_left - work);
+  if (place)
+    co_return std::nullopt;
+  WorkResult result = WorkResult::NotRun(
+      RequestErrorCode::kOverloaded, "its body can't come in time",
+      std::chrono::ceil<std::chrono::milliseconds>(m_gate.DrainTime()));
+  result.times.way = std::chrono::floor<std::chrono::milliseconds>(held_up);
+  result.times.body = std::chrono::floor<std::chrono::milliseconds>(
+      m_clock.Now() - context.arrived());
+  m_log.OnRun(order, result, context.caller_ip());
+  co_return result.ToHop();
+}
+
 }  // namespace citrongrade
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -20,6 +20,7 @@
 #include "modules/coordination/steady_clock.h"
 #include "modules/transport/async/async_connection_pool.h"
 #include "modules/transport/async/async_http_server.h"
+#include "modules/transport/mesh/body_gate.h"
 #include "modules/transport/mesh/config_follower.h"
 #include "modules/transport/mesh/config_transfer.h"
 #include "modules/transport/mesh/instance_chooser.h"
@@ -57,6 +58,7 @@
 constexpr double kRetryPart = 0.5;
 // A caller's head and what nodes add to it.
 constexpr std::size_t kHopHeaderFactor = 2;
+constexpr double kBytesPerMegabit = 1e6 / 8;
 constexpr std::size_t kStatusHeaderBytes = std::size_t{8} * 1024;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -199,6 +201,7 @@
   RouterMetrics m_metrics;
   RequestLog m_log;
   RequestRouter m_router;
+  BodyGate m_gate;
   WorkHandler m_work_handler;
   ReportHandler m_report_handler;
   SimpleHandler m_readiness_handler;
@@ -247,7 +250,8 @@
       m_router({m_loop, m_clock, m_dialect, m_config, m_agent, m_gateway,
                 m_chooser, m_peer_pool, m_metrics, m_log},
                file.service),
-      m_work_handler(m_clock, m_gateway, m_log),
+      m_gate(m_loop, m_clock, file.link_mbps * kBytesPerMegabit),
+      m_work_handler(m_clock, m_gateway, m_gate, m_log),
       m_report_handler(m_keeper),
       m_readiness_handler([this](const HttpRequest&) {
         return Respond(IsReady() ? kOk : kUnavailable);
@@ -341,6 +345,7 @@
     m_keeper.OnView(m_agent.view(), m_agent.identity().address);
     m_keeper.Tick();
     m_gateway.Tick();
+    m_gate.Tick();
     if (++ticks % kTicksPerRefresh != 0)
       continue;
     m_chooser.Refresh(m_agent.view());
