--- a/modules/coordination/load/body_room.h
+++ b/modules/coordination/load/body_room.h
@@ -15,11 +15,9 @@
 // Which long bodies may be on their way to this node at the same time.
 //
 // Load pattern: bodies that ask for nearly all that a narrow link carries. Sent
-// as they come they stand in the link, and short calls behind them: 17,700
-// calls of some hundred bytes came 0.7 s after they had been sent, past their
-// time, in 32 s of a day on which the links of 13 Mbit/s were full of bodies of
-// 60 kB and no loop was late. Here a body waits at its sender until there is
-// room for it, so that the link holds kMostOnWay of them at most.
+// as they come they stand in the link, and short calls behind them arrive past
+// their time. Here a body waits at its sender until there is room for it, so
+// that the link holds kMostOnWay of them at most.
 //
 // Room is given back when a body has come, so that a link which carries other
 // things too is asked for less by itself. Bodies that can still be there by
