Name what is awaited for in the server: no temporaries, no condition around an await

Cause: three awaits of the body's admission and of refusals took temporaries as arguments, and one stood behind an 'and'; GCC 12 compiles such awaits wrongly (docs/DEVELOPERS.md), and the rule had been followed everywhere else. Change: named variables, an if of its own. Behaviour is the same; that any of them was compiled wrongly was not seen.

--- a/modules/transport/async/async_http_server.cc
+++ b/modules/transport/async/async_http_server.cc
@@ -333,8 +333,9 @@
       error != http::error::partial_message;
   if (is_malformed) {
     co_await AwaitRoom(session, false);
+    HttpResponse refusal = Respond(StatusOf(error));
     if (!session->is_ending)
-      co_await Refuse(session, Respond(StatusOf(error)));
+      co_await Refuse(session, std::move(refusal));
     co_return nullptr;
   }
   if (error) {
@@ -359,8 +360,11 @@
                                                      Parser& parser) {
   std::shared_ptr<void> place;
   const bool asks = parser.get()[http::field::expect] == "100-continue";
-  if (asks && !co_await AskForBody(session, exchange, parser, place))
-    co_return false;
+  if (asks) {
+    const bool is_taken = co_await AskForBody(session, exchange, parser, place);
+    if (!is_taken)
+      co_return false;
+  }
   session->stream.expires_after(m_settings.read_timeout);
   if (parser.is_done())
     co_return true;
@@ -369,7 +373,8 @@
                             asio::redirect_error(asio::use_awaitable, error));
   if (error == http::error::body_limit) {
     co_await AwaitRoom(session, false);
-    co_await Refuse(session, Respond(StatusOf(error)));
+    HttpResponse refusal = Respond(StatusOf(error));
+    co_await Refuse(session, std::move(refusal));
     co_return false;
   }
   if (error)
@@ -384,9 +389,10 @@
     std::shared_ptr<void>& place) {
   // An answer that is still due goes before it.
   co_await AwaitRoom(session, false);
+  HttpRequest head = HeadOf(parser);
+  const std::uint64_t bytes = parser.content_length().value_or(0);
   std::optional<HttpResponse> refusal = co_await m_handler.AdmitBody(
-      HeadOf(parser), parser.content_length().value_or(0), exchange->context,
-      place);
+      std::move(head), bytes, exchange->context, place);
   session->stream.expires_after(m_settings.read_timeout);
   if (refusal) {
     co_await Refuse(session, std::move(*refusal));
