--- a/modules/transport/async/async_http_server.cc
+++ b/modules/transport/async/async_http_server.cc
@@ -75,12 +75,6 @@
   return request;
 }
 
-HttpResponse Respond(int status) {
-  HttpResponse response;
-  response.head.status = status;
-  return response;
-}
-
 http::response<http::string_body> MakeMessage(HttpResponse response,
                                               bool keeps_alive) {
   http::response<http::string_body> message;
@@ -333,7 +327,7 @@
       error != http::error::partial_message;
   if (is_malformed) {
     co_await AwaitRoom(session, false);
-    HttpResponse refusal = Respond(StatusOf(error));
+    HttpResponse refusal = HttpResponse::WithStatus(StatusOf(error));
     if (!session->is_ending)
       co_await Refuse(session, std::move(refusal));
     co_return nullptr;
@@ -373,7 +367,7 @@
                             asio::redirect_error(asio::use_awaitable, error));
   if (error == http::error::body_limit) {
     co_await AwaitRoom(session, false);
-    HttpResponse refusal = Respond(StatusOf(error));
+    HttpResponse refusal = HttpResponse::WithStatus(StatusOf(error));
     co_await Refuse(session, std::move(refusal));
     co_return false;
   }
--- a/modules/transport/http_response.h
+++ b/modules/transport/http_response.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <string>
+#include <utility>
 
 #include "modules/transport/http_response_head.h"
 
@@ -12,6 +13,13 @@
   HttpResponseHead head;
   std::string body;
 
+  static HttpResponse WithStatus(int status, std::string body = {}) {
+    HttpResponse response;
+    response.head.status = status;
+    response.body = std::move(body);
+    return response;
+  }
+
   friend auto operator<=>(const HttpResponse&, const HttpResponse&) = default;
 };
 
--- a/modules/transport/mesh/config_transfer.cc
+++ b/modules/transport/mesh/config_transfer.cc
@@ -117,11 +117,8 @@
 
 HttpResponse ConfigTransfer::Answer(const HttpRequest& request) {
   const std::uint64_t version = ConfigChangeCodec::DecodeRequest(request.body);
-  HttpResponse response;
-  if (m_config.version() <= version) {
-    response.head.status = kNothingNewer;
-    return response;
-  }
+  if (m_config.version() <= version)
+    return HttpResponse::WithStatus(kNothingNewer);
   const LoopMonitor::Section section(m_monitor, LoopMonitor::Activity::kConfig);
   if (m_answers_for != m_config.version()) {
     m_answers.clear();
@@ -131,9 +128,7 @@
   std::string& answer = m_answers[from];
   if (answer.empty())
     answer = ConfigChangeCodec::Encode(m_config.ChangeFrom(from));
-  response.head.status = kOk;
-  response.body = answer;
-  return response;
+  return HttpResponse::WithStatus(kOk, answer);
 }
 
 }  // namespace citrongrade
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -67,13 +67,6 @@
 constexpr milliseconds kResigned{100};
 constexpr milliseconds kResignationTold{1500};
 
-HttpResponse MakeResponse(int status, std::string body) {
-  HttpResponse response;
-  response.head.status = status;
-  response.body = std::move(body);
-  return response;
-}
-
 }  // namespace
 
 struct MeshAgent::Waiting {
@@ -427,9 +420,9 @@
   } catch (const MalformedMessageError& error) {
     spdlog::warn("event=peer-message-unreadable target={} reason=\"{}\"",
                  request.target, error.what());
-    co_return MakeResponse(kBadRequest, error.what());
+    co_return HttpResponse::WithStatus(kBadRequest, error.what());
   }
-  co_return MakeResponse(kNotFound, {});
+  co_return HttpResponse::WithStatus(kNotFound);
 }
 
 Task<HttpResponse> MeshAgent::HandleHeartbeat(const HttpRequest& request) {
@@ -473,7 +466,7 @@
                                         const std::string& config_source) {
   const LoopMonitor::Section section(m_monitor,
                                      LoopMonitor::Activity::kAnswerHeartbeat);
-  return MakeResponse(
+  return HttpResponse::WithStatus(
       kOk, MeshMessageCodec::Encode(Reply(heartbeat, config_source)));
 }
 
@@ -529,7 +522,7 @@
   } else {
     reply.leader_hint = m_identity.address;
   }
-  return MakeResponse(kOk, MeshMessageCodec::Encode(reply));
+  return HttpResponse::WithStatus(kOk, MeshMessageCodec::Encode(reply));
 }
 
 Task<> MeshAgent::FindLeader() {
--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -487,8 +487,7 @@
 }
 
 HttpResponse RequestRouter::RefuseUnrouted(int status) {
-  HttpResponse response;
-  response.head.status = status;
+  HttpResponse response = HttpResponse::WithStatus(status);
   if (status == kUnavailable) {
     response.head.headers.push_back(
         {"Retry-After", FormatSeconds(kRetryAfterNoOwner)});
--- a/modules/transport/mesh/work_handler.cc
+++ b/modules/transport/mesh/work_handler.cc
@@ -25,9 +25,7 @@
   try {
     order = WorkOrder::TakeFrom(request);
   } catch (const MalformedMessageError&) {
-    HttpResponse refusal;
-    refusal.head.status = kBadRequest;
-    co_return refusal;
+    co_return HttpResponse::WithStatus(kBadRequest);
   }
   const auto held_up = std::chrono::floor<std::chrono::milliseconds>(
       m_transit_delay.OnArrived(order.sender, order.sent, context.arrived()));
--- a/programs/citrongrade-router/report_handler.cc
+++ b/programs/citrongrade-router/report_handler.cc
@@ -17,10 +17,8 @@
 constexpr int kNotFound = 404;
 
 HttpResponse Respond(int status, std::string body = "{}") {
-  HttpResponse response;
-  response.head.status = status;
+  HttpResponse response = HttpResponse::WithStatus(status, std::move(body));
   response.head.headers.push_back({"Content-Type", "application/json"});
-  response.body = std::move(body);
   return response;
 }
 
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -64,13 +64,6 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
-HttpResponse Respond(int status, std::string body = {}) {
-  HttpResponse response;
-  response.head.status = status;
-  response.body = std::move(body);
-  return response;
-}
-
 // A handler made of a function, for what answers at once.
 class SimpleHandler final : public AsyncHttpServer::Handler {
  public:
@@ -254,7 +247,7 @@
       m_work_handler(m_clock, m_gateway, m_gate, m_log),
       m_report_handler(m_keeper),
       m_readiness_handler([this](const HttpRequest&) {
-        return Respond(IsReady() ? kOk : kUnavailable);
+        return HttpResponse::WithStatus(IsReady() ? kOk : kUnavailable);
       }),
       m_status_handler(
           [this](const HttpRequest& request) { return AnswerStatus(request); }),
@@ -434,10 +427,10 @@
 HttpResponse RouterNode::Implementation::AnswerStatus(
     const HttpRequest& request) const {
   if (request.target == "/metrics")
-    return Respond(kOk, DumpMetrics());
+    return HttpResponse::WithStatus(kOk, DumpMetrics());
   if (request.target == "/state")
-    return Respond(kOk, DumpState());
-  return Respond(kNotFound);
+    return HttpResponse::WithStatus(kOk, DumpState());
+  return HttpResponse::WithStatus(kNotFound);
 }
 
 std::string RouterNode::Implementation::DumpState() const {
