Say once what the fullest merit of a host is

Cause: ConfigSpread had a constant of its own for the thousandths by which heartbeats tell a host's merit, and the agent a bare 1000. Change: Heartbeat::kFullMeritMilli, used by both. Behaviour is the same. Checks: coordination_tests 210 of 210.

--- a/modules/coordination/mesh/config_spread.cc
+++ b/modules/coordination/mesh/config_spread.cc
@@ -12,7 +12,6 @@
 // requests, a strong one's carries more.
 constexpr unsigned kMostTransfers = 2;
 constexpr unsigned kMoreForFitHosts = 6;
-constexpr unsigned kFullMerit = 1000;
 // A transfer that has not ended by then is given up, at both ends.
 constexpr milliseconds kLongestTransfer{1000};
 // By then a node that was named a source says that it fetches.
@@ -62,7 +61,7 @@
   node.zone = heartbeat.zone;
   node.most_serving = kMostTransfers + kMoreForFitHosts *
                                            heartbeat.leader_merit_milli /
-                                           kFullMerit;
+                                           Heartbeat::kFullMeritMilli;
 }
 
 void ConfigSpread::BeginVersion(std::uint64_t version) {
--- a/modules/coordination/mesh/heartbeat.h
+++ b/modules/coordination/mesh/heartbeat.h
@@ -56,6 +56,7 @@
   std::string data_address;
   std::string zone;
   // How fit its host is for the work of a leader, in thousandths.
+  static constexpr std::uint32_t kFullMeritMilli = 1000;
   std::uint32_t leader_merit_milli = 0;
   // Drawn at the start of the process.
   std::uint64_t incarnation = 0;
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -236,8 +236,8 @@
   heartbeat.address = m_identity.address;
   heartbeat.data_address = m_identity.data_address;
   heartbeat.zone = m_identity.zone;
-  heartbeat.leader_merit_milli =
-      static_cast<std::uint32_t>(m_identity.leader_merit * 1000);
+  heartbeat.leader_merit_milli = static_cast<std::uint32_t>(
+      m_identity.leader_merit * Heartbeat::kFullMeritMilli);
   heartbeat.incarnation = m_incarnation;
   heartbeat.sequence = ++m_sequence;
   heartbeat.promises = promises;
