Look for a source only for heartbeats of nodes that are behind

Cause: each 40 ms the leader looked every waiting heartbeat's node up by its address, also when all had the newest configuration, as nearly always. Change: the heartbeat's own version decides first. Which node is named a source, and when, is the same for every process that still waits for its answer. What it saves was not measured. Checks: coordination_tests 210 of 210, platform_long_config_process_test 4 of 4.

--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -875,7 +875,9 @@
     }
   }
   for (const std::shared_ptr<Waiting>& waiting : m_waiting) {
-    if (m_leader && waiting->config_source.empty()) {
+    const bool is_behind =
+        m_leader && waiting->heartbeat->config_version < m_spread->newest();
+    if (is_behind && waiting->config_source.empty()) {
       waiting->config_source =
           m_spread->AssignSource(waiting->heartbeat->address);
     }
