Tests: one fixture where several cases set up the same server or follower

The five cases that start the echo server, and the two that play a follower by hand, spelled the same lines out. Cases and assertions are as they were.

--- a/modules/transport/async/async_http_test.cc
+++ b/modules/transport/async/async_http_test.cc
@@ -98,6 +98,19 @@
   asio::io_context& m_loop;
 };
 
+AsyncHttpServer::Settings SettingsAt(const HttpAddress& address) {
+  AsyncHttpServer::Settings settings;
+  settings.address = address;
+  return settings;
+}
+
+struct EchoServer {
+  asio::io_context loop;
+  const SteadyClock clock{};
+  EchoHandler handler{loop};
+  AsyncHttpServer server{loop, clock, SettingsAt(kServer), handler};
+};
+
 // Sends `answer` once it has read a request's head, then does what `after`
 // says.
 Task<> ServeRaw(tcp::acceptor& acceptor,
@@ -247,13 +260,8 @@
   CHECK(EndAfterGivingUp() == asio::error::connection_reset);
 }
 
-TEST_CASE("a kept connection serves one call after another") {
-  asio::io_context loop;
-  const SteadyClock clock;
-  EchoHandler handler(loop);
-  AsyncHttpServer::Settings settings;
-  settings.address = kServer;
-  AsyncHttpServer server(loop, clock, settings, handler);
+TEST_CASE_FIXTURE(EchoServer,
+                  "a kept connection serves one call after another") {
   AsyncConnectionPool pool(loop, clock, {});
   const auto calls = [&]() -> Task<> {
     for (int i = 0; i < 3; ++i) {
@@ -273,13 +281,8 @@
 
 // A caller leaves while its request is served: its work has to stop, and the
 // server must not wait for the handler to find out by writing.
-TEST_CASE("a caller that goes is noticed while its request is served") {
-  asio::io_context loop;
-  const SteadyClock clock;
-  EchoHandler handler(loop);
-  AsyncHttpServer::Settings settings;
-  settings.address = kServer;
-  AsyncHttpServer server(loop, clock, settings, handler);
+TEST_CASE_FIXTURE(EchoServer,
+                  "a caller that goes is noticed while its request is served") {
   const auto call = [&]() -> Task<> {
     auto connection =
         co_await AsyncHttpConnection::Open(loop, kServer, kTimeout);
@@ -424,13 +427,9 @@
 }
 
 // Long bodies filled the link into a node that would have refused them.
-TEST_CASE("a body that is asked for first is sent when it is taken, else not") {
-  asio::io_context loop;
-  const SteadyClock clock;
-  EchoHandler handler(loop);
-  AsyncHttpServer::Settings settings;
-  settings.address = kServer;
-  AsyncHttpServer server(loop, clock, settings, handler);
+TEST_CASE_FIXTURE(
+    EchoServer,
+    "a body that is asked for first is sent when it is taken, else not") {
   const auto calls = [&]() -> Task<> {
     auto connection =
         co_await AsyncHttpConnection::Open(loop, kServer, kTimeout);
@@ -456,13 +455,8 @@
 }
 
 // A place that its sender left while it waited would be held for good.
-TEST_CASE("the place of a body whose sender goes is given back") {
-  asio::io_context loop;
-  const SteadyClock clock;
-  EchoHandler handler(loop);
-  AsyncHttpServer::Settings settings;
-  settings.address = kServer;
-  AsyncHttpServer server(loop, clock, settings, handler);
+TEST_CASE_FIXTURE(EchoServer,
+                  "the place of a body whose sender goes is given back") {
   const auto call = [&]() -> Task<> {
     tcp::socket socket(loop);
     co_await socket.async_connect(
@@ -489,13 +483,7 @@
 
 // A grant waits for its connection while its node is paused. Sent after that it
 // would count from then, and two targets would hold the same keys.
-TEST_CASE("a call whose time is over is not sent") {
-  asio::io_context loop;
-  const SteadyClock clock;
-  EchoHandler handler(loop);
-  AsyncHttpServer::Settings settings;
-  settings.address = kServer;
-  AsyncHttpServer server(loop, clock, settings, handler);
+TEST_CASE_FIXTURE(EchoServer, "a call whose time is over is not sent") {
   bool has_timed_out = false;
   const auto call = [&]() -> Task<> {
     auto connection =
--- a/modules/transport/mesh/config_follower_test.cc
+++ b/modules/transport/mesh/config_follower_test.cc
@@ -105,6 +105,22 @@
   std::vector<std::uint64_t> in_force;
 };
 
+// Has version 4, and does not read the store.
+struct FollowerByHand {
+  FollowerByHand() {
+    ConfigChange change;
+    change.to_version = 4;
+    follower.OnChange(change);
+  }
+
+  boost::asio::io_context loop;
+  ManualClock clock;
+  ScriptedStore store{loop};
+  NumberDecoder decoder;
+  FollowedStore listener;
+  ConfigFollower follower{loop, clock, store, decoder, listener};
+};
+
 // The least that any of the users' pages gives a confirmed configuration.
 constexpr milliseconds kShortestConfigApply{2000};
 
@@ -171,32 +187,17 @@
 }
 
 // Guards against a leader without the store whose replies make all others sure.
-TEST_CASE("hearing from who knows nothing lately proves nothing") {
-  boost::asio::io_context loop;
-  ManualClock clock;
-  ScriptedStore store(loop);
-  const NumberDecoder decoder;
-  FollowedStore listener;
-  ConfigFollower follower(loop, clock, store, decoder, listener);
-  ConfigChange change;
-  change.to_version = 4;
-  follower.OnChange(change);
+TEST_CASE_FIXTURE(FollowerByHand,
+                  "hearing from who knows nothing lately proves nothing") {
   follower.OnHeard(4, kShortestConfigApply);
   CHECK(follower.MayBeBehind());
 }
 
 // Guards against 404 for a route that was confirmed just after this node last
 // heard of a version: the shortest time that users allow has passed since.
-TEST_CASE("what was heard too long ago is no proof that a route is missing") {
-  boost::asio::io_context loop;
-  ManualClock clock;
-  ScriptedStore store(loop);
-  const NumberDecoder decoder;
-  FollowedStore listener;
-  ConfigFollower follower(loop, clock, store, decoder, listener);
-  ConfigChange change;
-  change.to_version = 4;
-  follower.OnChange(change);
+TEST_CASE_FIXTURE(
+    FollowerByHand,
+    "what was heard too long ago is no proof that a route is missing") {
   follower.OnHeard(4, milliseconds(0));
   REQUIRE_FALSE(follower.MayBeBehind());
   clock.Advance(kShortestConfigApply);
