--- a/tests/platform_config_recovery_process_test.py
+++ b/tests/platform_config_recovery_process_test.py
@@ -13,7 +13,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "platform", "testing"))
 
-from platform_mesh import Mesh, config  # noqa: E402
+from platform_mesh import Mesh, added_routes, config  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 ROUTES = 5000
@@ -65,18 +65,11 @@
         self.addCleanup(self.mesh.close)
         spares = [self.mesh.nodes.pop() for _ in range(spare)]
         self.mesh.start()
-        self.mesh.publish(config(2, extra_routes=[f"added-{i}" for i in range(ROUTES)]))
-        self.await_served(self.mesh.nodes, LATE_ROUTE, 10)
+        self.mesh.publish(config(2, extra_routes=added_routes(ROUTES)))
+        self.mesh.await_route(LATE_ROUTE, 10)
         self.mesh.store_fault("rate", LINK_KB_PER_SECOND)
         return spares
 
-    def await_served(self, nodes, route, seconds):
-        self.mesh.wait_for(
-            lambda: all(status_of(node, route) == 200 for node in nodes),
-            seconds,
-            f"{route} served by nodes {[node.index for node in nodes]}",
-        )
-
     def restart_all_nodes(self):
         for node in self.mesh.nodes:
             node.process.send_signal(signal.SIGKILL)
@@ -90,14 +83,14 @@
     def test_all_nodes_serve_a_late_route_after_the_loss_of_all(self):
         self.start_mesh()
         self.restart_all_nodes()
-        self.await_served(self.mesh.nodes, LATE_ROUTE, RECOVERY_S)
+        self.mesh.await_route(LATE_ROUTE, RECOVERY_S)
 
     # Guards against nodes that are as good as lost while the configuration is on
     # its way again: the first routes are served, too.
     def test_all_nodes_serve_a_first_route_after_the_loss_of_all(self):
         self.start_mesh()
         self.restart_all_nodes()
-        self.await_served(self.mesh.nodes, "read", RECOVERY_S)
+        self.mesh.await_route("read", RECOVERY_S)
 
     # Guards against 404 from a node that has started and knows no configuration, or
     # an old one: its callers do not come again.
@@ -118,7 +111,7 @@
         self.restart_all_nodes()
         time.sleep(1)
         self.restart_all_nodes()
-        self.await_served(self.mesh.nodes, LATE_ROUTE, RECOVERY_S)
+        self.mesh.await_route(LATE_ROUTE, RECOVERY_S)
 
     # Guards against a node that joins late and is in touch before it has read the
     # configuration that the others have.
@@ -126,7 +119,7 @@
         (joining,) = self.start_mesh(spare=1)
         joining.start_target()
         joining.start()
-        self.await_served([joining], LATE_ROUTE, CONTACT_S)
+        self.mesh.await_route(LATE_ROUTE, CONTACT_S, [joining])
 
     # Guards against the same while the store takes its time for each answer, too.
     def test_a_node_that_joins_late_serves_a_late_route_while_the_store_is_slow(self):
@@ -134,7 +127,7 @@
         self.mesh.store_fault("slow", STORE_ANSWERS_AFTER_MS)
         joining.start_target()
         joining.start()
-        self.await_served([joining], LATE_ROUTE, CONTACT_S + STRETCH_S)
+        self.mesh.await_route(LATE_ROUTE, CONTACT_S + STRETCH_S, [joining])
 
     # Guards against a node that joins late and says 404 for routes that all others
     # serve.
--- a/tests/platform_long_body_process_test.py
+++ b/tests/platform_long_body_process_test.py
@@ -10,7 +10,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "platform", "testing"))
 
-from platform_mesh import Mesh, config  # noqa: E402
+from platform_mesh import Mesh  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 
@@ -33,17 +33,9 @@
         self.addCleanup(self.mesh.close)
         self.mesh.start()
 
-    def publish_limits(self, version, **limits):
-        document = config(version, extra_routes=["fresh"])
-        document["Limits"].update(limits)
-        self.mesh.publish(document)
-        self.mesh.wait_for(
-            lambda: all(node.request("/fresh/x", 5, "f")[0] == 200 for node in self.mesh.nodes), 5, "the new limits in force"
-        )
-
     # Guards against 413 for a body within the limit that operators have set.
     def test_a_body_as_long_as_the_configuration_allows_is_taken(self):
-        self.publish_limits(2, MaxBodyBytes=16 << 20)
+        self.mesh.publish_limits(2, MaxBodyBytes=16 << 20)
         self.assertEqual({upload(node, b"x" * (9 << 20)) for node in self.mesh.nodes}, {200})
 
 
--- a/tests/platform_long_config_process_test.py
+++ b/tests/platform_long_config_process_test.py
@@ -11,7 +11,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "platform", "testing"))
 
-from platform_mesh import Mesh, config  # noqa: E402
+from platform_mesh import Mesh, added_routes, config  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 ROUTES = 5000
@@ -29,23 +29,16 @@
         self.mesh.store_fault("rate", LINK_KB_PER_SECOND)
 
     def publish(self, version, routes):
-        self.mesh.publish(config(version, extra_routes=[f"added-{i}" for i in range(routes)]))
+        self.mesh.publish(config(version, extra_routes=added_routes(routes)))
 
     def status(self, node, route):
         return node.request(f"/{route}/x", 5, "c")[0]
 
-    def await_everywhere(self, route, seconds):
-        self.mesh.wait_for(
-            lambda: all(self.status(node, route) == 200 for node in self.mesh.nodes),
-            seconds,
-            f"{route} served by all nodes",
-        )
-
     # Guards against a configuration that is never read, as its reading is given
     # up after a fixed time and begins anew.
     def test_a_long_configuration_over_narrow_links_is_in_force_in_time(self):
         self.publish(2, ROUTES)
-        self.await_everywhere(f"added-{ROUTES - 1}", IN_FORCE_S)
+        self.mesh.await_route(f"added-{ROUTES - 1}", IN_FORCE_S)
 
     # Guards against a second change that finds the first still on its way, and
     # against all nodes reading the whole again for one more route.
@@ -53,7 +46,7 @@
         self.publish(2, ROUTES)
         time.sleep(0.5)
         self.publish(3, ROUTES + 1)
-        self.await_everywhere(f"added-{ROUTES}", 2 * IN_FORCE_S)
+        self.mesh.await_route(f"added-{ROUTES}", 2 * IN_FORCE_S)
 
     # Guards against 404 for a route that another node serves already: its caller
     # does not come again.
@@ -70,7 +63,7 @@
         asking.start()
         try:
             self.publish(2, ROUTES)
-            self.await_everywhere(f"added-{ROUTES - 1}", IN_FORCE_S)
+            self.mesh.await_route(f"added-{ROUTES - 1}", IN_FORCE_S)
         finally:
             done.set()
             asking.join()
--- a/tests/platform_mesh_process_test.py
+++ b/tests/platform_mesh_process_test.py
@@ -13,7 +13,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "platform", "testing"))
 
-from platform_mesh import DIVIDED, UNDIVIDED, Mesh, config  # noqa: E402
+from platform_mesh import DIVIDED, UNDIVIDED, Mesh, added_routes, config  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 
@@ -82,11 +82,7 @@
 
     def test_new_configuration_is_in_force_everywhere_within_two_seconds(self):
         self.mesh.publish(config(2, extra_routes=["added"]))
-        self.mesh.wait_for(
-            lambda: all(n.request("/added/x", 5, "c")[0] == 200 for n in self.nodes),
-            2,
-            "the added route at all nodes",
-        )
+        self.mesh.await_route("added", 2)
 
     # A configuration too long for the leader to send to everybody, while one node
     # can't reach the store: that one still gets it from the leader.
@@ -99,12 +95,8 @@
         cut_off.write_settings()
         cut_off.start()
         self.mesh.wait_for(cut_off.is_ready, 6, "the node without the store")
-        self.mesh.publish(config(2, extra_routes=[f"added-{i}" for i in range(400)]))
-        self.mesh.wait_for(
-            lambda: all(n.request("/added-399/x", 5, "c")[0] == 200 for n in self.nodes),
-            4,
-            "the last added route at all nodes",
-        )
+        self.mesh.publish(config(2, extra_routes=added_routes(400)))
+        self.mesh.await_route("added-399", 4)
 
     # A node is killed and started again at once: its target still holds its
     # keys, so they stay, and callers miss only what was under way.
--- a/tests/platform_proper_requests_process_test.py
+++ b/tests/platform_proper_requests_process_test.py
@@ -10,7 +10,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "platform", "testing"))
 
-from platform_mesh import Mesh, call, config  # noqa: E402
+from platform_mesh import Mesh, added_routes, call, config  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 # The longest time that the users' pages for this many nodes give a confirmed
@@ -27,14 +27,6 @@
         self.addCleanup(self.mesh.close)
         self.mesh.start()
 
-    def publish_limits(self, version, **limits):
-        document = config(version, extra_routes=["fresh"])
-        document["Limits"].update(limits)
-        self.mesh.publish(document)
-        self.mesh.wait_for(
-            lambda: all(node.request("/fresh/x", 5, "f")[0] == 200 for node in self.mesh.nodes), 5, "the new limits in force"
-        )
-
     def statuses(self, method, path, headers=None, body=None):
         own = {"Host": "h.example", "Citrongrade-Attempt-Id": "a", "Citrongrade-Deadline-Ms": "1500", "Citrongrade-Shard-Key": "5"}
         own.update(headers or {})
@@ -42,7 +34,7 @@
 
     # Guards against 431 for a head within the limit that operators have set.
     def test_a_head_as_long_as_the_configuration_allows_is_taken(self):
-        self.publish_limits(2, MaxHeaderBytes=65536)
+        self.mesh.publish_limits(2, MaxHeaderBytes=65536)
         self.assertEqual(self.statuses("GET", "/read/x", {"X-Long": "x" * 30000}), {200})
 
     # Guards against 404 for a route that is confirmed, while those who read the
@@ -50,7 +42,7 @@
     def test_a_route_is_not_said_to_be_missing_while_it_is_being_read(self):
         self.mesh.store_fault("rate", SLOW_LINK_KB_PER_SECOND)
         time.sleep(1)
-        self.mesh.publish(config(2, extra_routes=[f"added-{i}" for i in range(ROUTES)]))
+        self.mesh.publish(config(2, extra_routes=added_routes(ROUTES)))
         confirmed = time.monotonic()
         time.sleep(CONFIG_APPLY_S)
         answers = []
