Router: bodies as long as the configuration allows, within a budget of memory

Ruled out: the fixed bound alone raised to 64 MiB: bodies that arrive together would exceed the 160 MB of a small host, and its process would be killed. Change: MaxBodyBytes of the configuration is the bound of one body, and a MemoryBudget of a quarter of the process's memory that of all bodies together. A body that has no room is rejected before it is read, truthfully as not run (503 with Retry-After, between nodes as a ForwardResult); one that can never fit gets 413 as before.

--- a/modules/transport/async/async_http_server.cc
+++ b/modules/transport/async/async_http_server.cc
@@ -24,6 +24,7 @@
 #include <utility>
 
 #include "modules/coordination/clock.h"
+#include "modules/coordination/load/memory_budget.h"
 #include "modules/transport/async/beast_headers.h"
 #include "modules/transport/async/request_context.h"
 #include "modules/transport/async/socket_probe.h"
@@ -41,6 +42,9 @@
 constexpr unsigned kHttpVersion = 11;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+constexpr int kUnavailable = 503;
+// When a body that found no room may be sent again, in seconds.
+constexpr const char* kRetryAfterMemory = "0.3";
 // Delay before accepting again after a lack of file descriptors or memory, some
 // of which may have been freed by then.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
@@ -116,6 +120,9 @@
   void SetMaxHeaderBytes(std::size_t bytes) {
     m_settings.max_header_bytes = bytes;
   }
+  void SetMaxBodyBytes(std::uint64_t bytes) {
+    m_settings.max_body_bytes = bytes;
+  }
 
  private:
   struct Session;
@@ -135,6 +142,8 @@
     RequestContext context;
     std::size_t& in_flight;
     bool keeps_alive = false;
+    std::optional<MemoryBudget::Reservation> body_memory;
+    bool is_body_rejected = false;
     bool has_ended = false;
     // Empty if the handler threw.
     std::optional<HttpResponse> response;
@@ -192,6 +201,8 @@
   // Writes the responses that are ready, in the order of the requests.
   Task<> WriteResponses(SessionPointer session);
   Task<> WriteRejection(SessionPointer session, HttpResponse rejection);
+  // Returns false if the budget has no room for a body of this length.
+  bool ReserveBody(Exchange& exchange, std::uint64_t bytes);
   void StartIdleTimer(const SessionPointer& session);
   void CloseSession(const SessionPointer& session);
   static void OnCallerGone(Session& session);
@@ -352,8 +363,13 @@
   auto exchange =
       std::make_shared<Exchange>(m_in_flight, m_clock.Now(), session->peer_ip);
   exchange->context.SetProbe([session] { return IsClosedByPeer(*session); });
-  if (!co_await ReadBody(session, exchange, parser))
+  if (!co_await ReadBody(session, exchange, parser)) {
+    if (exchange->is_body_rejected) {
+      co_await AwaitPipelineCapacity(session, false);
+      co_await WriteRejection(session, m_handler.RejectForMemory());
+    }
     co_return nullptr;
+  }
   exchange->keeps_alive = parser.keep_alive();
   request = TakeRequest(parser);
   session->stream.expires_never();
@@ -363,6 +379,8 @@
 Task<bool> AsyncHttpServer::Implementation::ReadBody(SessionPointer session,
                                                      ExchangePointer exchange,
                                                      Parser& parser) {
+  if (!ReserveBody(*exchange, parser.content_length().value_or(0)))
+    co_return false;
   std::shared_ptr<void> permit;
   const bool expects_continue =
       parser.get()[http::field::expect] == "100-continue";
@@ -376,8 +394,14 @@
   if (parser.is_done())
     co_return true;
   boost::system::error_code error;
-  co_await http::async_read(session->stream, session->buffer, parser,
-                            asio::redirect_error(asio::use_awaitable, error));
+  while (!error && !parser.is_done()) {
+    co_await http::async_read_some(
+        session->stream, session->buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    // A body in chunks shows its length only as it arrives.
+    if (!error && !ReserveBody(*exchange, parser.get().body().size()))
+      co_return false;
+  }
   if (error == http::error::body_limit) {
     co_await AwaitPipelineCapacity(session, false);
     HttpResponse rejection = HttpResponse::WithStatus(StatusOf(error));
@@ -389,6 +413,16 @@
   co_return !error;
 }
 
+bool AsyncHttpServer::Implementation::ReserveBody(Exchange& exchange,
+                                                  std::uint64_t bytes) {
+  if (m_settings.body_budget == nullptr || bytes == 0)
+    return true;
+  if (!exchange.body_memory)
+    exchange.body_memory.emplace(*m_settings.body_budget);
+  exchange.is_body_rejected = !exchange.body_memory->TryGrowTo(bytes);
+  return !exchange.is_body_rejected;
+}
+
 Task<bool> AsyncHttpServer::Implementation::SendContinue(
     SessionPointer session,
     ExchangePointer exchange,
@@ -537,6 +571,12 @@
       });
 }
 
+HttpResponse AsyncHttpServer::Handler::RejectForMemory() {
+  HttpResponse rejection = HttpResponse::WithStatus(kUnavailable);
+  rejection.head.headers.push_back({"Retry-After", kRetryAfterMemory});
+  return rejection;
+}
+
 AsyncHttpServer::AsyncHttpServer(asio::io_context& loop,
                                  const Clock& clock,
                                  const Settings& settings,
@@ -558,6 +598,10 @@
   m_implementation->SetMaxHeaderBytes(bytes);
 }
 
+void AsyncHttpServer::SetMaxBodyBytes(std::uint64_t bytes) {
+  m_implementation->SetMaxBodyBytes(bytes);
+}
+
 void AsyncHttpServer::DisableKeepAlive() {
   m_implementation->DisableKeepAlive();
 }
--- a/modules/transport/async/async_http_server.h
+++ b/modules/transport/async/async_http_server.h
@@ -18,6 +18,7 @@
 namespace citrongrade {
 
 class Clock;
+class MemoryBudget;
 class RequestContext;
 
 // An HTTP/1.1 server on one address and one event loop, built on Boost.Beast.
@@ -27,8 +28,8 @@
 // Callers may pipeline requests. Responses are sent in the order of the
 // requests, but requests that may overlap are handled concurrently: a slow
 // request delays the next response, but not the handling of the next request.
-// Requests and responses are held in memory as a whole, so bodies should not
-// exceed a few megabytes.
+// Requests and responses are held in memory as a whole; a MemoryBudget bounds
+// what the bodies of all requests take together.
 //
 // See also: HttpServer, which uses threads; AsyncHttpConnection, the client.
 class AsyncHttpServer {
@@ -37,6 +38,9 @@
     HttpAddress address;
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::uint64_t max_body_bytes = std::uint64_t{8} << 20U;
+    // Memory for the bodies of all requests; may be shared between servers and
+    // must outlive them. Null: unbounded.
+    MemoryBudget* body_budget = nullptr;
     // A keep-alive connection without a request is closed after this time.
     std::chrono::milliseconds idle_timeout{15'000};
     // Time limit for receiving a body, and for writing a response.
@@ -62,6 +66,9 @@
         std::shared_ptr<void>& /*permit*/) {
       co_return std::nullopt;
     }
+    // The response to a request whose body has no room in `body_budget`. The
+    // request isn't handled, and its connection is closed.
+    virtual HttpResponse RejectForMemory();
     // Whether the request may be handled while earlier requests of its
     // connection are still being handled. Only for idempotent requests: a
     // caller whose connection ends resends everything after the last response.
@@ -82,6 +89,7 @@
 
   void SetIdleTimeout(std::chrono::milliseconds timeout);
   void SetMaxHeaderBytes(std::size_t bytes);
+  void SetMaxBodyBytes(std::uint64_t bytes);
 
   // From now on, the last pending response of a connection carries "Connection:
   // close", so that its client uses another connection.
--- a/modules/transport/async/async_http_test.cc
+++ b/modules/transport/async/async_http_test.cc
@@ -17,6 +17,7 @@
 #include <string>
 #include <utility>
 
+#include "modules/coordination/load/memory_budget.h"
 #include "modules/coordination/steady_clock.h"
 #include "modules/transport/async/async_connection_pool.h"
 #include "modules/transport/async/async_http_connection.h"
@@ -468,6 +469,43 @@
   CHECK(handler.permits_made == 2);
 }
 
+// Guards against a process that is killed for the memory of long bodies.
+TEST_CASE("a body without room in the memory budget is rejected unread") {
+  asio::io_context loop;
+  const SteadyClock clock;
+  EchoHandler handler(loop);
+  MemoryBudget budget(100'000);
+  AsyncHttpServer::Settings settings = SettingsAt(kServer);
+  settings.body_budget = &budget;
+  const AsyncHttpServer server(loop, clock, settings, handler);
+  std::string responses;
+  RunTask(loop, [&] {
+    return SendPipelined(loop, Post("/first", std::string(60'000, 'x')),
+                         "echo:", responses);
+  });
+  CHECK(responses.starts_with("HTTP/1.1 200"));
+  CHECK(budget.used() == 0);
+  responses.clear();
+  RunTask(loop, [&] {
+    return SendPipelined(
+        loop, "POST /long HTTP/1.1\r\nContent-Length: 100001\r\n\r\n",
+        "\r\n\r\n", responses);
+  });
+  CHECK(responses.starts_with("HTTP/1.1 503"));
+  CHECK(responses.find("Retry-After") != std::string::npos);
+  responses.clear();
+  RunTask(loop, [&] {
+    return SendPipelined(loop,
+                         "POST /chunks HTTP/1.1\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n186a1\r\n" +
+                             std::string(100'001, 'x'),
+                         "\r\n\r\n", responses);
+  });
+  CHECK(responses.starts_with("HTTP/1.1 503"));
+  CHECK(handler.handled == 1);
+  CHECK(budget.used() == 0);
+}
+
 // A permit whose sender disconnects while it waits would be held forever.
 TEST_CASE_FIXTURE(EchoServer,
                   "the permit of a body is released if its sender leaves") {
--- a/modules/transport/mesh/forwarded_request_handler.cc
+++ b/modules/transport/mesh/forwarded_request_handler.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int kBadRequest = 400;
+constexpr std::chrono::milliseconds kRetryAfterMemory{300};
 
 }  // namespace
 
@@ -80,4 +81,10 @@
   co_return result.ToHttpResponse();
 }
 
+HttpResponse ForwardedRequestHandler::RejectForMemory() {
+  return ForwardResult::NotRun(RequestErrorCode::kOverloaded,
+                               "no memory for its body", kRetryAfterMemory)
+      .ToHttpResponse();
+}
+
 }  // namespace citrongrade
--- a/modules/transport/mesh/forwarded_request_handler.h
+++ b/modules/transport/mesh/forwarded_request_handler.h
@@ -34,6 +34,7 @@
       std::uint64_t bytes,
       RequestContext& context,
       std::shared_ptr<void>& permit) override;
+  HttpResponse RejectForMemory() override;
 
  private:
   const Clock& m_clock;
--- a/programs/citrongrade-router/main.cc
+++ b/programs/citrongrade-router/main.cc
@@ -52,8 +52,9 @@
              "log lines for each event of requests that were served");
   reader.Add("--settings-check-ms", settings.settings_check_interval,
              "how often the settings file is checked for changes");
-  reader.Add("--max-body-bytes", settings.max_body_bytes,
-             "largest request body; bodies are held in memory");
+  reader.Add(
+      "--max-body-bytes", settings.max_body_bytes,
+      "largest request body, where the configuration allows a larger one");
 }
 
 int Run(int argc, char** argv) {
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -16,6 +16,7 @@
 #include <string>
 #include <utility>
 
+#include "modules/coordination/load/memory_budget.h"
 #include "modules/coordination/mesh/mesh_timing.h"
 #include "modules/coordination/steady_clock.h"
 #include "modules/transport/async/async_connection_pool.h"
@@ -60,6 +61,10 @@
 // Forwarded requests may have larger headers: nodes add theirs to the caller's.
 constexpr std::size_t kForwardedHeaderFactor = 2;
 constexpr double kBytesPerMegabit = 1e6 / 8;
+// Share of the process's memory for the bodies of requests. A body that is
+// being forwarded is held twice.
+constexpr double kBodyMemoryShare = 0.25;
+constexpr double kBytesPerMegabyte = 1 << 20;
 constexpr std::size_t kStatusHeaderBytes = std::size_t{8} * 1024;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -89,18 +94,22 @@
 }
 
 AsyncHttpServer::Settings MakeCallerServerSettings(
-    const RouterSettings& settings,
-    const platform::SettingsFile& file) {
+    const platform::SettingsFile& file,
+    MemoryBudget& body_budget) {
   AsyncHttpServer::Settings server = MakeServerSettings(file.callers);
-  server.max_body_bytes = settings.max_body_bytes;
+  server.body_budget = &body_budget;
   return server;
 }
 
 AsyncHttpServer::Settings MakeForwardedServerSettings(
-    const platform::SettingsFile& file) {
+    const RouterSettings& settings,
+    const platform::SettingsFile& file,
+    MemoryBudget& body_budget) {
   AsyncHttpServer::Settings server = MakeServerSettings(file.forwarded);
   server.max_header_bytes *= kForwardedHeaderFactor;
-  server.max_body_bytes *= 2;
+  // The node that a body is forwarded from has checked its length.
+  server.max_body_bytes = settings.max_body_bytes;
+  server.body_budget = &body_budget;
   return server;
 }
 
@@ -185,6 +194,7 @@
   const MeshTiming m_timing{};
   boost::asio::io_context m_loop{1};
   LoopMonitor m_monitor;
+  MemoryBudget m_body_budget;
   const platform::PlatformWireProtocol m_wire_protocol{};
   const platform::ConfigDocument m_config_decoder{};
   AsyncConnectionPool m_target_pool;
@@ -219,6 +229,8 @@
     : m_settings(settings),
       m_file(file),
       m_monitor(m_clock),
+      m_body_budget(static_cast<std::uint64_t>(
+          file.memory_mb * kBytesPerMegabyte * kBodyMemoryShare)),
       m_target_pool(m_loop, m_clock, {}),
       m_peer_pool(m_loop, m_clock, {}),
       m_store_pool(m_loop, m_clock, {}),
@@ -265,12 +277,13 @@
           [this](const HttpRequest& request) { return AnswerStatus(request); }),
       m_caller_server(m_loop,
                       m_clock,
-                      MakeCallerServerSettings(settings, file),
+                      MakeCallerServerSettings(file, m_body_budget),
                       m_router),
-      m_forwarded_server(m_loop,
-                         m_clock,
-                         MakeForwardedServerSettings(file),
-                         m_forwarded_handler),
+      m_forwarded_server(
+          m_loop,
+          m_clock,
+          MakeForwardedServerSettings(settings, file, m_body_budget),
+          m_forwarded_handler),
       m_mesh_server(m_loop,
                     m_clock,
                     MakeServerSettings(MeshAddress(file, 0)),
@@ -311,6 +324,10 @@
   }
   m_agent.SetShardedServices(std::move(sharded));
   m_caller_server.SetIdleTimeout(config.limits.idle_timeout);
+  // A body that never fits into this process's memory is rejected for good.
+  m_caller_server.SetMaxBodyBytes(std::min<std::uint64_t>(
+      {config.limits.max_body_bytes, m_settings.max_body_bytes,
+       m_body_budget.total()}));
   const std::size_t header_bytes = config.limits.max_header_bytes;
   m_caller_server.SetMaxHeaderBytes(header_bytes);
   m_forwarded_server.SetMaxHeaderBytes(kForwardedHeaderFactor * header_bytes);
--- a/programs/citrongrade-router/router_settings.h
+++ b/programs/citrongrade-router/router_settings.h
@@ -21,8 +21,8 @@
   // How often the settings file is checked for changes; SIGHUP checks it at
   // once.
   std::chrono::milliseconds settings_check_interval{1000};
-  // Longer bodies are rejected, as bodies are held in memory as a whole.
-  std::size_t max_body_bytes = std::size_t{8} << 20U;
+  // Limit of a body in addition to that of the operators' configuration.
+  std::size_t max_body_bytes = std::size_t{64} << 20U;
 
   friend auto operator<=>(const RouterSettings&,
                           const RouterSettings&) = default;
