--- a/modules/coordination/load/target_admission.cc
+++ b/modules/coordination/load/target_admission.cc
@@ -40,6 +40,7 @@
                                  const Parameters& parameters)
     : m_clock(clock),
       m_parameters(parameters),
+      m_cold_start(clock),
       m_mean_service_time(parameters.initial_service_time) {}
 
 Clock::Duration TargetAdmission::ExpectedServiceTime(
@@ -72,21 +73,33 @@
 Clock::Duration TargetAdmission::EstimateWait(std::size_t ahead) const {
   const std::size_t concurrency =
       std::max<std::size_t>(1, m_parameters.concurrency);
+  const Clock::Duration cold_wait = m_cold_start.TimeUntilAdmission(ahead);
   if (m_running.size() + ahead < concurrency)
-    return Clock::Duration(0);
+    return cold_wait;
   const double rounds =
       static_cast<double>(ahead + 1 + m_running.size() - concurrency) /
       static_cast<double>(concurrency);
-  return std::chrono::duration_cast<Clock::Duration>(m_mean_service_time *
-                                                     rounds);
+  return std::max(cold_wait, std::chrono::duration_cast<Clock::Duration>(
+                                 m_mean_service_time * rounds));
+}
+
+bool TargetAdmission::HasCapacity() const {
+  return m_running.size() < m_parameters.concurrency &&
+         m_cold_start.TimeUntilAdmission(0) == Clock::Duration(0);
+}
+
+void TargetAdmission::Admit(Request request) {
+  const RequestTicket ticket = request.ticket;
+  m_running.emplace(ticket, std::move(request));
+  m_cold_start.OnAdmitted();
 }
 
 TargetAdmission::Verdict TargetAdmission::Offer(const Request& request) {
   const Clock::TimePoint now = m_clock.Now();
-  if (m_running.size() < m_parameters.concurrency && m_waiting.empty()) {
+  if (HasCapacity() && m_waiting.empty()) {
     if (now >= LatestStart(request, kRequiredShareWithFreeSlot))
       return Verdict::kRefused;
-    m_running.emplace(request.ticket, request);
+    Admit(request);
     return Verdict::kAdmitted;
   }
   const std::uint64_t sequence = m_next_sequence++;
@@ -166,7 +179,7 @@
     return changes;
   UpdateRanks();
   const Clock::TimePoint now = m_clock.Now();
-  while (!m_waiting.empty() && m_running.size() < m_parameters.concurrency) {
+  while (!m_waiting.empty() && HasCapacity()) {
     auto next = m_waiting.extract(FindNext());
     Request& request = next.mapped();
     if (now >= LatestStart(request, kRequiredShareWithFreeSlot)) {
@@ -174,7 +187,7 @@
       continue;
     }
     changes.admitted.push_back(request.ticket);
-    m_running.emplace(request.ticket, std::move(request));
+    Admit(std::move(request));
   }
   std::size_t ahead = 0;
   for (auto it = m_waiting.begin(); it != m_waiting.end();) {
--- a/modules/coordination/load/target_admission.h
+++ b/modules/coordination/load/target_admission.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "modules/coordination/clock.h"
+#include "modules/coordination/load/cold_start_limiter.h"
 #include "modules/coordination/load/load_identifiers.h"
 
 namespace citrongrade {
@@ -104,6 +105,9 @@
   void SetConcurrency(std::size_t concurrency) {
     m_parameters.concurrency = concurrency;
   }
+  // A cold target gets requests only as its limiter allows. The caller has to
+  // keep the limiter's state up to date, and asks it again when it sends.
+  ColdStartLimiter& cold_start_limiter() { return m_cold_start; }
   // Time until the waiting requests have been worked off, after which a request
   // that is refused now may be admitted.
   Clock::Duration DrainTime() const;
@@ -137,9 +141,13 @@
   // The next request to admit. The queue must not be empty.
   std::map<Rank, Request>::iterator FindNext();
   bool HasCapacityForShort() const;
+  // Whether a request could be admitted now if nothing waited.
+  bool HasCapacity() const;
+  void Admit(Request request);
 
   const Clock& m_clock;
   Parameters m_parameters;
+  ColdStartLimiter m_cold_start;
   std::map<RequestTicket, Request> m_running;
   std::map<Rank, Request> m_waiting;
   std::uint64_t m_next_sequence = 1;
--- a/modules/coordination/mesh/heartbeat.h
+++ b/modules/coordination/mesh/heartbeat.h
@@ -8,6 +8,7 @@
 
 #include "modules/state/mesh/key_slot.h"
 #include "modules/state/mesh/target_incarnation.h"
+#include "modules/state/mesh/zone_evacuations.h"
 
 namespace citrongrade {
 
@@ -31,6 +32,8 @@
     std::uint32_t concurrency = 0;
     // How much longer the target reports to be slow after its start.
     std::uint32_t warm_up_left_ms = 0;
+    // Requests that its node sends it a second until then; 0: no limit.
+    double cold_requests_per_second = 0;
 
     friend auto operator<=>(const Target&, const Target&) = default;
   };
@@ -96,6 +99,8 @@
   std::uint32_t mean_service_time_us = 0;
   // Fingerprints of the requests that were running when the target crashed.
   std::vector<std::uint64_t> crash_suspects;
+  // As this node knows them.
+  ZoneEvacuations evacuations;
 
   friend auto operator<=>(const Heartbeat&, const Heartbeat&) = default;
 };
--- a/modules/coordination/mesh/heartbeat_reply.h
+++ b/modules/coordination/mesh/heartbeat_reply.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "modules/state/mesh/mesh_view.h"
+#include "modules/state/mesh/zone_evacuations.h"
 
 namespace citrongrade {
 
@@ -39,6 +40,7 @@
   std::uint32_t config_age_ms = 0;
   // Node to fetch the configuration from; empty: none assigned yet.
   std::string config_source;
+  ZoneEvacuations evacuations;
 
   friend auto operator<=>(const HeartbeatReply&,
                           const HeartbeatReply&) = default;
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -10,7 +10,8 @@
 
 // Assumed until a target has reported its mean service time.
 constexpr double kDefaultServiceTimeSeconds = 0.15;
-// Share of its capacity that a target reaches during its cold start.
+// Share of its capacity that a target reaches during its cold start, where
+// nothing limits its requests.
 constexpr double kColdCapacityFactor = 0.5;
 // Maximum number of crash suspects that a leader passes on. It sends each one
 // to every node once and passes on none that are reported after that.
@@ -42,8 +43,10 @@
                                     : kDefaultServiceTimeSeconds;
   const double slots = std::max<std::uint32_t>(1, heartbeat.target.concurrency);
   const double capacity = slots / service_time_s;
-  return heartbeat.target.warm_up_left_ms > 0 ? capacity * kColdCapacityFactor
-                                              : capacity;
+  if (heartbeat.target.warm_up_left_ms == 0)
+    return capacity;
+  const double limit = heartbeat.target.cold_requests_per_second;
+  return limit > 0 ? std::min(limit, capacity) : capacity * kColdCapacityFactor;
 }
 
 }  // namespace
@@ -267,8 +270,10 @@
     case Heartbeat::TargetState::kDraining:
       return MeshMember::State::kDraining;
     case Heartbeat::TargetState::kServing:
-      return node.last_heartbeat.is_leaving ? MeshMember::State::kDraining
-                                            : MeshMember::State::kServing;
+      return node.last_heartbeat.is_leaving ||
+                     m_evacuated_zones.contains(node.last_heartbeat.zone)
+                 ? MeshMember::State::kDraining
+                 : MeshMember::State::kServing;
   }
   return MeshMember::State::kAbsent;
 }
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -48,6 +48,11 @@
   // Sets the services that are sharded by key, from the operators'
   // configuration.
   void SetShardedServices(const std::set<std::string>& services);
+  // Targets in these availability zones get no new requests, and their keys
+  // move to others, as if each of them were draining.
+  void SetEvacuatedZones(const std::set<std::string>& zones) {
+    m_evacuated_zones = zones;
+  }
 
   void OnVote(const std::string& voter, Clock::TimePoint requested_at);
   void OnHeartbeat(const Heartbeat& heartbeat);
@@ -143,6 +148,7 @@
   KeyAssigner m_assigner;
   MeshView m_view;
   std::map<std::string, Node> m_nodes;
+  std::set<std::string> m_evacuated_zones;
   Clock::TimePoint m_round_started;
   bool m_has_resigned = false;
   std::string m_successor;
--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -419,6 +419,52 @@
   CHECK(leader->FindFitterLeader().empty());
 }
 
+// Guards against requests that reach an evacuated zone, and against its return
+// without keys.
+TEST_CASE_FIXTURE(Fixture, "keys leave an evacuated zone and come back") {
+  for (const char* address : {"a", "b", "c", "d"})
+    Node(address).zone = address < std::string("c") ? "west" : "east";
+  Run(milliseconds(4000));
+  const std::uint32_t before = SlotsOf("c") + SlotsOf("d");
+  REQUIRE(before > 0);
+  leader->SetEvacuatedZones({"east"});
+  Run(milliseconds(200));
+  CHECK(leader->view().FindMember("c")->state ==
+        MeshMember::State::kDraining);
+  for (int i = 0; i < 3; ++i) {
+    for (const char* address : {"c", "d"})
+      GiveBack(address, MovingRunsOf(address));
+    Run(milliseconds(200));
+  }
+  CHECK(SlotsOf("c") + SlotsOf("d") == 0);
+  CHECK(SlotsOf("a") + SlotsOf("b") == kSlotCount);
+  leader->SetEvacuatedZones({});
+  Run(milliseconds(200));
+  CHECK(leader->view().FindMember("c")->state == MeshMember::State::kServing);
+}
+
+// Guards against keys without an owner when nobody may take them.
+TEST_CASE_FIXTURE(Fixture, "keys stay where they are if all zones are empty") {
+  for (const char* address : {"a", "b"})
+    Node(address).zone = "west";
+  Run(milliseconds(4000));
+  leader->SetEvacuatedZones({"west"});
+  Run(milliseconds(1000));
+  CHECK(SlotsOf("a") + SlotsOf("b") == kSlotCount);
+  CHECK(MovingRunsOf("a").empty());
+}
+
+// Guards against a cold target that is given the keys of a warm one.
+TEST_CASE_FIXTURE(Fixture, "a cold target gets keys for what it may be sent") {
+  for (const char* address : {"a", "b"})
+    Node(address).mean_service_time_us = 200'000;
+  Node("b").target.warm_up_left_ms = 3000;
+  Node("b").target.cold_requests_per_second = 10;
+  Run(milliseconds(4000));
+  CHECK(SlotsOf("b") > 0);
+  CHECK(SlotsOf("b") < SlotsOf("a") / 3);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a heartbeat that arrives out of order is ignored") {
   for (const char* address : {"a", "b"})
     Node(address);
--- a/modules/protocol/config_change_codec.cc
+++ b/modules/protocol/config_change_codec.cc
@@ -8,6 +8,7 @@
 #include "modules/protocol/malformed_message_error.h"
 #include "modules/protocol/mesh.capnp.h"
 #include "modules/protocol/packed_message.h"
+#include "modules/protocol/zone_evacuations_codec.h"
 
 namespace citrongrade {
 
@@ -175,6 +176,8 @@
   out.setIsDividedByKey(service.is_sharded);
   out.setHealthPath(service.health_path);
   out.setMaxConnections(service.max_connections);
+  out.setColdStartMs(static_cast<std::uint64_t>(service.cold_start.count()));
+  out.setColdRequestsPerSecond(service.cold_requests_per_second);
 }
 
 RoutedService ReadService(Message::Service::Reader in) {
@@ -183,6 +186,8 @@
   service.is_sharded = in.getIsDividedByKey();
   service.health_path = in.getHealthPath();
   service.max_connections = in.getMaxConnections();
+  service.cold_start = milliseconds(in.getColdStartMs());
+  service.cold_requests_per_second = in.getColdRequestsPerSecond();
   return service;
 }
 
@@ -210,6 +215,7 @@
   if (in.getHasStoreNext())
     change.store_next = in.getStoreNext();
   change.limits = ReadLimits(in.getLimits());
+  change.evacuations = ReadEvacuations(in.getEvacuations());
   change.removed_routes = ReadTexts(in.getRemovedRoutes());
   change.removed_services = ReadTexts(in.getRemovedServices());
   for (const auto service : in.getServices())
@@ -234,6 +240,7 @@
   out.setHasStoreNext(change.store_next.has_value());
   out.setStoreNext(change.store_next.value_or(0));
   WriteLimits(change.limits, out.initLimits());
+  WriteEvacuations(change.evacuations, out.initEvacuations());
   WriteTexts(change.removed_routes, out.initRemovedRoutes(static_cast<unsigned>(
                                         change.removed_routes.size())));
   WriteTexts(change.removed_services,
--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -11,6 +11,13 @@
   last @1 :UInt32;
 }
 
+# Zones whose targets operators have taken out of service.
+struct Evacuations {
+  # In the store's log; a higher one is newer.
+  position @0 :UInt64;
+  zones @1 :List(Text);
+}
+
 struct MeshHeartbeat {
   address @0 :Text;
   dataAddress @1 :Text;
@@ -44,6 +51,8 @@
   configFetchFailed @27 :Bool;
   configAgeMs @28 :UInt32;
   isFetchingConfig @29 :Bool;
+  evacuations @30 :Evacuations;
+  coldRequestsPerSecond @31 :Float64;
 
   struct Released {
     service @0 :Text;
@@ -116,6 +125,7 @@
   longestLeaseMs @17 :UInt32;
   configSource @18 :Text;
   configAgeMs @19 :UInt32;
+  evacuations @20 :Evacuations;
 }
 
 struct MeshConfigRequest {
@@ -145,6 +155,7 @@
   # Places in the lists above, from 0 on.
   host @14 :List(UInt32);
   term @15 :List(UInt32);
+  evacuations @16 :Evacuations;
 
   struct Limits {
     maxHeaderBytes @0 :UInt64;
@@ -158,6 +169,8 @@
     isDividedByKey @1 :Bool;
     healthPath @2 :Text;
     maxConnections @3 :UInt32;
+    coldStartMs @4 :UInt64;
+    coldRequestsPerSecond @5 :Float64;
   }
 
   struct Destination {
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(b0980035f580847d);
+CAPNP_DECLARE_SCHEMA(c88e80ed14cf3d49);
 CAPNP_DECLARE_SCHEMA(a74a30e248e45cf0);
 CAPNP_DECLARE_SCHEMA(d98985fa4cf0c55e);
 CAPNP_DECLARE_SCHEMA(d830fe406b94f282);
@@ -56,6 +57,21 @@
   };
 };
 
+struct Evacuations {
+  Evacuations() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c88e80ed14cf3d49, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct MeshHeartbeat {
   MeshHeartbeat() = delete;
 
@@ -65,7 +81,7 @@
   struct Released;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 11, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 12, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -140,7 +156,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afed84799603774a, 7, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(afed84799603774a, 7, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -174,7 +190,7 @@
   struct Terms;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bae78f23f978f08f, 4, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(bae78f23f978f08f, 4, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -204,7 +220,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5453d4808579224, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c5453d4808579224, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -400,6 +416,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class Evacuations::Reader {
+public:
+  typedef Evacuations Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPosition() const;
+
+  inline bool hasZones() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getZones() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Evacuations::Builder {
+public:
+  typedef Evacuations Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPosition();
+  inline void setPosition( ::uint64_t value);
+
+  inline bool hasZones();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getZones();
+  inline void setZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initZones(unsigned int size);
+  inline void adoptZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownZones();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Evacuations::Pipeline {
+public:
+  typedef Evacuations Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class MeshHeartbeat::Reader {
 public:
   typedef MeshHeartbeat Reads;
@@ -486,6 +589,11 @@
 
   inline bool getIsFetchingConfig() const;
 
+  inline bool hasEvacuations() const;
+  inline  ::citrongrade::rpc::Evacuations::Reader getEvacuations() const;
+
+  inline double getColdRequestsPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -642,6 +750,16 @@
   inline bool getIsFetchingConfig();
   inline void setIsFetchingConfig(bool value);
 
+  inline bool hasEvacuations();
+  inline  ::citrongrade::rpc::Evacuations::Builder getEvacuations();
+  inline void setEvacuations( ::citrongrade::rpc::Evacuations::Reader value);
+  inline  ::citrongrade::rpc::Evacuations::Builder initEvacuations();
+  inline void adoptEvacuations(::capnp::Orphan< ::citrongrade::rpc::Evacuations>&& value);
+  inline ::capnp::Orphan< ::citrongrade::rpc::Evacuations> disownEvacuations();
+
+  inline double getColdRequestsPerSecond();
+  inline void setColdRequestsPerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -660,6 +778,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::citrongrade::rpc::Evacuations::Pipeline getEvacuations();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1283,6 +1402,9 @@
 
   inline  ::uint32_t getConfigAgeMs() const;
 
+  inline bool hasEvacuations() const;
+  inline  ::citrongrade::rpc::Evacuations::Reader getEvacuations() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1400,6 +1522,13 @@
   inline  ::uint32_t getConfigAgeMs();
   inline void setConfigAgeMs( ::uint32_t value);
 
+  inline bool hasEvacuations();
+  inline  ::citrongrade::rpc::Evacuations::Builder getEvacuations();
+  inline void setEvacuations( ::citrongrade::rpc::Evacuations::Reader value);
+  inline  ::citrongrade::rpc::Evacuations::Builder initEvacuations();
+  inline void adoptEvacuations(::capnp::Orphan< ::citrongrade::rpc::Evacuations>&& value);
+  inline ::capnp::Orphan< ::citrongrade::rpc::Evacuations> disownEvacuations();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1418,6 +1547,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::citrongrade::rpc::Evacuations::Pipeline getEvacuations();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1563,6 +1693,9 @@
   inline bool hasTerm() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTerm() const;
 
+  inline bool hasEvacuations() const;
+  inline  ::citrongrade::rpc::Evacuations::Reader getEvacuations() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1694,6 +1827,13 @@
   inline void adoptTerm(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTerm();
 
+  inline bool hasEvacuations();
+  inline  ::citrongrade::rpc::Evacuations::Builder getEvacuations();
+  inline void setEvacuations( ::citrongrade::rpc::Evacuations::Reader value);
+  inline  ::citrongrade::rpc::Evacuations::Builder initEvacuations();
+  inline void adoptEvacuations(::capnp::Orphan< ::citrongrade::rpc::Evacuations>&& value);
+  inline ::capnp::Orphan< ::citrongrade::rpc::Evacuations> disownEvacuations();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1713,6 +1853,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::citrongrade::rpc::MeshConfigChange::Limits::Pipeline getLimits();
+  inline  ::citrongrade::rpc::Evacuations::Pipeline getEvacuations();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1839,6 +1980,10 @@
 
   inline  ::uint32_t getMaxConnections() const;
 
+  inline  ::uint64_t getColdStartMs() const;
+
+  inline double getColdRequestsPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1887,6 +2032,12 @@
   inline  ::uint32_t getMaxConnections();
   inline void setMaxConnections( ::uint32_t value);
 
+  inline  ::uint64_t getColdStartMs();
+  inline void setColdStartMs( ::uint64_t value);
+
+  inline double getColdRequestsPerSecond();
+  inline void setColdRequestsPerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2702,6 +2853,58 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Evacuations::Reader::getPosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Evacuations::Builder::getPosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Evacuations::Builder::setPosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evacuations::Reader::hasZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evacuations::Builder::hasZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Evacuations::Reader::getZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuations::Builder::getZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evacuations::Builder::setZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Evacuations::Builder::setZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuations::Builder::initZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Evacuations::Builder::adoptZones(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Evacuations::Builder::disownZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool MeshHeartbeat::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3310,6 +3513,59 @@
       ::capnp::bounded<134>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MeshHeartbeat::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citrongrade::rpc::Evacuations::Reader MeshHeartbeat::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::citrongrade::rpc::Evacuations::Builder MeshHeartbeat::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::Evacuations::Pipeline MeshHeartbeat::Pipeline::getEvacuations() {
+  return  ::citrongrade::rpc::Evacuations::Pipeline(_typeless.getPointerField(9));
+}
+#endif  // !CAPNP_LITE
+inline void MeshHeartbeat::Builder::setEvacuations( ::citrongrade::rpc::Evacuations::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::citrongrade::rpc::Evacuations::Builder MeshHeartbeat::Builder::initEvacuations() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::citrongrade::rpc::Evacuations>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citrongrade::rpc::Evacuations> MeshHeartbeat::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline double MeshHeartbeat::Reader::getColdRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline double MeshHeartbeat::Builder::getColdRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setColdRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MeshHeartbeat::Released::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4618,6 +4874,45 @@
       ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MeshHeartbeatReply::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeatReply::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citrongrade::rpc::Evacuations::Reader MeshHeartbeatReply::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::citrongrade::rpc::Evacuations::Builder MeshHeartbeatReply::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::Evacuations::Pipeline MeshHeartbeatReply::Pipeline::getEvacuations() {
+  return  ::citrongrade::rpc::Evacuations::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void MeshHeartbeatReply::Builder::setEvacuations( ::citrongrade::rpc::Evacuations::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::citrongrade::rpc::Evacuations::Builder MeshHeartbeatReply::Builder::initEvacuations() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeatReply::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::citrongrade::rpc::Evacuations>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citrongrade::rpc::Evacuations> MeshHeartbeatReply::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t MeshConfigRequest::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5129,6 +5424,45 @@
       ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
+inline bool MeshConfigChange::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshConfigChange::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citrongrade::rpc::Evacuations::Reader MeshConfigChange::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::citrongrade::rpc::Evacuations::Builder MeshConfigChange::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::Evacuations::Pipeline MeshConfigChange::Pipeline::getEvacuations() {
+  return  ::citrongrade::rpc::Evacuations::Pipeline(_typeless.getPointerField(12));
+}
+#endif  // !CAPNP_LITE
+inline void MeshConfigChange::Builder::setEvacuations( ::citrongrade::rpc::Evacuations::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::citrongrade::rpc::Evacuations::Builder MeshConfigChange::Builder::initEvacuations() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void MeshConfigChange::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::citrongrade::rpc::Evacuations>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citrongrade::rpc::Evacuations> MeshConfigChange::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Evacuations>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t MeshConfigChange::Limits::Reader::getMaxHeaderBytes() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5281,6 +5615,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t MeshConfigChange::Service::Reader::getColdStartMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshConfigChange::Service::Builder::getColdStartMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MeshConfigChange::Service::Builder::setColdStartMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double MeshConfigChange::Service::Reader::getColdRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double MeshConfigChange::Service::Builder::getColdRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void MeshConfigChange::Service::Builder::setColdRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MeshConfigChange::Destination::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -10,6 +10,7 @@
 #include "modules/protocol/malformed_message_error.h"
 #include "modules/protocol/mesh.capnp.h"
 #include "modules/protocol/packed_message.h"
+#include "modules/protocol/zone_evacuations_codec.h"
 
 namespace citrongrade {
 
@@ -135,6 +136,7 @@
   target.service = in.getService();
   target.concurrency = in.getSlots();
   target.warm_up_left_ms = in.getColdMs();
+  target.cold_requests_per_second = in.getColdRequestsPerSecond();
   return target;
 }
 
@@ -169,6 +171,7 @@
     heartbeat.slot_request_counts.push_back({arrivals[i], arrivals[i + 1]});
   heartbeat.mean_service_time_us = in.getMeanWorkUs();
   heartbeat.crash_suspects = ReadNumbers(in.getCrashSuspects());
+  heartbeat.evacuations = ReadEvacuations(in.getEvacuations());
   return heartbeat;
 }
 
@@ -284,6 +287,7 @@
   reply.config_version = in.getConfigVersion();
   reply.config_source = in.getConfigSource();
   reply.config_age_ms = in.getConfigAgeMs();
+  reply.evacuations = ReadEvacuations(in.getEvacuations());
   return reply;
 }
 
@@ -427,10 +431,12 @@
   out.setService(heartbeat.target.service);
   out.setSlots(heartbeat.target.concurrency);
   out.setColdMs(heartbeat.target.warm_up_left_ms);
+  out.setColdRequestsPerSecond(heartbeat.target.cold_requests_per_second);
   WriteReleased(heartbeat.released, out);
   WriteArrivals(heartbeat.slot_request_counts, out);
   out.setMeanWorkUs(heartbeat.mean_service_time_us);
   out.setCrashSuspects(NumbersOf(heartbeat.crash_suspects));
+  WriteEvacuations(heartbeat.evacuations, out.initEvacuations());
   return Pack(message);
 }
 
@@ -458,6 +464,7 @@
   out.setConfigVersion(reply.config_version);
   out.setConfigSource(reply.config_source);
   out.setConfigAgeMs(reply.config_age_ms);
+  WriteEvacuations(reply.evacuations, out.initEvacuations());
   return Pack(message);
 }
 
--- a/modules/protocol/mesh_message_codec_test.cc
+++ b/modules/protocol/mesh_message_codec_test.cc
@@ -75,6 +75,7 @@
       {"other", MakeAssignment(0, kSlotCount - 1, "10.0.0.3:7240")});
   reply.config_source = "10.0.0.4:7240";
   reply.config_age_ms = 340;
+  reply.evacuations = {17, {"derby"}};
   return reply;
 }
 
@@ -86,6 +87,16 @@
             MeshMessageCodec::Encode(reply)) == reply);
 }
 
+TEST_CASE("a heartbeat comes out as it went in") {
+  Heartbeat heartbeat;
+  heartbeat.address = "10.0.0.1:7240";
+  heartbeat.target.warm_up_left_ms = 900;
+  heartbeat.target.cold_requests_per_second = 12.15;
+  heartbeat.evacuations = {17, {"derby", "suape"}};
+  CHECK(MeshMessageCodec::DecodeHeartbeat(
+            MeshMessageCodec::Encode(heartbeat)) == heartbeat);
+}
+
 TEST_CASE("what others own takes little room") {
   HeartbeatReply reply;
   constexpr std::uint32_t kRuns = 840;
--- a/modules/state/mesh/config_change.h
+++ b/modules/state/mesh/config_change.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "modules/state/mesh/routing_config.h"
+#include "modules/state/mesh/zone_evacuations.h"
 
 namespace citrongrade {
 
@@ -25,6 +26,9 @@
   // Position in the store's log right after the later version's document, from
   // which to follow the store. Not set if unknown.
   std::optional<std::uint64_t> store_next;
+  // Includes all orders before `store_next`: whoever follows the store from
+  // there does not read them any more.
+  ZoneEvacuations evacuations;
 
   static ConfigChange Full(const RoutingConfig& config);
   static ConfigChange Between(const RoutingConfig& older,
--- a/modules/state/mesh/routing_config.h
+++ b/modules/state/mesh/routing_config.h
@@ -48,6 +48,10 @@
   std::string health_path = "/";
   // Connections that one target accepts from all callers together.
   std::uint32_t max_connections = 64;
+  // How long a target is cold after its start: slow, and harmed by more
+  // requests a second than `cold_requests_per_second`. Zero: no limit.
+  std::chrono::milliseconds cold_start{0};
+  double cold_requests_per_second = 0;
 
   friend auto operator<=>(const RoutedService&, const RoutedService&) = default;
 };
--- a/modules/transport/mesh/config_follower.cc
+++ b/modules/transport/mesh/config_follower.cc
@@ -11,7 +11,6 @@
 #include <utility>
 
 #include "modules/transport/mesh/config_decoder.h"
-#include "modules/transport/mesh/mesh_store.h"
 
 namespace citrongrade {
 
@@ -75,6 +74,7 @@
 }
 
 bool ConfigFollower::ApplyChange(const ConfigChange& change) {
+  MergeEvacuations(change.evacuations);
   if (change.to_version <= version())
     return true;
   if (change.from_version != 0 && change.from_version != version())
@@ -89,9 +89,42 @@
 ConfigChange ConfigFollower::ChangeFrom(std::uint64_t version) const {
   ConfigChange change = m_history.ChangeFrom(version);
   change.store_next = m_store_next;
+  change.evacuations = m_evacuations;
   return change;
 }
 
+void ConfigFollower::MergeEvacuations(const ZoneEvacuations& evacuations) {
+  if (evacuations.position <= m_evacuations.position)
+    return;
+  const bool has_changed = evacuations.zones != m_evacuations.zones;
+  m_evacuations = evacuations;
+  if (!has_changed)
+    return;
+  std::string zones;
+  for (const std::string& zone : m_evacuations.zones)
+    zones += (zones.empty() ? "" : ",") + zone;
+  spdlog::info("event=evacuations-in-force position={} zones=\"{}\"",
+               m_evacuations.position, zones);
+  m_listener.OnEvacuations(m_evacuations);
+}
+
+void ConfigFollower::OnEvacuationChanges(
+    const MeshStore::Publications& publications,
+    bool is_complete) {
+  ZoneEvacuations evacuations;
+  if (is_complete) {
+    // A zone that is missing here is not evacuated any more.
+    evacuations.position = publications.next_position;
+    for (const ZoneEvacuations::Change& change : publications.evacuations)
+      evacuations.zones.insert(change.zone);
+  } else {
+    evacuations = m_evacuations;
+    for (const ZoneEvacuations::Change& change : publications.evacuations)
+      evacuations = evacuations.After(change);
+  }
+  MergeEvacuations(evacuations);
+}
+
 void ConfigFollower::OnVersionReported(std::uint64_t version,
                                        milliseconds age) {
   m_newest_known = std::max(m_newest_known, version);
@@ -128,16 +161,18 @@
 }
 
 Task<> ConfigFollower::ReadOnce(milliseconds wait) {
-  MeshStore::ConfigDocument stored;
+  MeshStore::Publications stored;
+  const bool is_complete = !m_store_next;
   if (m_store_next)
-    stored = co_await m_store.AwaitConfig(*m_store_next, wait);
+    stored = co_await m_store.AwaitNext(*m_store_next, wait);
   else
-    stored = co_await m_store.ReadConfig();
+    stored = co_await m_store.ReadAll();
   OnStoreAnswered();
   if (stored.is_newest)
     OnVersionReported(0, milliseconds(0));
-  if (stored.bytes)
-    OnDocument(*stored.bytes);
+  OnEvacuationChanges(stored, is_complete);
+  if (stored.config)
+    OnDocument(*stored.config);
   // Meanwhile a change from another node may have moved the position further
   // on.
   m_store_next = std::max(m_store_next.value_or(0), stored.next_position);
--- a/modules/transport/mesh/config_follower.h
+++ b/modules/transport/mesh/config_follower.h
@@ -10,7 +10,9 @@
 #include "modules/coordination/clock.h"
 #include "modules/state/mesh/config_history.h"
 #include "modules/state/mesh/route_index.h"
+#include "modules/state/mesh/zone_evacuations.h"
 #include "modules/transport/async/task.h"
+#include "modules/transport/mesh/mesh_store.h"
 
 namespace boost::asio {
 class io_context;
@@ -19,22 +21,24 @@
 namespace citrongrade {
 
 class ConfigDecoder;
-class MeshStore;
 
-// Keeps the operators' configuration that is in force at this node: the newest
-// version received from the store or from another node. It never goes back to
-// an older version.
+// Keeps what operators have published and what is in force at this node: the
+// newest version of the configuration received from the store or from another
+// node, and the zones that are evacuated. Neither ever goes back to an older
+// state.
 //
 // The store is read only while `is_wanted` says so: by the leader and two more
 // nodes, and by any node that hears from no leader or got nothing from its
 // assigned source. All others fetch the difference to their version from a node
-// that has the newest one; see ConfigTransfer. Runs on the event loop.
+// that has the newest one; see ConfigTransfer. Evacuations travel with every
+// heartbeat and its reply. Runs on the event loop.
 class ConfigFollower {
  public:
   class Listener {
    public:
     virtual ~Listener() = default;
     virtual void OnConfig(const RoutingConfig& config) = 0;
+    virtual void OnEvacuations(const ZoneEvacuations& evacuations) = 0;
   };
 
   ConfigFollower(boost::asio::io_context& loop,
@@ -58,6 +62,10 @@
   // configuration.
   ConfigChange ChangeFrom(std::uint64_t version) const;
 
+  // Takes the evacuations that another node knows of, if they are newer.
+  void MergeEvacuations(const ZoneEvacuations& evacuations);
+  const ZoneEvacuations& evacuations() const { return m_evacuations; }
+
   // Another node has `version`, and knew `age` ago that it was the newest.
   // Version 0 and age 0 if the store has just shown that nothing is newer.
   void OnVersionReported(std::uint64_t version, std::chrono::milliseconds age);
@@ -90,6 +98,8 @@
   // Makes the next read fetch the whole document again.
   void ResetStorePosition(const char* reason);
   void OnDocument(const std::string& document);
+  void OnEvacuationChanges(const MeshStore::Publications& publications,
+                           bool is_complete);
   void Activate(RoutingConfig config);
 
   boost::asio::io_context& m_loop;
@@ -99,6 +109,7 @@
   Listener& m_listener;
   std::function<bool()> m_is_wanted;
   ConfigHistory m_history;
+  ZoneEvacuations m_evacuations;
   std::optional<RouteIndex> m_routes;
   std::uint64_t m_newest_known = 0;
   // When this node last knew that no newer version exists; nothing: never.
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -166,6 +166,14 @@
     m_leader->SetShardedServices(m_sharded_services);
 }
 
+void MeshAgent::OnEvacuations() {
+  if (m_leader)
+    m_leader->SetEvacuatedZones(m_config.evacuations().zones);
+  // The leader may not know of it yet.
+  if (should_read_store())
+    TriggerHeartbeat();
+}
+
 bool MeshAgent::should_read_store() const {
   if (m_leader || m_is_store_reader ||
       TimeWithoutLeader() > kLeaderlessTimeout + m_store_read_jitter)
@@ -266,6 +274,7 @@
   heartbeat.is_fetching_config = m_transfer.is_fetching();
   heartbeat.config_fetch_failed = m_transfer.TakeHasFailed();
   heartbeat.config_age_ms = static_cast<std::uint32_t>(m_config.age().count());
+  heartbeat.evacuations = m_config.evacuations();
   m_listener.FillHeartbeat(heartbeat);
   return heartbeat;
 }
@@ -395,6 +404,7 @@
 void MeshAgent::UpdateConfigState(const HeartbeatReply& reply) {
   m_config.OnVersionReported(reply.config_version,
                              milliseconds(reply.config_age_ms));
+  m_config.MergeEvacuations(reply.evacuations);
   const std::uint64_t version = m_config.version();
   if (version > 0 && version >= m_config.newest_known()) {
     m_config_behind_since.reset();
@@ -427,6 +437,7 @@
   reply.config_version = m_config.newest_known();
   reply.config_age_ms = static_cast<std::uint32_t>(m_config.age().count());
   reply.config_source = config_source;
+  reply.evacuations = m_config.evacuations();
   return reply;
 }
 
@@ -477,6 +488,7 @@
     return heartbeat;
   m_leader->OnHeartbeat(heartbeat);
   m_config_distributor->OnHeartbeat(heartbeat);
+  m_config.MergeEvacuations(heartbeat.evacuations);
   m_config.OnVersionReported(heartbeat.config_version,
                              milliseconds(heartbeat.config_age_ms));
   if (heartbeat.is_urgent)
@@ -649,6 +661,7 @@
   m_leader = std::make_shared<MeshLeader>(m_clock, m_timing, m_identity.address,
                                           nonce, record);
   m_leader->SetShardedServices(m_sharded_services);
+  m_leader->SetEvacuatedZones(m_config.evacuations().zones);
   m_config_distributor = std::make_unique<ConfigDistributor>(m_clock);
   m_leader_tracker.Clear();
   m_leader_tracker.OnOwnLeadership();
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -90,6 +90,9 @@
   void SetLeaving();
   // Sets the services whose keys the leader assigns to targets.
   void SetShardedServices(std::set<std::string> services);
+  // The zones that are evacuated have changed. The leader moves keys away from
+  // their targets, and other nodes tell it at once.
+  void OnEvacuations();
 
   const MeshView& view() const { return m_view; }
   const Identity& identity() const { return m_identity; }
--- a/modules/transport/mesh/mesh_store.h
+++ b/modules/transport/mesh/mesh_store.h
@@ -5,7 +5,9 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
+#include "modules/state/mesh/zone_evacuations.h"
 #include "modules/transport/async/task.h"
 
 namespace citrongrade {
@@ -48,7 +50,8 @@
 
 // Interface to the platform's store, which keeps the mesh's record across
 // restarts of all its processes, and in which operators publish the
-// configuration. Calls don't retry, and don't wait longer than their timeout.
+// configuration and evacuate zones. Calls don't retry, and don't wait longer
+// than their timeout.
 class MeshStore {
  public:
   struct StoredRecord {
@@ -58,12 +61,17 @@
     std::uint64_t end_position = 0;
   };
 
-  struct ConfigDocument {
-    // Empty: none has been published, or none arrived within the wait.
-    std::optional<std::string> bytes;
-    // Log position from which to wait for the next document.
+  // What operators have published.
+  struct Publications {
+    // The configuration document. Empty: none has been published, or none
+    // arrived within the wait.
+    std::optional<std::string> config;
+    // Orders to evacuate zones, in the order of their positions. ReadAll()
+    // returns the evacuations that are in force.
+    std::vector<ZoneEvacuations::Change> evacuations;
+    // Log position from which to wait for the next publication.
     std::uint64_t next_position = 0;
-    // No newer document was stored when the store answered.
+    // Nothing newer was stored when the store answered.
     bool is_newest = true;
   };
 
@@ -76,12 +84,13 @@
   virtual Task<std::uint64_t> WriteRecord(std::string bytes,
                                           std::uint64_t end_position) = 0;
 
-  virtual Task<ConfigDocument> ReadConfig() = 0;
-  // Waits for a document written at position `next_position` or later, for
+  // Reads everything that is in force.
+  virtual Task<Publications> ReadAll() = 0;
+  // Waits for publications written at position `next_position` or later, for
   // `wait` at most. Throws StoreHistoryTrimmedError if that position is no
-  // longer available; the caller then has to call ReadConfig() again.
-  virtual Task<ConfigDocument> AwaitConfig(std::uint64_t next_position,
-                                           std::chrono::milliseconds wait) = 0;
+  // longer available; the caller then has to call ReadAll() again.
+  virtual Task<Publications> AwaitNext(std::uint64_t next_position,
+                                       std::chrono::milliseconds wait) = 0;
 };
 
 }  // namespace citrongrade
--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -420,7 +420,27 @@
   m_command_pool->CloseExpired();
 }
 
+void TargetController::SetEvacuated(bool is_evacuated) {
+  if (is_evacuated == m_evacuated_since.has_value())
+    return;
+  const Clock::TimePoint now = m_clock.Now();
+  m_assumed_cold_until = now + m_cold_start;
+  if (is_evacuated)
+    m_evacuated_since = now;
+  else
+    m_evacuated_since.reset();
+  spdlog::info("event=target-evacuation target={} service={} is_evacuated={}",
+               m_incarnation.id, m_service, is_evacuated);
+}
+
+bool TargetController::IsEvacuated() const {
+  return m_evacuated_since &&
+         m_clock.Now() - *m_evacuated_since >= m_settings.evacuation_period;
+}
+
 bool TargetController::IsServing() const {
+  if (IsEvacuated())
+    return false;
   if (m_state == State::kServing)
     return true;
   return m_state == State::kDraining &&
@@ -433,7 +453,7 @@
   target.service = m_service;
   target.concurrency = m_concurrency;
   const auto warm_up_left = std::chrono::ceil<std::chrono::milliseconds>(
-      m_warm_up_until - m_clock.Now());
+      cold_until() - m_clock.Now());
   target.warm_up_left_ms = static_cast<std::uint32_t>(
       std::max<std::int64_t>(0, warm_up_left.count()));
   switch (m_state) {
--- a/modules/transport/mesh/target_controller.h
+++ b/modules/transport/mesh/target_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -56,6 +57,9 @@
     // How long a draining target still gets requests, from the confirmation of
     // its drain.
     std::chrono::milliseconds drain_period{1500};
+    // How long the target of an evacuated zone still gets requests, from when
+    // this node learned of the evacuation. Its keys move meanwhile.
+    std::chrono::milliseconds evacuation_period{2000};
     // A target without a sign of life for this long, and with several
     // unanswered calls, is treated as silent.
     std::chrono::milliseconds silence_timeout{4000};
@@ -110,6 +114,19 @@
   // Must be called about every 100 ms.
   void CloseIdleConnections();
 
+  // Whether the target's availability zone is evacuated. Around the begin and
+  // the end of an evacuation the target may be cold without having said so yet,
+  // so it counts as cold for its whole cold start.
+  void SetEvacuated(bool is_evacuated);
+  // Cold start of a target of this service, from the operators' configuration.
+  void SetColdStart(std::chrono::milliseconds duration) {
+    m_cold_start = duration;
+  }
+  // The target is cold until this time, as far as this node knows.
+  Clock::TimePoint cold_until() const {
+    return std::max(m_warm_up_until, m_assumed_cold_until);
+  }
+
   // Whether the target's own state allows requests now.
   bool IsServing() const;
   Clock::Duration RemainingHold(std::uint32_t slot) const {
@@ -157,6 +174,7 @@
                    std::uint64_t incarnation_number);
   Task<> SendRelease(PushHoldTracker::Release release,
                      std::uint64_t incarnation_number);
+  bool IsEvacuated() const;
   bool IsLaterIncarnation(const TargetReport& report) const;
   void BeginIncarnation(const TargetReport& report);
   void SetState(State state, const char* reason);
@@ -190,6 +208,10 @@
   std::uint32_t m_concurrency = 1;
   std::uint64_t m_sequence = 0;
   Clock::TimePoint m_warm_up_until;
+  Clock::TimePoint m_assumed_cold_until;
+  std::chrono::milliseconds m_cold_start{0};
+  // Since when the target's zone has been evacuated, as this node knows it.
+  std::optional<Clock::TimePoint> m_evacuated_since;
   Clock::TimePoint m_drain_confirmed_at;
   Clock::TimePoint m_last_contact;
   Clock::TimePoint m_last_report;
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -177,7 +177,7 @@
     CountResult(refusal);
     co_return refusal;
   }
-  m_admission.SetConcurrency(m_controller.concurrency());
+  UpdateAdmission();
   const RequestTicket ticket = m_next_ticket;
   m_next_ticket = m_next_ticket.Next();
   ForwardResult admission = co_await AwaitAdmission(metadata, ticket, context);
@@ -292,6 +292,12 @@
     co_return ForwardResult::NotRun(RequestErrorCode::kDeadlinePassed,
                                     "its time was over before its turn");
   }
+  if (!m_admission.cold_start_limiter().TrySend()) {
+    m_pool.Release(address, std::move(connection));
+    co_return ForwardResult::NotRun(
+        RequestErrorCode::kOverloaded, "the target is cold",
+        std::chrono::ceil<milliseconds>(m_admission.DrainTime()));
+  }
   TargetRequestInfo target_info;
   target_info.request_id = metadata.request_id;
   target_info.time_left = left;
@@ -384,7 +390,13 @@
     wake(ticket, TargetAdmission::Verdict::kRefused);
 }
 
+void TargetGateway::UpdateAdmission() {
+  m_admission.SetConcurrency(m_controller.concurrency());
+  m_admission.cold_start_limiter().SetColdUntil(m_controller.cold_until());
+}
+
 void TargetGateway::Tick() {
+  UpdateAdmission();
   ResumeWaiting();
 }
 
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -60,6 +60,10 @@
 
   // Must be called every 20 ms.
   void Tick();
+  // Requests that the target may get while it is cold.
+  void SetColdStartLimits(const ColdStartLimiter::Parameters& limits) {
+    m_admission.cold_start_limiter().SetParameters(limits);
+  }
   // The target's process is gone: the requests that it ran are suspected of the
   // crash.
   void OnTargetLost();
@@ -103,6 +107,8 @@
                                       RequestTicket ticket,
                                       std::optional<Clock::TimePoint>& sent_at,
                                       RequestContext& context);
+  // Tells the admission what the controller knows of the target.
+  void UpdateAdmission();
   ForwardResult ClassifyResponse(HttpResponse response,
                                  const TargetResponseInfo& response_info);
   // Called when the connection of a running request breaks. Probes the target
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -49,6 +49,9 @@
 // Fraction of the drain time in which the target still gets new requests; the
 // rest is for requests in flight.
 constexpr double kDrainFraction = 0.75;
+// Fraction of the time until an evacuation has to be in force in which the
+// target still gets requests; the rest is for the news to reach its node.
+constexpr double kEvacuationFraction = 0.4;
 // Callers learn that this node stops from two readiness checks, one second
 // apart.
 constexpr milliseconds kReadinessPropagationDelay{2300};
@@ -153,6 +156,8 @@
   settings.address = file.target;
   settings.drain_period = std::chrono::duration_cast<milliseconds>(
       file.drain_timeout * kDrainFraction);
+  settings.evacuation_period = std::chrono::duration_cast<milliseconds>(
+      file.evacuation_timeout * kEvacuationFraction);
   settings.grants_by_report = file.grants_by_report;
   return settings;
 }
@@ -172,12 +177,14 @@
 
  private:
   void OnConfig(const RoutingConfig& config) override;
+  void OnEvacuations(const ZoneEvacuations& evacuations) override;
   void OnTargetChanged() override;
   void OnTargetLost() override;
   void FillHeartbeat(Heartbeat& heartbeat) override;
   void OnReply(const HeartbeatReply& reply) override;
   void OnViewChanged() override;
 
+  void UpdateColdStartLimits();
   Task<> TickLoop();
   Task<> WatchSettings();
   Task<> AwaitSignals();
@@ -186,6 +193,8 @@
   bool IsReady() const;
   HttpResponse AnswerStatus(const HttpRequest& request) const;
   std::string DumpState() const;
+  // How long the target beside this node stays cold.
+  milliseconds ColdLeft() const;
   std::string DumpMetrics() const;
 
   const RouterSettings m_settings;
@@ -221,6 +230,7 @@
   AsyncHttpServer m_report_server;
   AsyncHttpServer m_readiness_server;
   AsyncHttpServer m_status_server;
+  ColdStartLimiter::Parameters m_cold_start_limits;
   bool m_is_stopping = false;
 };
 
@@ -323,6 +333,7 @@
       sharded.insert(name);
   }
   m_agent.SetShardedServices(std::move(sharded));
+  UpdateColdStartLimits();
   m_caller_server.SetIdleTimeout(config.limits.idle_timeout);
   // A body that never fits into this process's memory is rejected for good.
   m_caller_server.SetMaxBodyBytes(std::min<std::uint64_t>(
@@ -336,7 +347,28 @@
     m_agent.TriggerHeartbeat();
 }
 
+void RouterNode::Implementation::OnEvacuations(
+    const ZoneEvacuations& evacuations) {
+  m_target_controller.SetEvacuated(evacuations.Contains(m_file.zone));
+  m_agent.OnEvacuations();
+}
+
+void RouterNode::Implementation::UpdateColdStartLimits() {
+  if (!m_config.config())
+    return;
+  const RoutedService* service =
+      m_config.config()->FindService(m_target_controller.service());
+  if (service == nullptr)
+    return;
+  m_target_controller.SetColdStart(service->cold_start);
+  m_cold_start_limits.rate =
+      service->cold_requests_per_second * m_file.cold_excess;
+  m_cold_start_limits.burst = m_file.cold_slack;
+  m_gateway.SetColdStartLimits(m_cold_start_limits);
+}
+
 void RouterNode::Implementation::OnTargetChanged() {
+  UpdateColdStartLimits();
   m_agent.TriggerHeartbeat();
 }
 
@@ -346,6 +378,7 @@
 
 void RouterNode::Implementation::FillHeartbeat(Heartbeat& heartbeat) {
   heartbeat.target = m_target_controller.MakeHeartbeatTarget();
+  heartbeat.target.cold_requests_per_second = m_cold_start_limits.rate;
   heartbeat.released = m_target_controller.MakeHeartbeatReleases();
   heartbeat.slot_request_counts = m_gateway.TakeSlotRequestCounts();
   heartbeat.mean_service_time_us = m_gateway.mean_service_time_us();
@@ -477,6 +510,12 @@
   return HttpResponse::WithStatus(kNotFound);
 }
 
+milliseconds RouterNode::Implementation::ColdLeft() const {
+  return std::max(milliseconds(0),
+                  std::chrono::ceil<milliseconds>(
+                      m_target_controller.cold_until() - m_clock.Now()));
+}
+
 std::string RouterNode::Implementation::DumpState() const {
   using Json = nlohmann::json;
   Json state;
@@ -492,9 +531,11 @@
                                .count();
   state["longest_lease_ms"] = m_agent.max_lease().count();
   state["config_version"] = m_config.version();
+  state["evacuated_zones"] = m_config.evacuations().zones;
   state["target"] = {{"id", m_target_controller.incarnation().id},
                      {"service", m_target_controller.service()},
                      {"serves", m_target_controller.IsServing()},
+                     {"cold_left_ms", ColdLeft().count()},
                      {"held_ranges", m_target_controller.held_range_count()},
                      {"running", m_gateway.running()},
                      {"waiting", m_gateway.waiting()}};
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -4,6 +4,8 @@
 import random
 from collections import Counter, defaultdict
 
+from platform_mesh import COLD_EXCESS, COLD_PER_S, COLD_SLACK
+
 # Held keys are compared at so many of them.
 PROBES = 96
 # Two clocks read one after the other.
@@ -11,6 +13,9 @@
 # Orders that a node sends as it wakes up don't count: ThawSlackMs.
 THAW_SLACK = 0.3
 DRAIN = 2.0
+# Requests that a cold target may get in any second, counted from when its node
+# has been told.
+MAX_COLD = COLD_PER_S * COLD_EXCESS + COLD_SLACK
 # A request that reaches a target so long after its caller left is one too many;
 # a few may.
 LEFT_SLACK = 0.6
@@ -52,6 +57,7 @@
     problems += check_answers(outcomes)
     problems += check_runs(lives, outcomes)
     problems += check_drains(lives)
+    problems += check_cold(lives)
     problems += check_holds(mesh, lives)
     return problems
 
@@ -93,6 +99,17 @@
     return problems
 
 
+def check_cold(lives):
+    problems = []
+    for life in lives:
+        spells = [(e["at"], e["until"]) for e in life.events if e["event"] == "cold-told"]
+        runs = [e["at"] for e in life.events if e["event"] == "run" and any(a <= e["at"] < b for a, b in spells)]
+        busiest = max((sum(0 <= other - one < 1 for other in runs) for one in runs), default=0)
+        if busiest > MAX_COLD:
+            problems.append(f"{life.identity} got {busiest} requests in a second while it was cold")
+    return problems
+
+
 class Hold:
     def __init__(self, life, event):
         self.life = life
--- a/tests/soak/soak_mesh.py
+++ b/tests/soak/soak_mesh.py
@@ -2,6 +2,7 @@
 that faults can be set on them. Remembers what was done to which node, and when:
 promises with a time bound hold only for nodes that were left alone."""
 
+import json
 import os
 import random
 import signal
@@ -102,6 +103,16 @@
             self.thaws[node.index].append(time.monotonic())
             node.process.send_signal(signal.SIGCONT)
 
+    @staticmethod
+    def zone_of(node):
+        return f"zone-{node.index % 3}"
+
+    def runs_at(self, node):
+        """When the node's targets began their runs."""
+        with open(node.journal) as journal:
+            events = [json.loads(line) for line in journal if line.endswith("\n")]
+        return [event["at"] for event in events if event["event"] == "run"]
+
     def add_route(self):
         self.version += random.randint(1, 3)
         self.routes = [*self.routes[-3:], f"added-{self.version}"]
@@ -112,6 +123,8 @@
         """Ends every fault and starts what is down."""
         for name in ("down", "silent", "lost", "slow"):
             self.store_fault(name, 0)
+        for zone in {self.zone_of(node) for node in self.nodes}:
+            self.end_evacuation(zone)
         for node in self.nodes:
             for link in self.links_of(node):
                 link.heal()
