Retry budgets by route, and no refill when a node joins

Requests of one route make 1.4 calls each; one budget for a service let this route take the retries of all its routes, and each repeated run repeated its calls. And each change of the number of nodes made the budgets anew, full. Change: a budget for each route to a service; the burst is divided among the routes; another number of nodes only changes the bound. The share is 0.09: own retries and calls of repeated runs together stay below the 0.2 that are allowed, with one token for each route of each node.

--- a/modules/coordination/load/retry_budget.cc
+++ b/modules/coordination/load/retry_budget.cc
@@ -12,6 +12,11 @@
       std::min(m_parameters.max_tokens, m_tokens + m_parameters.retry_ratio);
 }
 
+void RetryBudget::SetMaxTokens(double max_tokens) {
+  m_parameters.max_tokens = max_tokens;
+  m_tokens = std::min(m_tokens, max_tokens);
+}
+
 bool RetryBudget::TryAcquire(RetryAllowance allowance) {
   if (allowance.exhausted() || m_tokens < 1) {
     return false;
--- a/modules/coordination/load/retry_budget.h
+++ b/modules/coordination/load/retry_budget.h
@@ -12,8 +12,8 @@
 // retries add at most a tenth, however many requests fail; `max_tokens` lets a
 // service with few requests retry at all.
 //
-// Needs no clock, since tokens are earned by first attempts. Thread-confined;
-// one budget for each service on a node.
+// Needs no clock, since tokens are earned by first attempts. Thread-confined.
+// See also RetryBudgets.
 class RetryBudget {
  public:
   struct Parameters {
@@ -26,6 +26,8 @@
   explicit RetryBudget(const Parameters& parameters);
 
   void OnFirstAttempt();
+  // Tokens beyond the new maximum are lost; none are added.
+  void SetMaxTokens(double max_tokens);
 
   // Returns whether to retry a request that carries `allowance`, and takes a
   // token if so.
--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -57,9 +57,10 @@
 // A body of this size delays other requests on a narrow link. So the sender
 // asks for permission first, which costs a round trip.
 constexpr std::size_t kLongBodyBytes = std::size_t{16} * 1024;
-// Retries allowed per first attempt. This is half of what users accept, because
-// the calls that a retried request makes count as retries as well.
-constexpr double kRetryShare = 0.1;
+// Retries allowed per first attempt. This is less than half of what users
+// accept, because the calls that a retried request makes count as retries as
+// well, and each route of each node may retry once beyond its share.
+constexpr double kRetryShare = 0.09;
 // Limits attempts that are proved not to have run. They cost targets nothing,
 // but without a limit a request could be forwarded until its deadline.
 constexpr unsigned kMaxAttempts = 12;
@@ -107,23 +108,11 @@
 RequestRouter::RequestRouter(const Dependencies& dependencies,
                              std::string origin_service)
     : m_dependencies(dependencies),
-      m_origin_service(std::move(origin_service)) {}
+      m_origin_service(std::move(origin_service)),
+      m_budgets(kRetryShare) {}
 
-void RequestRouter::SetRetryBurst(double burst) {
-  if (burst == m_retry_burst)
-    return;
-  m_retry_burst = burst;
-  m_budgets.clear();
-}
-
-RetryBudget& RequestRouter::BudgetOf(const std::string& service) {
-  const auto found = m_budgets.find(service);
-  if (found != m_budgets.end())
-    return found->second;
-  RetryBudget::Parameters parameters;
-  parameters.retry_ratio = kRetryShare;
-  parameters.max_tokens = m_retry_burst;
-  return m_budgets.emplace(service, RetryBudget(parameters)).first->second;
+RetryBudget& RequestRouter::BudgetOf(const ForwardMetadata& metadata) {
+  return m_budgets.For(metadata.service, metadata.route);
 }
 
 std::string RequestRouter::ChooseService(const RouteRule& route) {
@@ -215,7 +204,7 @@
                                                     RoutedRequest& routed,
                                                     RequestContext& context) {
   const Clock& clock = m_dependencies.clock;
-  BudgetOf(routed.metadata.service).OnFirstAttempt();
+  BudgetOf(routed.metadata).OnFirstAttempt();
   bool may_have_run = false;
   while (true) {
     ForwardResult result;
@@ -383,7 +372,7 @@
       co_return m_dependencies.chooser.HasAlternative(routed.metadata.service,
                                                       routed.excluded) &&
           (!result.reached_target ||
-           BudgetOf(routed.metadata.service).TryAcquire(RetryAllowance()));
+           BudgetOf(routed.metadata).TryAcquire(RetryAllowance()));
     }
     if (result.error == RequestErrorCode::kOverloaded)
       co_return false;
@@ -398,7 +387,7 @@
     if (now >= until)
       co_return false;
     if (result.reached_target &&
-        !BudgetOf(routed.metadata.service).TryAcquire(RetryAllowance()))
+        !BudgetOf(routed.metadata).TryAcquire(RetryAllowance()))
       co_return false;
     // The owner's view may be newer or older than this node's. So the next
     // attempt is made after a short delay, or as soon as the key has another
@@ -417,7 +406,7 @@
   if (!routed.is_sharded && !m_dependencies.chooser.HasAlternative(
                                 routed.metadata.service, routed.excluded))
     routed.excluded.clear();
-  co_return BudgetOf(routed.metadata.service).TryAcquire(RetryAllowance());
+  co_return BudgetOf(routed.metadata).TryAcquire(RetryAllowance());
 }
 
 Task<bool> RequestRouter::PrepareRetryAtOwner(const RoutedRequest& routed,
@@ -426,7 +415,7 @@
   // not due to overload: the target refuses a share of all requests, may accept
   // the next attempt, and no other target may run it. Retrying raised the score
   // by 0.006, 0.007 and 0.010 on three meshes, over five days each.
-  if (!BudgetOf(routed.metadata.service).TryAcquire(RetryAllowance()))
+  if (!BudgetOf(routed.metadata).TryAcquire(RetryAllowance()))
     co_return false;
   co_await AwaitViewChange(kFirstRetryDelay, context);
   co_return !context.is_caller_gone();
--- a/modules/transport/mesh/request_router.h
+++ b/modules/transport/mesh/request_router.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "modules/coordination/clock.h"
-#include "modules/coordination/load/retry_budget.h"
+#include "modules/coordination/load/retry_budgets.h"
 #include "modules/transport/async/async_http_server.h"
 #include "modules/transport/async/task.h"
 #include "modules/transport/mesh/forward_metadata.h"
@@ -71,7 +71,7 @@
   }
   // Sets the burst of the retry budgets: this node's part of the mesh's
   // retries.
-  void SetRetryBurst(double burst);
+  void SetRetryBurst(double burst) { m_budgets.SetBurst(burst); }
 
  private:
   struct RoutedRequest;
@@ -112,14 +112,13 @@
   Task<> AwaitViewChange(std::chrono::milliseconds max_wait,
                          RequestContext& context);
   std::string ChooseService(const RouteRule& route);
-  RetryBudget& BudgetOf(const std::string& service);
+  RetryBudget& BudgetOf(const ForwardMetadata& metadata);
   HttpResponse MakeResponse(ForwardResult result, const RoutedRequest& routed);
   static HttpResponse MakeUnroutedResponse(int status);
 
   const Dependencies m_dependencies;
   std::string m_origin_service;
-  double m_retry_burst = 2;
-  std::map<std::string, RetryBudget> m_budgets;
+  RetryBudgets m_budgets;
   // Weighted round robin: by route, the credit of each destination service.
   std::map<std::string, std::map<std::string, double>> m_route_credits;
   std::set<std::shared_ptr<Waiter>> m_waiters;
