Routes may name the regions that may run their requests

Change: the router chooses only members in a route's regions; a key whose owner is elsewhere is refused at once as not run. A member that random choices miss is found all the same. Not done: keys are placed without regard to regions.

--- a/modules/protocol/config_change_codec_test.cc
+++ b/modules/protocol/config_change_codec_test.cc
@@ -19,6 +19,8 @@
   route.is_idempotent = number % 2 == 0;
   route.priority = static_cast<std::uint32_t>(number % 4);
   route.destinations = {{"one", 3}, {"two", 1}};
+  if (number % 5 == 0)
+    route.allowed_regions = {"north", "south"};
   return route;
 }
 
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -250,7 +250,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5bd2d6fb096debe, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e5bd2d6fb096debe, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2180,6 +2180,9 @@
   inline bool hasDestinations() const;
   inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>::Reader getDestinations() const;
 
+  inline bool hasAllowedRegions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAllowedRegions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2230,6 +2233,14 @@
   inline void adoptDestinations(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>> disownDestinations();
 
+  inline bool hasAllowedRegions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAllowedRegions();
+  inline void setAllowedRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setAllowedRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAllowedRegions(unsigned int size);
+  inline void adoptAllowedRegions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAllowedRegions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5795,6 +5806,44 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool MeshConfigChange::Terms::Reader::hasAllowedRegions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshConfigChange::Terms::Builder::hasAllowedRegions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader MeshConfigChange::Terms::Reader::getAllowedRegions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Terms::Builder::getAllowedRegions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MeshConfigChange::Terms::Builder::setAllowedRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void MeshConfigChange::Terms::Builder::setAllowedRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Terms::Builder::initAllowedRegions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void MeshConfigChange::Terms::Builder::adoptAllowedRegions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> MeshConfigChange::Terms::Builder::disownAllowedRegions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool MeshVoteRequest::Reader::hasCandidate() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/state/mesh/routing_config.h
+++ b/modules/state/mesh/routing_config.h
@@ -36,6 +36,8 @@
   // Targets that a request may be sent to, including the first one.
   std::uint32_t max_attempts = 1;
   std::vector<RouteDestination> destinations;
+  // Regions whose targets may run the requests; empty: all.
+  std::vector<std::string> allowed_regions;
 
   friend auto operator<=>(const RouteRule&, const RouteRule&) = default;
 };
--- a/modules/transport/mesh/instance_chooser.cc
+++ b/modules/transport/mesh/instance_chooser.cc
@@ -126,6 +126,21 @@
     }
     last = picked;
   }
+  return ChooseAny(chosen, excluded);
+}
+
+std::optional<std::string> InstanceChooser::ChooseAny(
+    Service& service,
+    const std::set<std::string>& excluded) {
+  for (const std::string& member : service.members) {
+    const TargetId id(member);
+    if (excluded.contains(member) || !service.ejection.IsEligible(id))
+      continue;
+    service.picker.OnSent(id);
+    service.ejection.OnSent(id);
+    service.picker.SetEligible(id, service.ejection.IsEligible(id));
+    return member;
+  }
   return std::nullopt;
 }
 
--- a/modules/transport/mesh/instance_chooser.h
+++ b/modules/transport/mesh/instance_chooser.h
@@ -45,6 +45,10 @@
  private:
   struct Service;
 
+  // Returns some member that is not excluded, where random choices found none.
+  static std::optional<std::string> ChooseAny(
+      Service& service,
+      const std::set<std::string>& excluded);
   void RefreshService(const std::string& name,
                       const MeshView& view,
                       Service& service);
--- a/modules/transport/mesh/instance_chooser_test.cc
+++ b/modules/transport/mesh/instance_chooser_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+#include <string>
+
 #include "modules/coordination/load/target_call_outcome.h"
 #include "modules/coordination/manual_clock.h"
 #include "modules/state/mesh/mesh_view.h"
@@ -48,6 +51,20 @@
 
 }  // namespace
 
+// Guards against requests that may run in one region only and find nobody there
+// by chance.
+TEST_CASE_FIXTURE(Fixture, "the one member that is left is always found") {
+  std::set<std::string> excluded;
+  for (int i = 0; i < 40; ++i) {
+    const std::string address = "m" + std::to_string(i);
+    SetMemberState(address.c_str(), MeshMember::State::kServing);
+    if (i != 17)
+      excluded.insert(address);
+  }
+  for (int i = 0; i < 20; ++i)
+    CHECK(chooser.Choose("plain", excluded) == "m17");
+}
+
 TEST_CASE_FIXTURE(Fixture, "a draining member gets no requests") {
   SetMemberState("a", MeshMember::State::kServing);
   SetMemberState("b", MeshMember::State::kServing);
--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -96,7 +96,9 @@
   unsigned attempts = 0;
   // Attempts that may have run at a target.
   unsigned possible_runs = 0;
-  // Members that have been tried already.
+  // Members that may not run it, because of the route's regions.
+  std::set<std::string> forbidden;
+  // These, and members that have been tried already.
   std::set<std::string> excluded;
 };
 
@@ -191,7 +193,13 @@
   if (routed.is_sharded && !metadata.key) {
     result = ForwardResult::NotRun(RequestErrorCode::kMissingKey,
                                    "the request carries no key");
+  } else if (routed.is_sharded && IsOwnerOutsideRegions(route, routed)) {
+    result = ForwardResult::NotRun(RequestErrorCode::kNoOwner,
+                                   "its owner is outside the route's regions",
+                                   kRetryAfterNoOwner);
   } else {
+    routed.forbidden = MembersOutsideRegions(route);
+    routed.excluded = routed.forbidden;
     result = co_await RouteWithRetries(request, route, routed, context);
   }
   m_dependencies.metrics.OnAnswered(route.name, result,
@@ -208,7 +216,7 @@
   bool may_have_run = false;
   while (true) {
     ForwardResult result;
-    const std::optional<std::string> member = FindMember(routed);
+    const std::optional<std::string> member = FindMember(route, routed);
     ++routed.attempts;
     if (member) {
       const Clock::TimePoint started = clock.Now();
@@ -245,7 +253,43 @@
   }
 }
 
+bool RequestRouter::IsInAllowedRegion(const RouteRule& route,
+                                      const MeshMember& member) const {
+  const std::vector<std::string>& allowed = route.allowed_regions;
+  if (allowed.empty())
+    return true;
+  const auto region = m_dependencies.region_by_zone.find(member.zone);
+  return region != m_dependencies.region_by_zone.end() &&
+         std::find(allowed.begin(), allowed.end(), region->second) !=
+             allowed.end();
+}
+
+std::set<std::string> RequestRouter::MembersOutsideRegions(
+    const RouteRule& route) const {
+  std::set<std::string> outside;
+  if (route.allowed_regions.empty())
+    return outside;
+  for (const MeshMember* member : m_dependencies.agent.view().members()) {
+    if (!IsInAllowedRegion(route, *member))
+      outside.insert(member->address);
+  }
+  return outside;
+}
+
+bool RequestRouter::IsOwnerOutsideRegions(const RouteRule& route,
+                                          const RoutedRequest& routed) const {
+  if (route.allowed_regions.empty())
+    return false;
+  const SlotAssignment* assignment = FindAssignment(routed);
+  if (assignment == nullptr)
+    return false;
+  const MeshMember* owner =
+      m_dependencies.agent.view().FindMember(assignment->owner);
+  return owner != nullptr && !IsInAllowedRegion(route, *owner);
+}
+
 std::optional<std::string> RequestRouter::FindMember(
+    const RouteRule& route,
     const RoutedRequest& routed) const {
   const MeshView& view = m_dependencies.agent.view();
   if (!routed.is_sharded) {
@@ -253,7 +297,8 @@
                                          routed.excluded);
   }
   const SlotAssignment* assignment = FindAssignment(routed);
-  if (assignment == nullptr || view.FindMember(assignment->owner) == nullptr)
+  if (assignment == nullptr || view.FindMember(assignment->owner) == nullptr ||
+      IsOwnerOutsideRegions(route, routed))
     return std::nullopt;
   return assignment->owner;
 }
@@ -405,7 +450,7 @@
     co_return false;
   if (!routed.is_sharded && !m_dependencies.chooser.HasAlternative(
                                 routed.metadata.service, routed.excluded))
-    routed.excluded.clear();
+    routed.excluded = routed.forbidden;
   co_return BudgetOf(routed.metadata).TryAcquire(RetryAllowance());
 }
 
--- a/modules/transport/mesh/request_router.h
+++ b/modules/transport/mesh/request_router.h
@@ -55,6 +55,8 @@
     AsyncConnectionPool& peers;
     RouterMetrics& metrics;
     RequestLog& log;
+    // By availability zone: its region.
+    const std::map<std::string, std::string>& region_by_zone;
   };
 
   // `origin_service`: service of the target beside this node.
@@ -83,7 +85,15 @@
                                        RequestContext& context);
   // Returns the mesh address of the member that should run the request now;
   // empty if there is none.
-  std::optional<std::string> FindMember(const RoutedRequest& routed) const;
+  std::optional<std::string> FindMember(const RouteRule& route,
+                                        const RoutedRequest& routed) const;
+  // Whether the route's regions allow the member to run its requests. A zone of
+  // unknown region is in none.
+  bool IsInAllowedRegion(const RouteRule& route,
+                         const MeshMember& member) const;
+  std::set<std::string> MembersOutsideRegions(const RouteRule& route) const;
+  bool IsOwnerOutsideRegions(const RouteRule& route,
+                             const RoutedRequest& routed) const;
   Task<ForwardResult> SendToMember(const HttpRequest& request,
                                    const std::string& member,
                                    RoutedRequest& routed,
