--- a/modules/transport/async/async_http_test.cc
+++ b/modules/transport/async/async_http_test.cc
@@ -486,6 +486,7 @@
   CHECK(responses.starts_with("HTTP/1.1 200"));
   CHECK(budget.used() == 0);
   responses.clear();
+  loop.restart();
   RunTask(loop, [&] {
     return SendPipelined(
         loop, "POST /long HTTP/1.1\r\nContent-Length: 100001\r\n\r\n",
@@ -494,6 +495,7 @@
   CHECK(responses.starts_with("HTTP/1.1 503"));
   CHECK(responses.find("Retry-After") != std::string::npos);
   responses.clear();
+  loop.restart();
   RunTask(loop, [&] {
     return SendPipelined(loop,
                          "POST /chunks HTTP/1.1\r\n"
