--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -429,8 +429,7 @@
   REQUIRE(before > 0);
   leader->SetEvacuatedZones({"east"});
   Run(milliseconds(200));
-  CHECK(leader->view().FindMember("c")->state ==
-        MeshMember::State::kDraining);
+  CHECK(leader->view().FindMember("c")->state == MeshMember::State::kDraining);
   for (int i = 0; i < 3; ++i) {
     for (const char* address : {"c", "d"})
       GiveBack(address, MovingRunsOf(address));
