--- a/tests/platform_evacuation_process_test.py
+++ b/tests/platform_evacuation_process_test.py
@@ -4,7 +4,6 @@
 import os
 import signal
 import sys
-import threading
 import time
 import unittest
 
@@ -12,44 +11,14 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "platform", "testing"))
 
+from mesh_callers import MeshCallers  # noqa: E402
 from platform_mesh import UNDIVIDED, Mesh  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 # No request may reach a target of the zone later than this after the store has
 # confirmed its evacuation.
 EVACUATE_S = 5.0
-
-
-class Callers:
-    """Send unsafe requests for all keys and without keys, one caller for each
-    node, until they are stopped."""
-
-    def __init__(self, nodes):
-        self.outcomes = []
-        self.running = True
-        self.threads = [threading.Thread(target=self.send, args=caller) for caller in enumerate(nodes)]
-        for thread in self.threads:
-            thread.start()
-
-    def send(self, number, node):
-        count = 0
-        while self.running:
-            count += 1
-            attempt = f"{number}-{count}"
-            key = (count * 2719 + number * 911) % 65536
-            path = "/lock/x" if count % 2 else "/plain/x"
-            try:
-                status = node.request(path, key, attempt, "POST", b"body")[0]
-            except OSError:
-                status = 0
-            self.outcomes.append((attempt, status))
-            time.sleep(0.01)
-
-    def stop(self):
-        self.running = False
-        for thread in self.threads:
-            thread.join()
-        return self.outcomes
+BOTH_SERVICES = ("/lock/x", "/plain/x")
 
 
 class EvacuationTest(unittest.TestCase):
@@ -71,14 +40,14 @@
         """No attempt ran twice; none that was refused as not run has run."""
         runs = [run[0] for n in self.mesh.live_nodes() for run in n.runs() if "-" in run[0]]
         self.assertEqual(len(runs), len(set(runs)))
-        refused = {attempt for attempt, status in outcomes if status in (429, 503)}
+        refused = {attempt for _, attempt, status in outcomes if status in (429, 503)}
         self.assertEqual(refused & set(runs), set())
         self.assertEqual(self.mesh.shared_holds(), [])
 
     # Guards against requests that reach an evacuated zone, are lost on the way
     # out of it, or don't come back to it.
     def test_requests_leave_an_evacuated_zone_and_come_back(self):
-        callers = Callers(self.mesh.nodes)
+        callers = MeshCallers(self.mesh.nodes, paths=BOTH_SERVICES)
         time.sleep(1)
         began = time.monotonic()
         self.mesh.evacuate("zone-1")
@@ -95,7 +64,7 @@
         )
         outcomes = callers.stop()
         self.check_runs(outcomes)
-        served = sum(status == 200 for _, status in outcomes)
+        served = sum(status == 200 for _, _, status in outcomes)
         self.assertGreater(served, 0.9 * len(outcomes))
 
     # Guards against a zone that is forgotten by the next leader.
@@ -107,7 +76,7 @@
         leader.start()
         time.sleep(EVACUATE_S)
         began = time.monotonic()
-        callers = Callers(self.mesh.nodes)
+        callers = MeshCallers(self.mesh.nodes, paths=BOTH_SERVICES)
         time.sleep(2)
         self.check_runs(callers.stop())
         self.assertLess(self.last_run(self.zone("zone-1")), began)
--- a/tests/platform_mesh_process_test.py
+++ b/tests/platform_mesh_process_test.py
@@ -5,7 +5,6 @@
 import os
 import signal
 import sys
-import threading
 import time
 import unittest
 
@@ -13,43 +12,12 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "platform", "testing"))
 
+from mesh_callers import MeshCallers  # noqa: E402
 from platform_mesh import DIVIDED, UNDIVIDED, Mesh, added_routes, config  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 
 
-class Callers:
-    """Send unsafe requests for all keys, one caller for each node given, until
-    they are stopped."""
-
-    def __init__(self, nodes, deadline_ms=1500):
-        self.deadline_ms = deadline_ms
-        self.outcomes = []
-        self.running = True
-        self.threads = [threading.Thread(target=self.send, args=caller) for caller in enumerate(nodes)]
-        for thread in self.threads:
-            thread.start()
-
-    def send(self, number, node):
-        count = 0
-        while self.running:
-            count += 1
-            attempt = f"{number}-{count}"
-            key = (count * 2719 + number * 911) % 65536
-            try:
-                status = node.request("/lock/x", key, attempt, "POST", b"body", self.deadline_ms)[0]
-            except OSError:
-                status = 0
-            self.outcomes.append((time.monotonic(), attempt, status))
-            time.sleep(0.01)
-
-    def stop(self):
-        self.running = False
-        for thread in self.threads:
-            thread.join()
-        return self.outcomes
-
-
 class PlatformMeshTest(unittest.TestCase):
     def setUp(self):
         self.mesh = Mesh(ROUTER)
@@ -102,7 +70,7 @@
     # keys, so they stay, and callers miss only what was under way.
     def test_a_killed_node_takes_its_keys_up_again(self):
         victim = self.divided[1]
-        callers = Callers([self.divided[0]])
+        callers = MeshCallers([self.divided[0]])
         victim.stop(signal.SIGKILL)
         victim.start()
         self.mesh.wait_for(self.mesh.serves_all_keys, 5, "all keys after a restart")
@@ -112,7 +80,7 @@
     # A host is lost with its target: others get its keys once its lease is over.
     def test_keys_of_a_lost_host_are_served_by_others(self):
         victim = self.divided[1]
-        callers = Callers([self.divided[0]])
+        callers = MeshCallers([self.divided[0]])
         victim.target.kill()
         victim.stop(signal.SIGKILL)
         self.mesh.wait_for(self.mesh.serves_all_keys, 5, "all keys after a loss")
@@ -125,7 +93,7 @@
         self.mesh.publish(config(2, timeout_ms=4000))
         for node in self.divided:
             node.target_fault("work", 1000)
-        callers = Callers(self.nodes * 4, deadline_ms=4000)
+        callers = MeshCallers(self.nodes * 4, deadline_ms=4000)
         time.sleep(8)
         learned = time.monotonic()
         time.sleep(6)
@@ -140,7 +108,7 @@
     def test_the_loss_of_the_leader_interrupts_no_keys(self):
         leader = self.mesh.leader()
         others = [n for n in self.divided if n is not leader]
-        callers = Callers([others[0]])
+        callers = MeshCallers([others[0]])
         time.sleep(0.5)
         leader.stop(signal.SIGKILL)
         leader.start()
@@ -158,7 +126,7 @@
         self.mesh.wait_for(self.mesh.serves_all_keys, 4, "all keys while one is paused")
         victim.process.send_signal(signal.SIGCONT)
         time.sleep(0.5)
-        callers = Callers([victim])
+        callers = MeshCallers([victim])
         time.sleep(1)
         self.check_runs(callers.stop())
         self.check_holds()
@@ -200,7 +168,7 @@
     # and no request on an open connection is lost.
     def test_a_stopped_node_gives_its_keys_away_first(self):
         victim = self.divided[1]
-        callers = Callers([self.divided[0]])
+        callers = MeshCallers([self.divided[0]])
         time.sleep(0.3)
         victim.stop(signal.SIGTERM)
         outcomes = callers.stop()
