--- a/modules/protocol/config_change_codec.cc
+++ b/modules/protocol/config_change_codec.cc
@@ -93,9 +93,9 @@
       static_cast<std::uint64_t>(route.target_latency.count()));
   out.setPriority(route.priority);
   out.setMaxAttempts(route.max_attempts);
-  WriteTexts(route.allowed_regions,
-             out.initAllowedRegions(
-                 static_cast<unsigned>(route.allowed_regions.size())));
+  WriteTexts(
+      route.allowed_regions,
+      out.initRegions(static_cast<unsigned>(route.allowed_regions.size())));
   auto list =
       out.initDestinations(static_cast<unsigned>(route.destinations.size()));
   for (unsigned i = 0; i < list.size(); ++i) {
@@ -111,7 +111,7 @@
   route.target_latency = milliseconds(in.getTargetLatencyMs());
   route.priority = in.getPriority();
   route.max_attempts = in.getMaxAttempts();
-  route.allowed_regions = ReadTexts(in.getAllowedRegions());
+  route.allowed_regions = ReadTexts(in.getRegions());
   for (const auto destination : in.getDestinations()) {
     route.destinations.push_back(
         {destination.getService(), destination.getWeight()});
--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -186,7 +186,7 @@
     priority @3 :UInt32;
     maxAttempts @4 :UInt32;
     destinations @5 :List(Destination);
-    allowedRegions @6 :List(Text);
+    regions @6 :List(Text);
   }
 }
 
--- a/modules/protocol/mesh.capnp.c++
+++ b/modules/protocol/mesh.capnp.c++
@@ -2367,7 +2367,7 @@
   0, 2, i_b7d9814af1f056bd, nullptr, nullptr, { &s_b7d9814af1f056bd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<139> b_e5bd2d6fb096debe = {
+static const ::capnp::_::AlignedData<138> b_e5bd2d6fb096debe = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     190, 222, 150, 176, 111,  45, 189, 229,
      28,   0,   0,   0,   1,   0,   4,   0,
@@ -2432,10 +2432,10 @@
       6,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   6,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    245,   0,   0,   0, 122,   0,   0,   0,
+    245,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    244,   0,   0,   0,   3,   0,   1,   0,
-     16,   1,   0,   0,   2,   0,   1,   0,
+    240,   0,   0,   0,   3,   0,   1,   0,
+     12,   1,   0,   0,   2,   0,   1,   0,
     105, 115,  73, 100, 101, 109, 112, 111,
     116, 101, 110, 116,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
@@ -2494,8 +2494,7 @@
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97, 108, 108, 111, 119, 101, 100,  82,
-    101, 103, 105, 111, 110, 115,   0,   0,
+    114, 101, 103, 105, 111, 110, 115,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2513,10 +2512,10 @@
 static const ::capnp::_::RawSchema* const d_e5bd2d6fb096debe[] = {
   &s_b7d9814af1f056bd,
 };
-static const uint16_t m_e5bd2d6fb096debe[] = {6, 5, 0, 4, 3, 2, 1};
+static const uint16_t m_e5bd2d6fb096debe[] = {5, 0, 4, 3, 6, 2, 1};
 static const uint16_t i_e5bd2d6fb096debe[] = {0, 1, 2, 3, 4, 5, 6};
 const ::capnp::_::RawSchema s_e5bd2d6fb096debe = {
-  0xe5bd2d6fb096debe, b_e5bd2d6fb096debe.words, 139, d_e5bd2d6fb096debe, m_e5bd2d6fb096debe,
+  0xe5bd2d6fb096debe, b_e5bd2d6fb096debe.words, 138, d_e5bd2d6fb096debe, m_e5bd2d6fb096debe,
   1, 7, i_e5bd2d6fb096debe, nullptr, nullptr, { &s_e5bd2d6fb096debe, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -2180,8 +2180,8 @@
   inline bool hasDestinations() const;
   inline  ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>::Reader getDestinations() const;
 
-  inline bool hasAllowedRegions() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAllowedRegions() const;
+  inline bool hasRegions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRegions() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2233,13 +2233,13 @@
   inline void adoptDestinations(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshConfigChange::Destination,  ::capnp::Kind::STRUCT>> disownDestinations();
 
-  inline bool hasAllowedRegions();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAllowedRegions();
-  inline void setAllowedRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setAllowedRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAllowedRegions(unsigned int size);
-  inline void adoptAllowedRegions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAllowedRegions();
+  inline bool hasRegions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRegions();
+  inline void setRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRegions(unsigned int size);
+  inline void adoptRegions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRegions();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5806,40 +5806,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MeshConfigChange::Terms::Reader::hasAllowedRegions() const {
+inline bool MeshConfigChange::Terms::Reader::hasRegions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshConfigChange::Terms::Builder::hasAllowedRegions() {
+inline bool MeshConfigChange::Terms::Builder::hasRegions() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader MeshConfigChange::Terms::Reader::getAllowedRegions() const {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader MeshConfigChange::Terms::Reader::getRegions() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Terms::Builder::getAllowedRegions() {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Terms::Builder::getRegions() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MeshConfigChange::Terms::Builder::setAllowedRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+inline void MeshConfigChange::Terms::Builder::setRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void MeshConfigChange::Terms::Builder::setAllowedRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+inline void MeshConfigChange::Terms::Builder::setRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Terms::Builder::initAllowedRegions(unsigned int size) {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder MeshConfigChange::Terms::Builder::initRegions(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MeshConfigChange::Terms::Builder::adoptAllowedRegions(
+inline void MeshConfigChange::Terms::Builder::adoptRegions(
     ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> MeshConfigChange::Terms::Builder::disownAllowedRegions() {
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> MeshConfigChange::Terms::Builder::disownRegions() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
