--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,7 +13,7 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, HERE)
+sys.path[:0] = [HERE, os.path.join(HERE, "..", "..", "platform", "testing")]
 
 from callers import Callers  # noqa: E402
 from faults import Faults  # noqa: E402
