A cold target gets nothing before its node knows what it bears

Cause (by reading): a node that has just started may be sent requests by others before it has its configuration; its limiter then has no rate and lets all of them through to a target that may be cold, as on each scale_out. Change: until then such requests are refused as not run, and go elsewhere. No run has shown the failure.

--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -124,6 +124,13 @@
                                  "the target is gone or leaves",
                                  kRetryAfterTargetLoss);
   }
+  // A node that has just started may be sent requests before it has its
+  // configuration.
+  if (!m_has_cold_start_limits && m_clock.Now() < m_controller.cold_until()) {
+    return ForwardResult::NotRun(RequestErrorCode::kTargetUnavailable,
+                                 "what the cold target bears is not known yet",
+                                 kRetryAfterTargetLoss);
+  }
   if (!metadata.key)
     return std::nullopt;
   const std::uint32_t slot = SlotOfKey(*metadata.key);
@@ -390,6 +397,12 @@
     wake(ticket, TargetAdmission::Verdict::kRefused);
 }
 
+void TargetGateway::SetColdStartLimits(
+    const ColdStartLimiter::Parameters& limits) {
+  m_admission.cold_start_limiter().SetParameters(limits);
+  m_has_cold_start_limits = true;
+}
+
 void TargetGateway::UpdateAdmission() {
   m_admission.SetConcurrency(m_controller.concurrency());
   m_admission.cold_start_limiter().SetColdUntil(m_controller.cold_until());
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -60,10 +60,9 @@
 
   // Must be called every 20 ms.
   void Tick();
-  // Requests that the target may get while it is cold.
-  void SetColdStartLimits(const ColdStartLimiter::Parameters& limits) {
-    m_admission.cold_start_limiter().SetParameters(limits);
-  }
+  // Requests that the target may get while it is cold. Until this has been
+  // called, a cold target gets none.
+  void SetColdStartLimits(const ColdStartLimiter::Parameters& limits);
   // The target's process is gone: the requests that it ran are suspected of the
   // crash.
   void OnTargetLost();
@@ -133,6 +132,7 @@
   RequestTicket m_next_ticket{1};
   std::map<std::uint32_t, std::uint32_t> m_slot_request_counts;
   bool m_has_measured_service_time = false;
+  bool m_has_cold_start_limits = false;
   Counts m_counts;
 };
 
