--- a/tests/platform_store_outage_process_test.py
+++ b/tests/platform_store_outage_process_test.py
@@ -16,7 +16,7 @@
         mesh = shared.Mesh(shared.ROUTER)
         self.addCleanup(mesh.close)
         mesh.start()
-        callers = shared.Callers([mesh.nodes[0]])
+        callers = shared.MeshCallers([mesh.nodes[0]])
         mesh.store_fault("down", 1)
         time.sleep(3)
         mesh.store_fault("down", 0)
