What a target says of itself is read, kept as one typed state and logged

TargetSignals is what one answer says (limit, leaving, load with how long work takes), TargetCondition what is known of one process of the target, with its source and time. Any answer is read: to requests, grants and releases. One line when a limit is named, changed or withdrawn, when a target says that it leaves, when a value can't be parsed, and once for each header of the platform that the node does not know; gauges and the state dump show the same, and how many requests were written to the target. Nothing is decided by it yet.

--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -38,6 +38,8 @@
 constexpr std::chrono::milliseconds kMinReportGap{3000};
 // Earlier incarnations of which delayed reports may still arrive.
 constexpr std::size_t kMaxPastTargetIds = 16;
+// Names that are logged once each.
+constexpr std::size_t kMaxUnknownHeaders = 32;
 // How long a reply to a report waits for a change. A target gives up on a reply
 // after a second, and the rest is a margin for a busy host. A range that moves
 // to a target that reports every 870 ms waits 42 ms on average; without this
@@ -74,7 +76,8 @@
       m_polled_holds(clock, settings.max_lease),
       m_holds(settings.grants_by_report
                   ? static_cast<TargetHoldTracker&>(m_polled_holds)
-                  : static_cast<TargetHoldTracker&>(m_push_holds)) {}
+                  : static_cast<TargetHoldTracker&>(m_push_holds)),
+      m_condition(clock) {}
 
 TargetController::~TargetController() = default;
 
@@ -98,6 +101,7 @@
   }
   m_incarnation = report.incarnation;
   ++m_incarnation_number;
+  m_condition.BeginIncarnation(m_incarnation);
   m_service = report.service;
   m_holds.Clear();
   m_assignments.clear();
@@ -246,6 +250,50 @@
   ++m_unanswered_calls;
 }
 
+void TargetController::LogRateLimit(std::optional<double> previous) const {
+  const auto text = [](std::optional<double> limit) {
+    return limit ? fmt::format("{}", *limit) : std::string("none");
+  };
+  constexpr const char* kSources[] = {"none", "answer", "peer"};
+  spdlog::info(
+      "event=target-limit target={} service={} requests_per_second={} "
+      "previous={} source={}",
+      m_incarnation.id, m_service, text(m_condition.rate_limit()),
+      text(previous),
+      kSources[static_cast<int>(m_condition.rate_limit_source())]);
+}
+
+void TargetController::LogUnknownHeaders(const TargetSignals& signals) {
+  for (const std::string& name : signals.unknown_headers) {
+    if (m_unknown_headers.size() >= kMaxUnknownHeaders ||
+        !m_unknown_headers.insert(name).second)
+      continue;
+    spdlog::warn("event=target-header-unknown target={} service={} header={}",
+                 m_incarnation.id, m_service, name);
+  }
+}
+
+void TargetController::OnSignals(const TargetSignals& signals,
+                                 Clock::TimePoint sent_at,
+                                 std::uint64_t incarnation_number) {
+  if (incarnation_number != m_incarnation_number)
+    return;
+  const std::optional<double> previous = m_condition.rate_limit();
+  const TargetCondition::Changes changes =
+      m_condition.OnAnswer(signals, sent_at);
+  LogUnknownHeaders(signals);
+  if (changes.is_rate_limit_changed)
+    LogRateLimit(previous);
+  if (changes.is_malformed_new) {
+    spdlog::warn("event=target-limit-malformed target={} service={} value={}",
+                 m_incarnation.id, m_service, signals.malformed_rate_limit);
+  }
+  if (changes.is_leaving_new) {
+    spdlog::info("event=target-leaving target={} service={} source=answer",
+                 m_incarnation.id, m_service);
+  }
+}
+
 void TargetController::CheckSilence() {
   const Clock::TimePoint now = m_clock.Now();
   const bool is_silent = m_unanswered_calls >= kMaxUnansweredCalls &&
@@ -324,8 +372,12 @@
       [this](const HttpResponse& response) {
         return m_protocol.IsCommandResponse(response);
       };
+  const Clock::TimePoint sent_at = m_clock.Now();
+  const std::uint64_t incarnation_number = m_incarnation_number;
   HttpResponse response =
       co_await connection->Call(std::move(command), left, std::move(is_answer));
+  OnSignals(m_protocol.ReadTargetSignals(response), sent_at,
+            incarnation_number);
   m_command_pool->Release(m_settings.address, std::move(connection));
   co_return response;
 }
--- a/modules/transport/mesh/target_controller.h
+++ b/modules/transport/mesh/target_controller.h
@@ -6,10 +6,12 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "modules/coordination/clock.h"
+#include "modules/coordination/load/target_condition.h"
 #include "modules/coordination/mesh/heartbeat.h"
 #include "modules/coordination/mesh/polling_hold_tracker.h"
 #include "modules/coordination/mesh/push_hold_tracker.h"
@@ -97,6 +99,11 @@
   void OnRefused();
   // Records whether the target answered a call.
   void OnCallEnded(bool was_answered);
+  // What an answer of the target says of itself. `sent_at`: when the request
+  // was sent that it answers. `incarnation_number`: as it was then.
+  void OnSignals(const TargetSignals& signals,
+                 Clock::TimePoint sent_at,
+                 std::uint64_t incarnation_number);
   // The target ran a request that was addressed to its present incarnation.
   void OnIncarnationConfirmed() { m_may_have_restarted = false; }
 
@@ -139,6 +146,10 @@
     return m_holds.IsBeingReleased(slot);
   }
   const TargetIncarnation& incarnation() const { return m_incarnation; }
+  // Changes whenever what was sent before no longer concerns the present
+  // process of the target.
+  std::uint64_t incarnation_number() const { return m_incarnation_number; }
+  const TargetCondition& condition() const { return m_condition; }
   const std::string& service() const { return m_service; }
   std::uint32_t concurrency() const { return m_concurrency; }
   const HttpAddress& address() const { return m_settings.address; }
@@ -182,6 +193,8 @@
   bool HasGrantReply() const;
   void WakeWaitingReport();
   void CheckSilence();
+  void LogRateLimit(std::optional<double> previous) const;
+  void LogUnknownHeaders(const TargetSignals& signals);
   // A connection to the target broke, so the target may have restarted. A
   // restarted target holds nothing, and would accept keys under fencing tokens
   // that were granted to its earlier process. Grants wait until the target
@@ -231,6 +244,8 @@
   std::shared_ptr<WaitingReport> m_waiting_report;
   std::string m_last_holds_problem;
   std::vector<SlotAssignment> m_assignments;
+  TargetCondition m_condition;
+  std::set<std::string> m_unknown_headers;
 };
 
 }  // namespace citrongrade
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -310,8 +310,10 @@
   target_info.time_left = left;
   target_info.expected_target = m_controller.incarnation().id;
   target_info.origin_service = metadata.origin_service;
+  const std::uint64_t incarnation_number = m_controller.incarnation_number();
   context.SetCancelCallback([&connection] { connection->Close(); });
   sent_at = started;
+  ++m_counts.sent;
   try {
     AsyncHttpConnection::IsMatchingResponse is_answer =
         [this, id = metadata.request_id](const HttpResponse& answer) {
@@ -329,6 +331,9 @@
     m_controller.OnCallEnded(true);
     const TargetResponseInfo response_info =
         m_protocol.ReadTargetResponse(response);
+    if (response_info.is_authentic || response_info.did_not_run)
+      m_controller.OnSignals(response_info.signals, started,
+                             incarnation_number);
     if (!response_info.did_not_run) {
       guard.SetServiceTime(m_clock.Now() - started);
       m_has_measured_service_time = true;
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -42,6 +42,8 @@
  public:
   struct Counts {
     std::uint64_t offered = 0;
+    // Written to the target.
+    std::uint64_t sent = 0;
     std::uint64_t answered = 0;
     std::uint64_t not_run = 0;
     std::uint64_t unknown = 0;
--- a/modules/transport/mesh/wire_protocol.h
+++ b/modules/transport/mesh/wire_protocol.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "modules/coordination/load/target_signals.h"
 #include "modules/coordination/mesh/push_hold_tracker.h"
 #include "modules/transport/http_request.h"
 #include "modules/transport/http_response.h"
@@ -52,6 +53,7 @@
   bool is_misdirected = false;
   // The response may be passed on to the caller as the target's own.
   bool is_authentic = false;
+  TargetSignals signals;
 
   friend auto operator<=>(const TargetResponseInfo&,
                           const TargetResponseInfo&) = default;
@@ -72,6 +74,11 @@
   virtual TargetResponseInfo ReadTargetResponse(
       const HttpResponse& response) const = 0;
 
+  // What any response of the target states of the target itself, also one to a
+  // grant or a release.
+  virtual TargetSignals ReadTargetSignals(
+      const HttpResponse& response) const = 0;
+
   virtual HttpRequest MakeGrantRequest(
       const PushHoldTracker::Grant& grant) const = 0;
   virtual HttpRequest MakeReleaseRequest(
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -193,6 +193,8 @@
   bool IsReady() const;
   HttpResponse AnswerStatus(const HttpRequest& request) const;
   std::string DumpState() const;
+  // What the target beside this node has said of itself.
+  nlohmann::json DumpCondition() const;
   // How long the target beside this node stays cold.
   milliseconds ColdLeft() const;
   std::string DumpMetrics() const;
@@ -517,6 +519,30 @@
                       m_target_controller.cold_until() - m_clock.Now()));
 }
 
+nlohmann::json RouterNode::Implementation::DumpCondition() const {
+  const TargetCondition& condition = m_target_controller.condition();
+  const auto age_ms = [this](const std::optional<Clock::TimePoint>& since) {
+    return since ? nlohmann::json(std::chrono::duration_cast<milliseconds>(
+                                      m_clock.Now() - *since)
+                                      .count())
+                 : nlohmann::json();
+  };
+  nlohmann::json json;
+  if (condition.rate_limit())
+    json["rate_limit"] = *condition.rate_limit();
+  else
+    json["rate_limit"] = nullptr;
+  json["limited_for_ms"] = age_ms(condition.limited_since());
+  json["leaving_for_ms"] = age_ms(condition.leaving_since());
+  if (const std::optional<TargetLoad>& load = condition.load()) {
+    json["load"] = {{"running", load->running},
+                    {"waiting", load->waiting},
+                    {"concurrency", load->concurrency},
+                    {"service_time_percent", load->service_time_percent}};
+  }
+  return json;
+}
+
 std::string RouterNode::Implementation::DumpState() const {
   using Json = nlohmann::json;
   Json state;
@@ -540,6 +566,7 @@
                      {"held_ranges", m_target_controller.held_range_count()},
                      {"running", m_gateway.running()},
                      {"waiting", m_gateway.waiting()}};
+  state["target"].update(DumpCondition());
   for (const MeshMember* member : m_agent.view().members()) {
     state["members"].push_back({{"address", member->address},
                                 {"service", member->service},
@@ -564,6 +591,12 @@
   };
   const TargetGateway::Counts& counts = m_gateway.counts();
   add("citrongrade_target_offered_total", static_cast<double>(counts.offered));
+  add("citrongrade_target_sent_total", static_cast<double>(counts.sent));
+  const TargetCondition& condition = m_target_controller.condition();
+  add("citrongrade_target_is_limited", condition.rate_limit() ? 1 : 0);
+  add("citrongrade_target_limit_requests_per_second",
+      condition.rate_limit().value_or(0));
+  add("citrongrade_target_is_leaving", condition.leaving_since() ? 1 : 0);
   add("citrongrade_target_answered_total",
       static_cast<double>(counts.answered));
   add("citrongrade_target_not_run_total", static_cast<double>(counts.not_run));
