--- /dev/null
+++ b/tests/platform_target_says_process_test.py
@@ -0,0 +1,242 @@
+"""Targets of citrongrade-router that name a limit of requests a second, or say
+that they leave, in the headers of their answers: real processes against the
+stand-ins of the platform's store and targets."""
+
+import json
+import os
+import signal
+import sys
+import threading
+import time
+import unittest
+
+BUILD_DIR = sys.argv.pop(1)
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "platform", "testing"))
+
+from platform_mesh import DIVIDED, UNDIVIDED, Mesh  # noqa: E402
+from said_checks import CONTACT, DRAIN, Passed, arrivals_of, check_limit, late_after_leaving  # noqa: E402
+
+ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
+LIMIT = 12
+# Time in which a limit has to be withdrawn at its node.
+WITHDRAWN = 1.0
+# A caller learns so soon that there is no room for its request.
+AT_ONCE = 0.5
+
+
+class Attempt:
+    def __init__(self, origin, name):
+        self.origin = origin
+        self.name = name
+        self.sent = time.monotonic()
+        self.ended = None
+        self.status = 0
+        self.headers = {}
+
+
+def origin_of(attempt):
+    """The node of an attempt; None if the mesh sent it while it started."""
+    number, dash, _ = attempt.partition("-")
+    return int(number) if dash else None
+
+
+def events_of(node):
+    with open(node.journal) as file:
+        return [json.loads(line) for line in file if line.endswith("\n")]
+
+
+class TargetSaysTest(unittest.TestCase):
+    def setUp(self):
+        self.mesh = Mesh(ROUTER, divided=4, undivided=3)
+        self.addCleanup(self.mesh.close)
+        self.mesh.start()
+        self.attempts = []
+        self.threads = []
+        self.stopping = False
+        self.addCleanup(self.end_callers)
+
+    def begin_callers(self, path):
+        """Each node gets some 80 requests a second."""
+        for number, node in enumerate(self.mesh.nodes):
+            for caller in range(2):
+                self.threads.append(threading.Thread(target=self.send, args=(path, number, caller, node)))
+        for thread in self.threads:
+            thread.start()
+
+    def send(self, path, number, caller, node):
+        count = 0
+        while not self.stopping:
+            count += 1
+            attempt = Attempt(number, f"{number}-{caller}-{count}")
+            key = (count * 2719 + number * 911 + caller * 5077) % 65536
+            try:
+                attempt.status, attempt.headers, _ = node.request(path, key, attempt.name, "POST", b"body")
+            except OSError:
+                pass
+            attempt.ended = time.monotonic()
+            self.attempts.append(attempt)
+            time.sleep(0.02)
+
+    def end_callers(self):
+        self.stopping = True
+        for thread in self.threads:
+            thread.join()
+        self.threads = []
+
+    def press(self, path, seconds):
+        self.begin_callers(path)
+        time.sleep(seconds)
+        self.end_callers()
+
+    def of(self, service):
+        return [n for n in self.mesh.nodes if n.service == service]
+
+    def passed_by(self, target, excused=()):
+        """What the nodes passed on of this target's answers."""
+        its = {attempt for _, attempt in arrivals_of(events_of(target))}
+        return [Passed(a.ended, a.origin, a.headers) for a in self.attempts if a.name in its and a.origin not in excused]
+
+    def check_limit(self, target, excused=()):
+        excess = check_limit(events_of(target), self.passed_by(target, excused), time.monotonic(), origin_of)
+        self.assertIsNone(excess, "got more requests in 4 s than it allows")
+
+    def check_left(self, target):
+        sent = {a.name: a.sent for a in self.attempts}
+        self.assertEqual(late_after_leaving(events_of(target), self.passed_by(target), sent, origin_of), [])
+
+    def served_by(self, target, begin, end):
+        return sum(begin <= at < end for at, _ in arrivals_of(events_of(target)))
+
+    def check_refusals(self, since):
+        """What has no room is refused at once, with a time to return."""
+        refused = [a for a in self.attempts if a.status == 503 and a.sent > since]
+        self.assertTrue(refused)
+        self.assertTrue(all(float(a.headers["Retry-After"]) > 0 for a in refused))
+        slow = [a for a in refused if a.ended - a.sent > AT_ONCE]
+        self.assertLess(len(slow), len(refused) / 20)
+        self.assertLessEqual({a.status for a in self.attempts}, {200, 503})
+
+    # Guards against a named limit that nobody hears, at the owner of keys.
+    def test_an_owner_of_keys_gets_what_it_takes(self):
+        limited = self.of(DIVIDED)[0]
+        limited.target_says(limit=LIMIT)
+        self.press("/lock/x", CONTACT + 5)
+        end = time.monotonic()
+        self.check_limit(limited)
+        self.assertGreater(self.served_by(limited, end - 4, end), 0.8 * 4 * LIMIT)
+        self.check_refusals(end - 4)
+
+    # Guards against a named limit that nobody hears, where others can take the
+    # rest.
+    def test_without_keys_the_others_take_the_rest(self):
+        limited = self.of(UNDIVIDED)[0]
+        limited.target_says(limit=LIMIT)
+        self.press("/plain/x", CONTACT + 5)
+        end = time.monotonic()
+        self.check_limit(limited)
+        self.assertGreater(self.served_by(limited, end - 4, end), 0.8 * 4 * LIMIT)
+        served = [a.status == 200 for a in self.attempts]
+        self.assertGreater(sum(served), 0.97 * len(served))
+
+    # Guards against a new process of the node that has heard of no limit, while
+    # the other nodes have been told.
+    def test_a_limit_holds_across_a_restart_of_its_node(self):
+        for path, service in (("/plain/x", UNDIVIDED), ("/lock/x", DIVIDED)):
+            limited = self.of(service)[0]
+            limited.target_says(limit=LIMIT)
+            self.begin_callers(path)
+            time.sleep(CONTACT + 2)
+            limited.stop(signal.SIGKILL)
+            limited.start()
+            time.sleep(2.5)
+            limited.stop(signal.SIGKILL)
+            limited.start()
+            time.sleep(3)
+            self.end_callers()
+            self.stopping = False
+            self.check_limit(limited, excused={limited.index})
+
+    # Guards against a withdrawn limit that is kept, and one that changes and is
+    # followed by half.
+    def test_a_limit_may_change_each_second_and_end(self):
+        limited = self.of(DIVIDED)[0]
+        self.begin_callers("/lock/x")
+        for limit in (40, 20, 8, 30, 8, 1, 20):
+            limited.target_says(limit=limit)
+            time.sleep(1)
+        self.check_limit(limited)
+        limited.target_says()
+        time.sleep(WITHDRAWN + 2)
+        end = time.monotonic()
+        self.assertGreater(self.served_by(limited, end - 1, end), 40)
+        limited.target_says(limit=6)
+        time.sleep(4.5)
+        self.end_callers()
+        self.check_limit(limited)
+
+    # Guards against a header that can't be parsed and is taken for a limit, or
+    # for its end.
+    def test_a_limit_that_is_no_number_changes_nothing(self):
+        limited = self.of(DIVIDED)[0]
+        limited.target_says(limit=LIMIT)
+        self.begin_callers("/lock/x")
+        time.sleep(2)
+        limited.target_says(limit="many")
+        time.sleep(1.5)
+        begin = time.monotonic()
+        time.sleep(3)
+        self.end_callers()
+        self.assertLessEqual(self.served_by(limited, begin, begin + 3), 1.5 * 3 * LIMIT + 5)
+        self.assertGreater(self.served_by(limited, begin, begin + 3), 0.7 * 3 * LIMIT)
+
+    # Guards against a target that takes nothing and is sent nothing ever again.
+    def test_a_limit_of_zero_ends_when_it_is_withdrawn(self):
+        limited = self.of(DIVIDED)[0]
+        limited.target_says(limit=0)
+        self.begin_callers("/lock/x")
+        time.sleep(CONTACT + 4)
+        self.check_limit(limited)
+        limited.target_says()
+        time.sleep(7)
+        end = time.monotonic()
+        self.end_callers()
+        self.assertGreater(self.served_by(limited, end - 1, end), 40)
+
+    # Guards against a target that says in its answers that it leaves, reports
+    # "ready" all the same, and gets requests until it ends.
+    def test_a_target_that_says_that_it_leaves_gets_no_more(self):
+        for path, service in (("/plain/x", UNDIVIDED), ("/lock/x", DIVIDED)):
+            leaving = self.of(service)[0]
+            self.begin_callers(path)
+            time.sleep(1)
+            leaving.target_says(leaving=True)
+            time.sleep(DRAIN + 3)
+            end = time.monotonic()
+            self.end_callers()
+            self.stopping = False
+            self.check_left(leaving)
+            last = [a.status for a in self.attempts if a.sent > end - 1]
+            self.assertGreater(last.count(200), 0.97 * len(last))
+
+    # Guards against a new process of the node that has not heard that its target
+    # leaves, while the others have been told.
+    def test_a_target_that_leaves_gets_no_more_through_a_new_process(self):
+        for path, service in (("/plain/x", UNDIVIDED), ("/lock/x", DIVIDED)):
+            leaving = self.of(service)[0]
+            self.begin_callers(path)
+            time.sleep(1)
+            leaving.target_says(leaving=True)
+            time.sleep(0.5)
+            leaving.stop(signal.SIGKILL)
+            leaving.start()
+            time.sleep(DRAIN + 2)
+            self.end_callers()
+            self.stopping = False
+            sent = {a.name: a.sent for a in self.attempts}
+            passed = self.passed_by(leaving, excused={leaving.index})
+            self.assertEqual(late_after_leaving(events_of(leaving), passed, sent, origin_of), [])
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
