Soak: targets name limits and say in their answers that they leave

Both overlap with kills, freezes, cuts, drains, cold targets and the rest; the limit changes midway and is withdrawn.

--- a/tests/failures_soak_seeds_process_test.py
+++ b/tests/failures_soak_seeds_process_test.py
@@ -19,7 +19,7 @@
 
 class SoakSeedsTest(unittest.TestCase):
     def play(self, seed):
-        problems, figures, folder = play(ROUTER, seed, SECONDS, NODES, has_evacuations=False)
+        problems, figures, folder = play(ROUTER, seed, SECONDS, NODES, generation=1)
         self.assertEqual(problems, [], f"seed {seed}, {figures}; logs in {folder}")
         shutil.rmtree(folder, ignore_errors=True)
 
--- a/tests/platform_target_says_process_test.py
+++ b/tests/platform_target_says_process_test.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "platform", "testing"))
 
 from platform_mesh import DIVIDED, UNDIVIDED, Mesh  # noqa: E402
-from said_checks import CONTACT, DRAIN, Passed, arrivals_of, check_limit, late_after_leaving  # noqa: E402
+from said_checks import CONTACT, DRAIN, Passed, arrivals_of, check_limit, late_after_leaving, never  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 LIMIT = 12
@@ -94,18 +94,19 @@
     def of(self, service):
         return [n for n in self.mesh.nodes if n.service == service]
 
-    def passed_by(self, target, excused=()):
+    def passed_by(self, target):
         """What the nodes passed on of this target's answers."""
         its = {attempt for _, attempt in arrivals_of(events_of(target))}
-        return [Passed(a.ended, a.origin, a.headers) for a in self.attempts if a.name in its and a.origin not in excused]
+        return [Passed(a.ended, a.origin, a.headers) for a in self.attempts if a.name in its]
 
-    def check_limit(self, target, excused=()):
-        excess = check_limit(events_of(target), self.passed_by(target, excused), time.monotonic(), origin_of)
+    def check_limit(self, target, is_excused=never):
+        excess = check_limit(events_of(target), self.passed_by(target), time.monotonic(), origin_of, is_excused)
         self.assertIsNone(excess, "got more requests in 4 s than it allows")
 
-    def check_left(self, target):
+    def check_left(self, target, is_excused=never):
         sent = {a.name: a.sent for a in self.attempts}
-        self.assertEqual(late_after_leaving(events_of(target), self.passed_by(target), sent, origin_of), [])
+        late = late_after_leaving(events_of(target), self.passed_by(target), sent, origin_of, is_excused)
+        self.assertEqual(late, [])
 
     def served_by(self, target, begin, end):
         return sum(begin <= at < end for at, _ in arrivals_of(events_of(target)))
@@ -161,7 +162,7 @@
             time.sleep(3)
             self.end_callers()
             self.stopping = False
-            self.check_limit(limited, excused={limited.index})
+            self.check_limit(limited, lambda origin, *_, own=limited.index: origin == own)
 
     # Guards against a limit that changes and is followed by half.
     def test_a_limit_may_change_each_second(self):
@@ -266,9 +267,7 @@
             time.sleep(DRAIN + 2)
             self.end_callers()
             self.stopping = False
-            sent = {a.name: a.sent for a in self.attempts}
-            passed = self.passed_by(leaving, excused={leaving.index})
-            self.assertEqual(late_after_leaving(events_of(leaving), passed, sent, origin_of), [])
+            self.check_left(leaving, lambda origin, *_, own=leaving.index: origin == own)
 
 
 if __name__ == "__main__":
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -24,6 +24,8 @@
         self.is_whole = True
         self.left = None
         self.is_forgotten = False
+        # Headers of its answer.
+        self.headers = {}
 
 
 class Caller(threading.Thread):
@@ -74,6 +76,7 @@
         response = self.connection.getresponse()
         content = response.read()
         outcome.status = response.status
+        outcome.headers = dict(response.getheaders())
         seal = response.getheader("Citrongrade-Response-Seal")
         if response.status == 200:
             outcome.is_whole = seal == f"seal.{outcome.attempt}" and content == b"done " + (body or b"")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,10 +13,15 @@
 # No request may reach a target of an evacuated zone after that: EvacuateMs.
 EVACUATE = 5.0
 COLD_MS = 3000
+# A named limit binds 3 s after it was first named.
+LIMITED = 4.0
+# The kinds of faults have grown twice: by evacuations and cold targets, then by
+# what targets say in their answers.
+LATEST = 3
 
 
 class Faults:
-    def __init__(self, mesh, random, has_evacuations=True):
+    def __init__(self, mesh, random, generation=LATEST):
         self.mesh = mesh
         self.random = random
         self.evacuated = set()
@@ -39,9 +44,11 @@
             (1, self.settings_change),
             (4, self.configuration),
         ]
-        # Seeds that were found without these keep their series.
-        if has_evacuations:
+        # Seeds that were found without later kinds keep their series.
+        if generation >= 2:
             self.kinds += [(2, self.evacuation), (3, self.cold_target)]
+        if generation >= 3:
+            self.kinds += [(3, self.limited_target), (2, self.target_says_it_leaves)]
 
     def play(self, seconds):
         until = time.monotonic() + seconds
@@ -82,6 +89,7 @@
             return
         self.mesh.disturb(node, GRACE)
         process = node.process
+        self.mesh.restarts[node.index].append(time.monotonic())
         process.send_signal(signal.SIGTERM)
         began = time.monotonic()
         while process.poll() is None and time.monotonic() < began + GRACE:
@@ -149,6 +157,7 @@
         self.disturb_link(node, [node.store_link], length, pick)
 
     def peer_link(self, node, length, pick):
+        self.mesh.cut(node, length)
         self.disturb_link(node, node.peer_links, length, pick)
 
     def target_link(self, node, length, pick):
@@ -181,6 +190,22 @@
         for link in links:
             link.heal()
 
+    def limited_target(self, node, length, pick):
+        limit = round(1 + 29 * pick, 2) if pick > 0.1 else 0
+        self.mesh.target_says(node, limit=limit)
+        time.sleep(LIMITED)
+        if pick > 0.5:
+            self.mesh.target_says(node, limit=round(limit / 3, 2))
+        time.sleep(length)
+        self.mesh.target_says(node, limit=None)
+
+    def target_says_it_leaves(self, node, length, pick):
+        self.mesh.target_says(node, leaving=True)
+        time.sleep(DRAIN + length * pick)
+        self.mesh.kill_target(node)
+        time.sleep(length * pick)
+        self.mesh.revive_target(node, keeps_id=False)
+
     def cold_target(self, node, length, pick):
         node.target_fault("cold", COLD_MS)
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,6 +5,7 @@
 from collections import Counter, defaultdict
 
 from platform_mesh import COLD_EXCESS, COLD_PER_S, COLD_SLACK
+from said_checks import Passed, arrivals_of, check_limit, late_after_leaving
 
 # Held keys are compared at so many of them.
 PROBES = 96
@@ -58,6 +59,7 @@
     problems += check_runs(lives, outcomes)
     problems += check_drains(lives)
     problems += check_cold(lives)
+    problems += check_said(mesh, lives, outcomes)
     problems += check_holds(mesh, lives)
     return problems
 
@@ -110,6 +112,30 @@
     return problems
 
 
+def check_said(mesh, lives, outcomes):
+    """Limits that targets named, and their leaving, as they said in answers."""
+    by_attempt = {o.attempt: o for o in outcomes}
+    sent = {o.attempt: o.sent for o in outcomes}
+
+    def origin_of(attempt):
+        return by_attempt[attempt].node.index if attempt in by_attempt else None
+
+    problems = []
+    for life in lives:
+        if not any(e["event"] == "says" for e in life.events):
+            continue
+        its = [by_attempt[attempt] for _, attempt in arrivals_of(life.events) if attempt in by_attempt]
+        passed = [Passed(o.ended, o.node.index, o.headers) for o in its]
+        end = min(life.ended, mesh.ended_at)
+        excess = check_limit(life.events, passed, end, origin_of, mesh.was_cut_or_restarted)
+        if excess:
+            problems.append(f"{life.identity} got {excess[0]} requests in 4 s, its limit allows {excess[1]}")
+        late = late_after_leaving(life.events, passed, sent, origin_of, mesh.was_restarted)
+        if late:
+            problems.append(f"{len(late)} requests reached {life.identity} over {DRAIN} s after their nodes were told that it leaves")
+    return problems
+
+
 class Hold:
     def __init__(self, life, event):
         self.life = life
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,7 +16,7 @@
 sys.path[:0] = [HERE, os.path.join(HERE, "..", "..", "platform", "testing")]
 
 from callers import Callers  # noqa: E402
-from faults import Faults  # noqa: E402
+from faults import LATEST, Faults  # noqa: E402
 from promises import check  # noqa: E402
 from soak_mesh import SoakMesh  # noqa: E402
 
@@ -54,14 +54,14 @@
     return None
 
 
-def play(router, seed, seconds, nodes, grants="request", has_evacuations=True):
+def play(router, seed, seconds, nodes, grants="request", generation=LATEST):
     """(what was broken, a line of figures, the run's folder)"""
     divided = max(2, nodes * 2 // 3)
     mesh = SoakMesh(router, divided, nodes - divided, grants)
     try:
         mesh.start()
         callers = Callers(mesh.nodes)
-        faults = Faults(mesh, random.Random(seed), has_evacuations)
+        faults = Faults(mesh, random.Random(seed), generation)
         faults.play(seconds)
         mesh.heal()
         recovered = recover(mesh)
@@ -71,6 +71,7 @@
         # All links stand still while the proxies' thread does: nodes elect anew.
         is_judged = mesh.proxies.longest_stall < LONGEST_STALL
         outcomes = callers.stop()
+        mesh.ended_at = time.monotonic()
         problems = check(mesh, outcomes)
         if recovered is None:
             problems.append(f"not all served again {RECOVERY} s after the last fault")
@@ -105,6 +106,7 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--nodes", type=int, default=6)
     parser.add_argument("--grants", choices=["request", "heartbeat"], default="request", help="how targets are granted keys")
+    parser.add_argument("--generation", type=int, default=LATEST, help="kinds of faults, as they were when a seed was found")
     options = parser.parse_args()
     router = os.path.join(options.build_dir, "citrongrade-router")
     # Ended from outside, it still ends what it started.
@@ -112,7 +114,7 @@
         signal.signal(number, lambda *_: sys.exit(2))
     broken = 0
     for seed in range(options.seed, options.seed + options.runs):
-        problems, figures, folder = play(router, seed, options.seconds, options.nodes, options.grants)
+        problems, figures, folder = play(router, seed, options.seconds, options.nodes, options.grants, options.generation)
         print(f"seed={seed} {figures} broken={len(problems)}" + (f" folder={folder}" if problems else ""), flush=True)
         for problem in problems[:12]:
             print(f"  {problem}", flush=True)
--- a/tests/soak/soak_mesh.py
+++ b/tests/soak/soak_mesh.py
@@ -32,6 +32,13 @@
         self.deaths = [[] for _ in self.nodes]
         self.thaws = [[] for _ in self.nodes]
         self.pauses = [[] for _ in self.nodes]
+        # By node: when it was ended or started, and when its links to other
+        # nodes failed.
+        self.restarts = [[] for _ in self.nodes]
+        self.cuts = [[] for _ in self.nodes]
+        # By node: what its target says in all its answers.
+        self.said = [{} for _ in self.nodes]
+        self.ended_at = float("inf")
         self.version = 1
         self.routes = []
         self.problems = []
@@ -71,17 +78,38 @@
         """It was left alone for long enough."""
         return time.monotonic() > self.disturbed[node.index] + CALM
 
+    def was_restarted(self, origin, begin, end):
+        """Whether the node was ended, started, frozen or thawed in that time."""
+        moments = self.restarts[origin] + self.pauses[origin] + self.thaws[origin]
+        return any(begin <= moment <= end for moment in moments)
+
+    def was_cut_or_restarted(self, origin, begin, end):
+        is_cut = any(first <= end and begin <= last for first, last in self.cuts[origin])
+        return is_cut or self.was_restarted(origin, begin, end)
+
+    def cut(self, node, seconds):
+        """Its links to other nodes fail for so long."""
+        now = time.monotonic()
+        self.cuts[node.index].append((now, now + seconds))
+
+    def target_says(self, node, **said):
+        """Adds to what the target says; None ends it."""
+        self.said[node.index].update(said)
+        node.target_says(**self.said[node.index])
+
     def is_up(self, node):
         return node.process is not None and node.process.poll() is None
 
     def kill_node(self, node):
         if self.is_up(node):
+            self.restarts[node.index].append(time.monotonic())
             node.process.kill()
             node.process.wait()
 
     def start_node(self, node):
         if not self.is_up(node):
             node.start()
+            self.restarts[node.index].append(time.monotonic())
 
     def kill_target(self, node):
         if node.target.poll() is None:
@@ -91,6 +119,7 @@
 
     def revive_target(self, node, keeps_id):
         if node.target.poll() is not None:
+            self.said[node.index] = {}
             node.start_target(keeps_id)
 
     def pause(self, node):
@@ -137,6 +166,7 @@
     def heal_target(node):
         for name, value in (("unanswered", 0), ("shed", 0), ("work", 5)):
             node.target_fault(name, value)
+        node.target_says()
         return True
 
     def close(self):
