Test that fails: a target that stops listening is taken for dead while it works

A refused connection clears all holds at the target's node, and the leader gives the keys on at once.

Played with real processes: the stand-in's listener closes for good or for a moment, its connections go on, its reports too.

--- /dev/null
+++ b/tests/platform_closed_listener_process_test.py
@@ -0,0 +1,154 @@
+"""Targets of citrongrade-router that close their listener while they still hold
+keys and work, as real processes against the stand-ins of the platform's store
+and targets."""
+
+import json
+import os
+import signal
+import sys
+import time
+import unittest
+
+BUILD_DIR = sys.argv.pop(1)
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "platform", "testing"))
+
+from mesh_callers import MeshCallers  # noqa: E402
+from platform_mesh import Mesh  # noqa: E402
+
+ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
+# Two targets may hold a key together for so long, if neither works on it.
+HELD_TOGETHER = 0.5
+SAME_TIME = 0.005
+# Keys of a target that crashed are served again.
+TAKEOVER = 2.0
+PROBED_KEYS = range(0, 65536, 512)
+WORK_MS = 900
+
+
+def events_of(node):
+    with open(node.journal) as file:
+        return [json.loads(line) for line in file if line.endswith("\n")]
+
+
+def holds_of(events, key):
+    """[begin, end] of each time in which the target held the key."""
+    holds = []
+    for event in events:
+        if event["event"] not in ("grant", "release") or not event["first"] <= key <= event["last"]:
+            continue
+        is_held = bool(holds) and event["at"] < holds[-1][1]
+        if event["event"] == "release":
+            if is_held:
+                holds[-1][1] = event["at"]
+        elif is_held:
+            holds[-1][1] = max(holds[-1][1], event["until"])
+        elif event["at"] < event["until"]:
+            holds.append([event["at"], event["until"]])
+    return holds
+
+
+def runs_on(events, key_of):
+    """[key, begin, end] of each run."""
+    begun = {}
+    runs = []
+    for event in events:
+        if event["event"] == "run" and event["attempt"] in key_of:
+            begun[event["attempt"]] = event["at"]
+        elif event["event"] == "run-end" and event["attempt"] in begun:
+            runs.append([key_of[event["attempt"]], begun[event["attempt"]], event["at"]])
+    return runs
+
+
+def key_of_attempt(number, count):
+    """As MeshCallers choose it."""
+    return (count * 2719 + number * 911) % 65536
+
+
+class ClosedListenerTest(unittest.TestCase):
+    grants = "request"
+
+    def setUp(self):
+        self.mesh = Mesh(ROUTER, divided=3, undivided=0, grants=self.grants)
+        self.addCleanup(self.mesh.close)
+        self.mesh.start()
+        self.leader = self.mesh.leader()
+        self.leaving, *others = [n for n in self.mesh.nodes if n is not self.leader]
+        self.others = [self.leader, *others]
+        for node in self.mesh.nodes:
+            node.target_fault("work", WORK_MS)
+        self.callers = MeshCallers([n for n in self.mesh.nodes for _ in range(6)], paths=("/lock/x",))
+        time.sleep(2)
+
+    def tearDown(self):
+        self.callers.stop()
+
+    def check_keys(self):
+        """None is given on while its last holder works on it, or holds it for
+        longer than the rules bear."""
+        self.callers.stop()
+        key_of = {a: key_of_attempt(*map(int, a.split("-"))) for _, a, _ in self.callers.outcomes}
+        events = events_of(self.leaving)
+        runs = runs_on(events, key_of)
+        problems = []
+        for other in self.others:
+            taken = events_of(other)
+            for key, begin, end in runs:
+                if any(begin < first < end - SAME_TIME for first, _ in holds_of(taken, key)):
+                    problems.append(f"key {key} was given on during a run")
+            for key in PROBED_KEYS:
+                for first, last in holds_of(events, key):
+                    together = max((min(last, e) - max(first, b) for b, e in holds_of(taken, key)), default=0)
+                    if together > HELD_TOGETHER:
+                        problems.append(f"key {key} was held by two for {together:.2f} s")
+        self.assertEqual(problems[:5], [], f"{len(problems)} in all")
+
+    # Guards against keys of a target that leaves, stops listening and still
+    # works, which are given on as if it had ended.
+    def test_a_target_that_leaves_and_stops_listening(self):
+        self.leader.process.send_signal(signal.SIGSTOP)
+        self.leaving.tell_target("/drain")
+        time.sleep(0.6)
+        self.leaving.target_fault("refuse", 0)
+        # They need new connections.
+        more = MeshCallers([self.leaving] * 20, paths=("/read/x",))
+        time.sleep(0.6)
+        self.leader.process.send_signal(signal.SIGCONT)
+        time.sleep(3)
+        more.stop()
+        self.check_keys()
+
+    # Guards against the same where it has not said that it leaves.
+    def test_a_target_that_stops_listening(self):
+        self.leaving.target_fault("refuse", 0)
+        time.sleep(4)
+        self.check_keys()
+
+    # Guards against a target that refuses for a moment and loses its keys.
+    def test_a_target_that_refuses_for_a_moment(self):
+        self.leaving.target_fault("refuse", 250)
+        time.sleep(3)
+        self.check_keys()
+        self.assertTrue(any(h[4] > time.monotonic() for h in self.leaving.holds()))
+
+    # Guards against keys that stay unserved once their target has died, in the
+    # middle of its leaving too.
+    def test_a_target_that_dies(self):
+        for leaves in (False, True):
+            node = self.others.pop()
+            if leaves:
+                node.tell_target("/drain")
+                time.sleep(0.1)
+            node.target.kill()
+            died = time.monotonic()
+            keys = range(0, 65536, 2048)
+            self.mesh.wait_for(lambda: sum(o.holds_key(k) for o in [self.leaving, *self.others] for k in keys) >= len(keys), TAKEOVER + 1, "a holder of each key")
+            self.assertLess(time.monotonic() - died, TAKEOVER)
+
+
+class ClosedListenerWithReportedGrantsTest(ClosedListenerTest):
+    grants = "heartbeat"
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
