A silent target is granted nothing, not a hold without end

Found by reading, while refusals were worked on: CheckSilence takes the lease of a silent target away by setting its end to the earliest time there is, and the difference to now overflows to a hold of 290 years. A target that had left three calls unanswered for 4 s and still worked would have been granted its keys for that long (or would have refused the call where it bounds holds), and its node would never have given them up.

The test fails on the code before (DueGrants with TimePoint::min() returns a grant). Grants and replies to reports now return nothing for a lease that is over, whatever its time.

--- a/modules/coordination/mesh/polling_hold_tracker.cc
+++ b/modules/coordination/mesh/polling_hold_tracker.cc
@@ -112,6 +112,9 @@
 std::optional<PollingHoldTracker::GrantReply>
 PollingHoldTracker::MakeGrantReply(Clock::TimePoint reported,
                                    Clock::TimePoint lease_until) {
+  // The difference to a time that stands for "no lease" may overflow.
+  if (lease_until <= Now())
+    return std::nullopt;
   const auto left =
       std::chrono::duration<double, std::milli>(lease_until - reported);
   GrantReply reply;
--- a/modules/coordination/mesh/push_hold_tracker.cc
+++ b/modules/coordination/mesh/push_hold_tracker.cc
@@ -34,6 +34,9 @@
     Clock::TimePoint lease_until) {
   std::vector<Grant> due;
   const Clock::TimePoint now = Now();
+  // The difference to a time that stands for "no lease" may overflow.
+  if (lease_until <= now)
+    return due;
   const auto lease_left = std::chrono::duration<double, std::milli>(
       lease_until - now - kCallTimeout);
   // The target counts from the arrival of the call, by a clock that may run
--- a/modules/coordination/mesh/push_hold_tracker_test.cc
+++ b/modules/coordination/mesh/push_hold_tracker_test.cc
@@ -64,6 +64,15 @@
   CHECK(tracker.DueGrants(clock.Now() + PushHoldTracker::kCallTimeout).empty());
 }
 
+// Guards against a hold without end, for a silent target whose lease is taken
+// away by a time that lies before any other.
+TEST_CASE_FIXTURE(Fixture, "nothing is granted without a lease") {
+  tracker.SetAssignments({MakeOwnedAssignment(10, 20, 5)});
+  CHECK(tracker.DueGrants(clock.Now()).empty());
+  CHECK(tracker.DueGrants(Clock::TimePoint()).empty());
+  CHECK(tracker.DueGrants(Clock::TimePoint::min()).empty());
+}
+
 TEST_CASE_FIXTURE(Fixture,
                   "a part of a range is returned with the target's handover") {
   Hold(10, 20, 5);
