A refused connection is no proof that a target is dead

Cause: TargetController::OnRefused took a refusal for the end of the process, cleared its holds and reported it gone, and the leader gave its keys on at once.

A target that refuses gets nothing more and no renewals; releases still go over open connections. It counts as dead at once only if it had not said that it leaves, no exchange and no idle connection is open, and one ended within the last second. Otherwise it is gone once its holds have expired. It gets keys again when it listens again, which its node tries each 100 ms; a report alone no longer revives it. The log says target-refuses, target-listens, and which of the three ended it.

--- a/modules/transport/async/async_connection_pool.h
+++ b/modules/transport/async/async_connection_pool.h
@@ -41,6 +41,10 @@
   // Closes the idle connections that are stale, and returns whether there were
   // any. See AsyncHttpConnection::IsStale().
   bool DropClosed(const HttpAddress& address);
+  // Whether there is an idle connection to `address`. It may be stale.
+  bool HasIdle(const HttpAddress& address) const {
+    return m_idle.contains(address);
+  }
   // Closes all idle connections to `address`. Call it when the process at the
   // address has been replaced or has ended.
   void CloseIdle(const HttpAddress& address);
--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -38,6 +38,10 @@
 constexpr std::chrono::milliseconds kMinReportGap{3000};
 // Earlier incarnations of which delayed reports may still arrive.
 constexpr std::size_t kMaxPastTargetIds = 16;
+// A process's connections end together. One that ended longer ago says nothing
+// of a refusal.
+constexpr std::chrono::milliseconds kDeathWindow{1000};
+constexpr std::chrono::milliseconds kListenerPollInterval{100};
 // Names that are logged once each.
 constexpr std::size_t kMaxUnknownHeaders = 32;
 // How long a reply to a report waits for a change. A target gives up on a reply
@@ -107,6 +111,8 @@
   m_assignments.clear();
   m_sequence = 0;
   m_unanswered_calls = 0;
+  m_refusing_since.reset();
+  m_connection_ended_at.reset();
   m_pool.CloseIdle(m_settings.address);
   m_command_pool->CloseIdle(m_settings.address);
   spdlog::info("event=target-started target={} started_unix_ms={} service={}",
@@ -145,7 +151,8 @@
   m_last_report = now;
   m_unanswered_calls = 0;
   ApplyReportedHolds(report);
-  if (m_state == State::kDraining)
+  const bool has_been_given_up = m_state == State::kGone && m_refusing_since;
+  if (m_state == State::kDraining || has_been_given_up)
     return ReportResult::kAccepted;
   const auto left = m_left_before_report.find(report.incarnation.id);
   if (!is_same_incarnation && left != m_left_before_report.end() &&
@@ -179,7 +186,7 @@
 }
 
 bool TargetController::HasGrantReply() const {
-  return m_polled_holds.HasPendingChanges() && m_clock.Now() < m_lease_until;
+  return m_polled_holds.HasPendingChanges() && m_clock.Now() < GrantableUntil();
 }
 
 void TargetController::WakeWaitingReport() {
@@ -209,7 +216,7 @@
   if (incarnation_number != m_incarnation_number ||
       report.sequence != m_sequence)
     co_return std::nullopt;
-  co_return m_polled_holds.MakeGrantReply(reported_at, m_lease_until);
+  co_return m_polled_holds.MakeGrantReply(reported_at, GrantableUntil());
 }
 
 void TargetController::OnLeave(const std::string& target_id) {
@@ -229,18 +236,73 @@
 }
 
 void TargetController::OnRefused() {
-  if (m_state == State::kUnknown || m_state == State::kGone)
+  if (m_state == State::kUnknown || m_state == State::kGone || m_refusing_since)
     return;
-  // Nothing listens at its address: with the process, all its holds are gone.
+  m_refusing_since = m_clock.Now();
+  spdlog::info("event=target-refuses target={} service={} exchanges={}",
+               m_incarnation.id, m_service, m_exchanges);
+  ReviewRefusal();
+  if (m_refusing_since && !m_is_awaiting_listener)
+    boost::asio::co_spawn(m_loop, AwaitListener(), boost::asio::detached);
+}
+
+bool TargetController::HasProcessDied() {
+  if (m_pool.DropClosed(m_settings.address) ||
+      m_command_pool->DropClosed(m_settings.address))
+    m_connection_ended_at = m_clock.Now();
+  const bool has_open_connection = m_exchanges > 0 ||
+                                   m_pool.HasIdle(m_settings.address) ||
+                                   m_command_pool->HasIdle(m_settings.address);
+  // A target that leaves closes its connections one after the other too.
+  return m_state == State::kServing && !has_open_connection &&
+         m_connection_ended_at &&
+         m_clock.Now() - *m_connection_ended_at <= kDeathWindow;
+}
+
+void TargetController::ReviewRefusal() {
+  if (!m_refusing_since || m_state == State::kGone)
+    return;
+  if (HasProcessDied()) {
+    m_refusing_since.reset();
+    DeclareGone("process-died");
+  } else if (m_clock.Now() > m_holds.HeldUntil() && m_exchanges == 0) {
+    DeclareGone("refuses-and-holds-nothing");
+  }
+}
+
+void TargetController::DeclareGone(const char* reason) {
   m_holds.Clear();
   m_assignments.clear();
   ++m_incarnation_number;
   m_pool.CloseIdle(m_settings.address);
   m_command_pool->CloseIdle(m_settings.address);
-  SetState(State::kGone, "connection-refused");
+  SetState(State::kGone, reason);
   m_listener.OnTargetLost();
 }
 
+Task<> TargetController::AwaitListener() {
+  m_is_awaiting_listener = true;
+  boost::asio::steady_timer timer(m_loop);
+  while (m_refusing_since) {
+    timer.expires_after(kListenerPollInterval);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    const std::uint64_t incarnation_number = m_incarnation_number;
+    try {
+      auto connection = co_await m_command_pool->Acquire(m_settings.address,
+                                                         Clock::Duration(0));
+      m_command_pool->Release(m_settings.address, std::move(connection));
+    } catch (const ConnectError&) {
+      continue;
+    }
+    if (incarnation_number != m_incarnation_number)
+      continue;
+    m_refusing_since.reset();
+    spdlog::info("event=target-listens target={} service={}", m_incarnation.id,
+                 m_service);
+  }
+  m_is_awaiting_listener = false;
+}
+
 void TargetController::OnCallEnded(bool was_answered) {
   if (was_answered) {
     m_unanswered_calls = 0;
@@ -319,11 +381,7 @@
     m_lease_until = Clock::TimePoint::min();
     return;
   }
-  m_holds.Clear();
-  m_assignments.clear();
-  ++m_incarnation_number;
-  SetState(State::kGone, "silent");
-  m_listener.OnTargetLost();
+  DeclareGone("silent");
 }
 
 void TargetController::OnView(const MeshView& view,
@@ -352,13 +410,21 @@
   WakeWaitingReport();
 }
 
+Clock::TimePoint TargetController::GrantableUntil() const {
+  // What a target that refuses holds expires. A release may still reach it, on
+  // an open connection or in the reply to a report.
+  return m_refusing_since ? Clock::TimePoint::min() : m_lease_until;
+}
+
 void TargetController::Tick() {
   CheckSilence();
+  ReviewRefusal();
   if (m_state != State::kServing && m_state != State::kDraining)
     return;
   if (m_settings.grants_by_report)
     return;
-  for (PushHoldTracker::Grant& grant : m_push_holds.DueGrants(m_lease_until)) {
+  for (PushHoldTracker::Grant& grant :
+       m_push_holds.DueGrants(GrantableUntil())) {
     boost::asio::co_spawn(m_loop,
                           SendGrant(std::move(grant), m_incarnation_number),
                           boost::asio::detached);
@@ -505,7 +571,7 @@
 }
 
 bool TargetController::IsServing() const {
-  if (IsEvacuated())
+  if (IsEvacuated() || m_refusing_since)
     return false;
   if (m_state == State::kServing)
     return true;
--- a/modules/transport/mesh/target_controller.h
+++ b/modules/transport/mesh/target_controller.h
@@ -36,10 +36,12 @@
 // grants and releases as calls, or includes the granted ranges in the replies
 // to its reports.
 //
-// The target's reports identify it and say whether it drains. A refused
-// connection shows that its process is gone. A target that only stops answering
-// may still work and hold keys, so it counts as gone only when its holds have
-// expired.
+// The target's reports identify it and say whether it drains. A target that
+// stops answering, or refuses connections, may still work and hold keys: one
+// that leaves may close its listener first. It gets nothing more, and counts as
+// gone when its holds have expired. Only where its open connections have ended
+// with the refusal, and it has not said that it leaves, is its process known to
+// be dead before that.
 //
 // Runs on the event loop. PushHoldTracker and PollingHoldTracker decide what to
 // grant; TargetGateway sends the target its requests.
@@ -95,8 +97,14 @@
       const TargetReport& report);
   // The target leaves without having reported that it drains.
   void OnLeave(const std::string& target_id);
-  // The target's address refuses connections: its process is gone.
+  // The target's address refuses connections.
   void OnRefused();
+  // A request is on its way to the target, on an open connection, until the
+  // object ends.
+  class Exchange;
+  Exchange BeginExchange();
+  // A connection ended in the middle of an exchange, and not by a timeout.
+  void OnConnectionBroken() { m_connection_ended_at = m_clock.Now(); }
   // Records whether the target answered a call.
   void OnCallEnded(bool was_answered);
   // What an answer of the target says of itself. `sent_at`: when the request
@@ -196,6 +204,18 @@
   bool HasGrantReply() const;
   void WakeWaitingReport();
   void CheckSilence();
+  // Decides whether a target that refuses connections is gone.
+  void ReviewRefusal();
+  // Whether the target's open connections have ended as its process's death
+  // would end them.
+  bool HasProcessDied();
+  // Its holds have ended, or with its process: they are given on.
+  void DeclareGone(const char* reason);
+  // Tries to connect to a target that refuses, until it listens or another one
+  // has started.
+  Task<> AwaitListener();
+  // End of the time for which the target may be granted keys.
+  Clock::TimePoint GrantableUntil() const;
   // Logs what has changed, and stops a target that has said that it leaves.
   void ApplyChanges(const TargetCondition::Changes& changes,
                     std::optional<double> previous_limit,
@@ -241,6 +261,12 @@
   std::vector<std::string> m_past_target_ids;
   unsigned m_unanswered_calls = 0;
   bool m_may_have_restarted = false;
+  // Since when the target has refused connections; empty if it listens.
+  std::optional<Clock::TimePoint> m_refusing_since;
+  bool m_is_awaiting_listener = false;
+  std::size_t m_exchanges = 0;
+  // When an open connection to the target was last found to have ended.
+  std::optional<Clock::TimePoint> m_connection_ended_at;
   Clock::TimePoint m_lease_until;
   PushHoldTracker m_push_holds;
   PollingHoldTracker m_polled_holds;
@@ -255,4 +281,21 @@
   std::set<std::string> m_unknown_headers;
 };
 
+class TargetController::Exchange {
+ public:
+  explicit Exchange(TargetController& controller) : m_controller(controller) {
+    ++m_controller.m_exchanges;
+  }
+  ~Exchange() { --m_controller.m_exchanges; }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+ private:
+  TargetController& m_controller;
+};
+
+inline TargetController::Exchange TargetController::BeginExchange() {
+  return Exchange(*this);
+}
+
 }  // namespace citrongrade
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -338,6 +338,7 @@
   target_info.expected_target = m_controller.incarnation().id;
   target_info.origin_service = metadata.origin_service;
   const std::uint64_t incarnation_number = m_controller.incarnation_number();
+  const TargetController::Exchange exchange = m_controller.BeginExchange();
   context.SetCancelCallback([&connection] { connection->Close(); });
   sent_at = started;
   ++m_counts.sent;
@@ -384,6 +385,7 @@
       co_return ForwardResult::Unknown(RequestErrorCode::kCancelled,
                                        "its caller is gone");
     }
+    m_controller.OnConnectionBroken();
     OnConnectionBroken(m_running_fingerprints[ticket]);
     co_return ForwardResult::Unknown(RequestErrorCode::kTargetFailed,
                                      error.what());
--- a/tests/platform_closed_listener_process_test.py
+++ b/tests/platform_closed_listener_process_test.py
@@ -103,6 +103,10 @@
                         problems.append(f"key {key} was held by two for {together:.2f} s")
         self.assertEqual(problems[:5], [], f"{len(problems)} in all")
 
+    def callers_with_new_connections(self):
+        """More at a time than there are open connections to the target."""
+        return MeshCallers([self.leaving] * 20, paths=("/read/x",))
+
     # Guards against keys of a target that leaves, stops listening and still
     # works, which are given on as if it had ended.
     def test_a_target_that_leaves_and_stops_listening(self):
@@ -110,19 +114,23 @@
         self.leaving.tell_target("/drain")
         time.sleep(0.6)
         self.leaving.target_fault("refuse", 0)
-        # They need new connections.
-        more = MeshCallers([self.leaving] * 20, paths=("/read/x",))
+        more = self.callers_with_new_connections()
         time.sleep(0.6)
         self.leader.process.send_signal(signal.SIGCONT)
         time.sleep(3)
         more.stop()
         self.check_keys()
 
-    # Guards against the same where it has not said that it leaves.
+    # Guards against the same where it has not said that it leaves, and against
+    # keys that stay with a target that nobody can reach.
     def test_a_target_that_stops_listening(self):
         self.leaving.target_fault("refuse", 0)
-        time.sleep(4)
+        more = self.callers_with_new_connections()
+        time.sleep(5)
+        more.stop()
         self.check_keys()
+        held = [any(node.holds_key(key) for node in self.others) for key in PROBED_KEYS]
+        self.assertTrue(all(held), "keys stay with a target that refuses")
 
     # Guards against a target that refuses for a moment and loses its keys.
     def test_a_target_that_refuses_for_a_moment(self):
