A node that has just restarted keeps its keys for a while

What callers see: requests for some keys are refused for 1.9 s (8 of 309 after recovery, soak): the leader moved them for balance away from a node restarted 0.2 s before, which gives keys back only once grants of its last process have ended.

Change: no moves for balance away from a node whose process started while this leader led, until those grants have ended. Leaving and evacuated nodes are drained as before.

--- a/modules/coordination/mesh/key_assigner.cc
+++ b/modules/coordination/mesh/key_assigner.cc
@@ -234,8 +234,8 @@
     std::vector<KeyBalancer::Target> targets;
     for (const Member& member : m_members) {
       if (member.service == service && !member.must_drain)
-        targets.push_back(
-            {member.address, member.capacity, member.may_receive});
+        targets.push_back({member.address, member.capacity, member.may_receive,
+                           member.may_give});
     }
     KeyBalancer& balancer =
         m_balancers.try_emplace(service, KeyBalancer::Parameters())
--- a/modules/coordination/mesh/key_assigner.h
+++ b/modules/coordination/mesh/key_assigner.h
@@ -33,6 +33,8 @@
     std::string service;
     TargetIncarnation incarnation;
     bool may_receive = false;
+    // Keys may move away from it for balance.
+    bool may_give = true;
     bool must_drain = false;
     // Requests per second.
     double capacity = 1;
--- a/modules/coordination/mesh/key_balancer.cc
+++ b/modules/coordination/mesh/key_balancer.cc
@@ -304,7 +304,7 @@
     TargetLoad* giver = nullptr;
     TargetLoad* taker = nullptr;
     for (TargetLoad& load : loads) {
-      if (!load.is_exhausted &&
+      if (load.target.may_give && !load.is_exhausted &&
           (giver == nullptr || load.utilization() > giver->utilization()))
         giver = &load;
       if (load.target.may_receive &&
--- a/modules/coordination/mesh/key_balancer.h
+++ b/modules/coordination/mesh/key_balancer.h
@@ -76,8 +76,9 @@
     std::string address;
     // Requests per second that the target can serve.
     double capacity = 1;
-    // The target may receive keys.
+    // The target may receive keys, and may give some away.
     bool may_receive = true;
+    bool may_give = true;
 
     friend auto operator<=>(const Target&, const Target&) = default;
   };
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -109,6 +109,7 @@
     return;
   if (is_new || is_restart) {
     node.first_heard = now;
+    node.is_restarted = is_restart;
     node.crash_suspects_sent = 0;
     node.has_promised = false;
   }
@@ -298,6 +299,11 @@
   m_view.SetMember(member);
 }
 
+bool MeshLeader::MayHoldEarlierGrants(const Node& node) const {
+  return m_clock.Now() - node.first_heard <=
+         m_lease_duration.MaxDurationInForce() + m_timing.max_clock_drift;
+}
+
 bool MeshLeader::HasOwnershipExpired(const SlotAssignment& assignment) const {
   const Clock::TimePoint now = m_clock.Now();
   const auto found = m_nodes.find(assignment.owner);
@@ -310,9 +316,7 @@
     case Heartbeat::TargetState::kUnknown:
       // The node's process is new; the leases of its earlier process expire in
       // the meantime.
-      return now > m_previous_leases_end &&
-             now - node.first_heard > m_lease_duration.MaxDurationInForce() +
-                                          m_timing.max_clock_drift;
+      return now > m_previous_leases_end && !MayHoldEarlierGrants(node);
     case Heartbeat::TargetState::kGone:
       return true;
     case Heartbeat::TargetState::kServing:
@@ -342,6 +346,8 @@
     member.service = node.last_heartbeat.target.service;
     member.incarnation = node.last_heartbeat.target.incarnation;
     member.may_receive = state == MeshMember::State::kServing;
+    // A range that moves from it would be out of service until then.
+    member.may_give = !node.is_restarted || !MayHoldEarlierGrants(node);
     member.must_drain = state == MeshMember::State::kDraining;
     member.capacity = CapacityOf(node.last_heartbeat);
     members.push_back(member);
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -95,6 +95,8 @@
   struct Node {
     Heartbeat last_heartbeat;
     Clock::TimePoint first_heard;
+    // Its process started while this node led.
+    bool is_restarted = false;
     Clock::TimePoint last_heard;
     Clock::TimePoint lease_until;
     std::size_t crash_suspects_sent = 0;
@@ -102,6 +104,9 @@
   };
 
   const Node* FindBestSuccessor() const;
+  // Whether grants of an earlier process of the node may still hold its keys,
+  // so that it can't give them back yet.
+  bool MayHoldEarlierGrants(const Node& node) const;
   bool HasOwnershipExpired(const SlotAssignment& assignment) const;
   bool IsTimedOut(const Node& node) const;
   MeshMember::State StateOf(const Node& node) const;
--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -491,6 +491,30 @@
   CHECK(SlotsOf("b") > 0);
 }
 
+// Guards against keys that nobody serves for two seconds: they are to move, for
+// balance, away from a node that has just restarted and can't give them back.
+TEST_CASE_FIXTURE(Fixture, "a restarted node keeps its keys for a while") {
+  for (const char* address : {"a", "b"})
+    Node(address).mean_service_time_us = 200'000;
+  Node("a").is_store_answering = true;
+  Run(milliseconds(4000));
+  Node("b").target.named_requests_per_second = 8;
+  Node("b").incarnation = 2;
+  const auto run_loaded = [this](milliseconds duration) {
+    for (milliseconds t{0}; t < duration; t += milliseconds(50)) {
+      for (std::uint32_t slot = 0; slot < kSlotCount; slot += kSlotCount / 4) {
+        const KeyTable* table = leader->view().FindTable("divided");
+        Node(table->Find(slot).owner).slot_request_counts.push_back({slot, 1});
+      }
+      Step(milliseconds(50));
+    }
+  };
+  run_loaded(milliseconds(1500));
+  CHECK(MovingRunsOf("b").empty());
+  run_loaded(milliseconds(4000));
+  CHECK_FALSE(MovingRunsOf("b").empty());
+}
+
 TEST_CASE_FIXTURE(Fixture, "a heartbeat that arrives out of order is ignored") {
   for (const char* address : {"a", "b"})
     Node(address);
--- a/modules/coordination/mesh/ownership_model_test.cc
+++ b/modules/coordination/mesh/ownership_model_test.cc
@@ -868,7 +868,7 @@
 TEST_CASE("the model reports a leader that does not know of extended leases") {
   Options options;
   options.stores_lease_length = false;
-  CHECK(CountViolations(120, options) > 0);
+  CHECK(CountViolations(480, options) > 0);
 }
 
 TEST_CASE("the model reports votes of processes that have just started") {
--- a/tests/failures_soak_seeds_process_test.py
+++ b/tests/failures_soak_seeds_process_test.py
@@ -18,8 +18,8 @@
 
 
 class SoakSeedsTest(unittest.TestCase):
-    def play(self, seed):
-        problems, figures, folder = play(ROUTER, seed, SECONDS, NODES, generation=1)
+    def play(self, seed, generation=1):
+        problems, figures, folder = play(ROUTER, seed, SECONDS, NODES, generation=generation)
         self.assertEqual(problems, [], f"seed {seed}, {figures}; logs in {folder}")
         shutil.rmtree(folder, ignore_errors=True)
 
@@ -59,6 +59,12 @@
     def test_808_a_target_that_kept_its_name(self):
         self.play(808)
 
+    # Requests are refused for two seconds after recovery: keys were to move, for
+    # balance, away from a node that had just restarted and could not give them
+    # back yet.
+    def test_324951_a_restarted_node_that_is_to_give_keys(self):
+        self.play(324951, generation=2)
+
 
 if __name__ == "__main__":
     unittest.main()
