A target that dies while it leaves loses its keys at once; leaving stays final

A request broken off in the middle now shows its death, as a leaving target breaks off none that it works on; a broken grant or release does not, as its connection may have been idle. Leaving is kept for the process, however it was said.

--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -249,7 +249,12 @@
       ++routed.possible_runs;
     if (context.is_caller_gone())
       co_return result;
-    if (!co_await PrepareRetry(result, route, routed, context)) {
+    const bool has_no_room_anywhere =
+        !member && result.error == RequestErrorCode::kOverloaded;
+    bool tries_again = false;
+    if (!has_no_room_anywhere)
+      tries_again = co_await PrepareRetry(result, route, routed, context);
+    if (!tries_again) {
       // Proof that the last attempt did not run says nothing about earlier
       // attempts.
       if (result.outcome == RequestOutcome::kNotRun && may_have_run)
--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -42,6 +42,9 @@
 // of a refusal.
 constexpr std::chrono::milliseconds kDeathWindow{1000};
 constexpr std::chrono::milliseconds kListenerPollInterval{100};
+// The same for a target that has refused for long: it may never come back.
+constexpr std::chrono::milliseconds kSlowListenerPollInterval{1000};
+constexpr std::chrono::milliseconds kLongRefusal{3000};
 // Names that are logged once each.
 constexpr std::size_t kMaxUnknownHeaders = 32;
 // How long a reply to a report waits for a change. A target gives up on a reply
@@ -97,6 +100,13 @@
   m_listener.OnTargetChanged();
 }
 
+void TargetController::BeginDrain(Clock::TimePoint confirmed_at,
+                                  const char* reason) {
+  m_has_begun_to_drain = true;
+  m_drain_confirmed_at = confirmed_at;
+  SetState(State::kDraining, reason);
+}
+
 void TargetController::BeginIncarnation(const TargetReport& report) {
   if (m_incarnation.is_known() && m_incarnation.id != report.incarnation.id) {
     m_past_target_ids.push_back(m_incarnation.id);
@@ -111,8 +121,10 @@
   m_assignments.clear();
   m_sequence = 0;
   m_unanswered_calls = 0;
+  m_has_begun_to_drain = false;
   m_refusing_since.reset();
   m_connection_ended_at.reset();
+  m_exchange_broken_at.reset();
   m_pool.CloseIdle(m_settings.address);
   m_command_pool->CloseIdle(m_settings.address);
   spdlog::info("event=target-started target={} started_unix_ms={} service={}",
@@ -157,13 +169,13 @@
   const auto left = m_left_before_report.find(report.incarnation.id);
   if (!is_same_incarnation && left != m_left_before_report.end() &&
       report.sequence > kMaxStartupSequence) {
-    m_drain_confirmed_at = left->second;
-    SetState(State::kDraining, "left-before");
+    BeginDrain(left->second, "left-before");
     return ReportResult::kAccepted;
   }
-  if (report.is_draining) {
-    m_drain_confirmed_at = now;
-    SetState(State::kDraining, "reported");
+  if (m_has_begun_to_drain) {
+    SetState(State::kDraining, "has-said-that-it-leaves");
+  } else if (report.is_draining) {
+    BeginDrain(now, "reported");
   } else {
     SetState(State::kServing, "reported");
   }
@@ -231,8 +243,7 @@
   if (target_id != m_incarnation.id || m_state == State::kDraining ||
       m_state == State::kGone)
     return;
-  m_drain_confirmed_at = m_clock.Now();
-  SetState(State::kDraining, "left");
+  BeginDrain(m_clock.Now(), "left");
 }
 
 void TargetController::OnRefused() {
@@ -247,16 +258,25 @@
 }
 
 bool TargetController::HasProcessDied() {
-  if (m_pool.DropClosed(m_settings.address) ||
-      m_command_pool->DropClosed(m_settings.address))
+  const bool has_request_connection_ended =
+      m_pool.DropClosed(m_settings.address);
+  const bool has_command_connection_ended =
+      m_command_pool->DropClosed(m_settings.address);
+  if (has_request_connection_ended || has_command_connection_ended)
     m_connection_ended_at = m_clock.Now();
-  const bool has_open_connection = m_exchanges > 0 ||
-                                   m_pool.HasIdle(m_settings.address) ||
-                                   m_command_pool->HasIdle(m_settings.address);
-  // A target that leaves closes its connections one after the other too.
-  return m_state == State::kServing && !has_open_connection &&
-         m_connection_ended_at &&
-         m_clock.Now() - *m_connection_ended_at <= kDeathWindow;
+  if (m_exchanges > 0 || m_pool.HasIdle(m_settings.address) ||
+      m_command_pool->HasIdle(m_settings.address))
+    return false;
+  // A target that leaves closes its idle connections too, but none on which it
+  // works.
+  const std::optional<Clock::TimePoint>& ended_at =
+      m_state == State::kServing ? m_connection_ended_at : m_exchange_broken_at;
+  return ended_at && m_clock.Now() - *ended_at <= kDeathWindow;
+}
+
+void TargetController::OnConnectionBroken() {
+  m_exchange_broken_at = m_clock.Now();
+  m_connection_ended_at = m_exchange_broken_at;
 }
 
 void TargetController::ReviewRefusal() {
@@ -284,7 +304,10 @@
   m_is_awaiting_listener = true;
   boost::asio::steady_timer timer(m_loop);
   while (m_refusing_since) {
-    timer.expires_after(kListenerPollInterval);
+    const Clock::Duration refusing_for = m_clock.Now() - *m_refusing_since;
+    timer.expires_after(refusing_for < kLongRefusal
+                            ? kListenerPollInterval
+                            : kSlowListenerPollInterval);
     co_await timer.async_wait(boost::asio::use_awaitable);
     const std::uint64_t incarnation_number = m_incarnation_number;
     try {
@@ -335,8 +358,7 @@
                m_incarnation.id, m_service, source);
   if (m_state != State::kServing && m_state != State::kUnknown)
     return;
-  m_drain_confirmed_at = *m_condition.leaving_since();
-  SetState(State::kDraining, "said-that-it-leaves");
+  BeginDrain(*m_condition.leaving_since(), "said-that-it-leaves");
 }
 
 void TargetController::OnNotice(const TargetNotice& notice) {
@@ -478,6 +500,8 @@
   } catch (const HttpError& error) {
     result.failure = error.what();
     result.is_connection_broken = true;
+    // It may have been idle, so this is no broken exchange.
+    m_connection_ended_at = m_clock.Now();
   }
   result.is_current = incarnation_number == m_incarnation_number;
   if (result.is_current)
--- a/modules/transport/mesh/target_controller.h
+++ b/modules/transport/mesh/target_controller.h
@@ -39,9 +39,9 @@
 // The target's reports identify it and say whether it drains. A target that
 // stops answering, or refuses connections, may still work and hold keys: one
 // that leaves may close its listener first. It gets nothing more, and counts as
-// gone when its holds have expired. Only where its open connections have ended
-// with the refusal, and it has not said that it leaves, is its process known to
-// be dead before that.
+// gone when its holds have expired. Only where all its open connections have
+// ended with the refusal, and for one that leaves some in the middle of an
+// exchange, is its process known to be dead before that.
 //
 // Runs on the event loop. PushHoldTracker and PollingHoldTracker decide what to
 // grant; TargetGateway sends the target its requests.
@@ -104,7 +104,7 @@
   class Exchange;
   Exchange BeginExchange();
   // A connection ended in the middle of an exchange, and not by a timeout.
-  void OnConnectionBroken() { m_connection_ended_at = m_clock.Now(); }
+  void OnConnectionBroken();
   // Records whether the target answered a call.
   void OnCallEnded(bool was_answered);
   // What an answer of the target says of itself. `sent_at`: when the request
@@ -200,6 +200,8 @@
   bool IsLaterIncarnation(const TargetReport& report) const;
   void BeginIncarnation(const TargetReport& report);
   void SetState(State state, const char* reason);
+  // The target leaves. That is final for its process.
+  void BeginDrain(Clock::TimePoint confirmed_at, const char* reason);
   void ApplyReportedHolds(const TargetReport& report);
   bool HasGrantReply() const;
   void WakeWaitingReport();
@@ -252,6 +254,7 @@
   std::chrono::milliseconds m_cold_start{0};
   // Since when the target's zone has been evacuated, as this node knows it.
   std::optional<Clock::TimePoint> m_evacuated_since;
+  bool m_has_begun_to_drain = false;
   Clock::TimePoint m_drain_confirmed_at;
   Clock::TimePoint m_last_contact;
   Clock::TimePoint m_last_report;
@@ -267,6 +270,8 @@
   std::size_t m_exchanges = 0;
   // When an open connection to the target was last found to have ended.
   std::optional<Clock::TimePoint> m_connection_ended_at;
+  // The same for one that ended in the middle of an exchange.
+  std::optional<Clock::TimePoint> m_exchange_broken_at;
   Clock::TimePoint m_lease_until;
   PushHoldTracker m_push_holds;
   PollingHoldTracker m_polled_holds;
