One piece of code where the change had written two

Found by reading the whole diff; nothing that callers or targets see changes. - What a target says of itself was parsed twice for each response, once by the check that a response belongs to its request: it is read once, by the function that grants and releases use. - Three ways to replace a header (the platform's SetHeader, two loops around TakeHeader): SetHeader in http_header. - A waiting request asked the limiter twice for the same wait; the wait for a slot and the wait for the limit are two functions now. - The outcome of an attempt is worked out once; a wrapper with one caller is gone.

--- a/modules/coordination/load/target_admission.cc
+++ b/modules/coordination/load/target_admission.cc
@@ -70,17 +70,16 @@
          m_longest_service_time * kShortServiceTimeShare;
 }
 
-Clock::Duration TargetAdmission::EstimateWait(std::size_t ahead) const {
+Clock::Duration TargetAdmission::EstimateWaitForSlot(std::size_t ahead) const {
   const std::size_t concurrency =
       std::max<std::size_t>(1, m_parameters.concurrency);
-  const Clock::Duration limit_wait = m_rate_limiter.TimeUntilAdmission(ahead);
   if (m_running.size() + ahead < concurrency)
-    return limit_wait;
+    return Clock::Duration(0);
   const double rounds =
       static_cast<double>(ahead + 1 + m_running.size() - concurrency) /
       static_cast<double>(concurrency);
-  return std::max(limit_wait, std::chrono::duration_cast<Clock::Duration>(
-                                  m_mean_service_time * rounds));
+  return std::chrono::duration_cast<Clock::Duration>(m_mean_service_time *
+                                                     rounds);
 }
 
 bool TargetAdmission::IsWorthWaiting(const Request& request,
@@ -92,7 +91,7 @@
                      now + limit_wait + ExpectedServiceTime(request.route) >=
                          request.soft_deadline))
     return false;
-  return now + EstimateWait(ahead) <
+  return now + std::max(limit_wait, EstimateWaitForSlot(ahead)) <
          LatestStart(request, kRequiredShareWhenQueued);
 }
 
@@ -225,7 +224,9 @@
 }
 
 Clock::Duration TargetAdmission::DrainTime() const {
-  return EstimateWait(m_waiting.size());
+  const std::size_t ahead = m_waiting.size();
+  return std::max(m_rate_limiter.TimeUntilAdmission(ahead),
+                  EstimateWaitForSlot(ahead));
 }
 
 }  // namespace citrongrade
--- a/modules/coordination/load/target_admission.h
+++ b/modules/coordination/load/target_admission.h
@@ -142,9 +142,9 @@
   // Whether the request may wait with `ahead` others before it.
   bool IsWorthWaiting(const Request& request, std::size_t ahead) const;
   Rank RankOf(const Request& request, std::uint64_t sequence) const;
-  // Expected time until a request can start that has `ahead` others before it
-  // in the queue.
-  Clock::Duration EstimateWait(std::size_t ahead) const;
+  // Expected time until the target has a free slot for a request that has
+  // `ahead` others before it in the queue.
+  Clock::Duration EstimateWaitForSlot(std::size_t ahead) const;
   void UpdateRanks();
   bool IsLong(const std::string& route) const;
   // The next request to admit. The queue must not be empty.
--- a/modules/coordination/load/target_condition.h
+++ b/modules/coordination/load/target_condition.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <string>
 
 #include "modules/coordination/clock.h"
 #include "modules/coordination/load/target_notice.h"
--- a/modules/transport/http_header.cc
+++ b/modules/transport/http_header.cc
@@ -49,6 +49,16 @@
   return value;
 }
 
+void SetHeader(std::vector<HttpHeader>& headers,
+               std::string_view name,
+               std::string value) {
+  std::erase_if(headers, [name](const HttpHeader& header) {
+    return SameHeaderName(header.name, name);
+  });
+  if (!value.empty())
+    headers.push_back({std::string(name), std::move(value)});
+}
+
 bool IsHopByHopHeader(std::string_view name) {
   constexpr std::string_view kNames[] = {
       "Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "TE",
--- a/modules/transport/http_header.h
+++ b/modules/transport/http_header.h
@@ -29,6 +29,11 @@
 std::optional<std::string> TakeHeader(std::vector<HttpHeader>& headers,
                                       std::string_view name);
 
+// Replaces all headers of that name by one. An empty value only removes them.
+void SetHeader(std::vector<HttpHeader>& headers,
+               std::string_view name,
+               std::string value);
+
 // Whether a header says how its message is sent on one connection, so that what
 // is passed on must not bear it.
 bool IsHopByHopHeader(std::string_view name);
--- a/modules/transport/mesh/forward_metadata.cc
+++ b/modules/transport/mesh/forward_metadata.cc
@@ -50,9 +50,7 @@
   add_text(origin_service);
   add_number(static_cast<std::int64_t>(sender_id));
   text += std::to_string(sent_at.count());
-  while (TakeHeader(request.headers, kHeader)) {
-  }
-  request.headers.push_back({std::string(kHeader), std::move(text)});
+  SetHeader(request.headers, kHeader, std::move(text));
   WriteTargetNotice(notice, request.headers);
 }
 
--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -232,11 +232,11 @@
                                    m_dependencies.agent.view().version());
       RecordNotice(*member, result);
       if (!routed.is_sharded) {
+        const TargetCallOutcome outcome = OutcomeForChooser(result);
         m_dependencies.chooser.OnFinished(
-            routed.metadata.service, *member, routed.metadata.route,
-            OutcomeForChooser(result), clock.Now() - started,
-            route.target_latency);
-        if (OutcomeForChooser(result) == TargetCallOutcome::kPaced) {
+            routed.metadata.service, *member, routed.metadata.route, outcome,
+            clock.Now() - started, route.target_latency);
+        if (outcome == TargetCallOutcome::kPaced) {
           m_dependencies.chooser.Pause(routed.metadata.service, *member,
                                        result.retry_after);
         }
@@ -301,11 +301,6 @@
   return owner != nullptr && !IsInAllowedRegion(route, *owner);
 }
 
-bool RequestRouter::HasLeft(const MeshMember& member) const {
-  return m_notices.HasLeft(member.address, member.target,
-                           m_dependencies.drain_period);
-}
-
 std::set<std::string> RequestRouter::MembersThatLeft(
     const std::string& service) const {
   std::set<std::string> left;
@@ -313,7 +308,8 @@
     return left;
   for (const MeshMember* member :
        m_dependencies.agent.view().MembersOf(service)) {
-    if (HasLeft(*member))
+    if (m_notices.HasLeft(member->address, member->target,
+                          m_dependencies.drain_period))
       left.insert(member->address);
   }
   return left;
--- a/modules/transport/mesh/request_router.h
+++ b/modules/transport/mesh/request_router.h
@@ -98,7 +98,6 @@
   // Members of the service whose targets have left, by this node's own
   // knowledge.
   std::set<std::string> MembersThatLeft(const std::string& service) const;
-  bool HasLeft(const MeshMember& member) const;
   // Remembers what the result tells of the member's target.
   void RecordNotice(const std::string& member, const ForwardResult& result);
   // Why no member can run the request now.
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -360,7 +360,7 @@
     const TargetResponseInfo response_info =
         m_protocol.ReadTargetResponse(response);
     if (response_info.is_authentic || response_info.did_not_run)
-      m_controller.OnSignals(response_info.signals, started,
+      m_controller.OnSignals(m_protocol.ReadTargetSignals(response), started,
                              incarnation_number);
     if (!response_info.did_not_run) {
       guard.SetServiceTime(m_clock.Now() - started);
--- a/modules/transport/mesh/target_notice_header.cc
+++ b/modules/transport/mesh/target_notice_header.cc
@@ -36,25 +36,25 @@
   return number;
 }
 
+std::string ToText(const TargetNotice& notice) {
+  std::string text = PercentEncode(notice.target.id, kSeparator);
+  text += kSeparator + ToField(notice.target.started_unix_ms) + kSeparator;
+  if (notice.rate_limit)
+    text += ToField(*notice.rate_limit);
+  text += kSeparator;
+  if (notice.leaving_for)
+    text += ToField(std::int64_t{notice.leaving_for->count()});
+  text += kSeparator;
+  if (notice.is_paced)
+    text += kYes;
+  return text;
+}
+
 }  // namespace
 
 void WriteTargetNotice(const std::optional<TargetNotice>& notice,
                        std::vector<HttpHeader>& headers) {
-  while (TakeHeader(headers, kHeader)) {
-  }
-  if (!notice)
-    return;
-  std::string text = PercentEncode(notice->target.id, kSeparator);
-  text += kSeparator + ToField(notice->target.started_unix_ms) + kSeparator;
-  if (notice->rate_limit)
-    text += ToField(*notice->rate_limit);
-  text += kSeparator;
-  if (notice->leaving_for)
-    text += ToField(std::int64_t{notice->leaving_for->count()});
-  text += kSeparator;
-  if (notice->is_paced)
-    text += kYes;
-  headers.push_back({std::string(kHeader), std::move(text)});
+  SetHeader(headers, kHeader, notice ? ToText(*notice) : std::string());
 }
 
 std::optional<TargetNotice> TakeTargetNotice(std::vector<HttpHeader>& headers) {
--- a/modules/transport/mesh/wire_protocol.h
+++ b/modules/transport/mesh/wire_protocol.h
@@ -53,7 +53,6 @@
   bool is_misdirected = false;
   // The response may be passed on to the caller as the target's own.
   bool is_authentic = false;
-  TargetSignals signals;
 
   friend auto operator<=>(const TargetResponseInfo&,
                           const TargetResponseInfo&) = default;
