An address without idle connections has none

AsyncConnectionPool::HasIdle said that there is an idle connection to any address which the pool still knew, also once the last one had been taken or dropped, for up to 100 ms (CloseExpired). The one user asks whether a target that refuses still has an open connection, so a target that had died counted as alive until then. The test fails on the code before.

--- a/modules/transport/async/async_connection_pool.cc
+++ b/modules/transport/async/async_connection_pool.cc
@@ -68,6 +68,12 @@
     idle.push_back({std::move(connection), now, now + keep_for});
 }
 
+bool AsyncConnectionPool::HasIdle(const HttpAddress& address) const {
+  // An address stays known for a while after its last connection was taken.
+  const auto found = m_idle.find(address);
+  return found != m_idle.end() && !found->second.empty();
+}
+
 void AsyncConnectionPool::CloseIdle(const HttpAddress& address) {
   m_idle.erase(address);
 }
--- a/modules/transport/async/async_connection_pool.h
+++ b/modules/transport/async/async_connection_pool.h
@@ -42,9 +42,7 @@
   // any. See AsyncHttpConnection::IsStale().
   bool DropClosed(const HttpAddress& address);
   // Whether there is an idle connection to `address`. It may be stale.
-  bool HasIdle(const HttpAddress& address) const {
-    return m_idle.contains(address);
-  }
+  bool HasIdle(const HttpAddress& address) const;
   // Closes all idle connections to `address`. Call it when the process at the
   // address has been replaced or has ended.
   void CloseIdle(const HttpAddress& address);
--- a/modules/transport/async/async_http_test.cc
+++ b/modules/transport/async/async_http_test.cc
@@ -292,6 +292,23 @@
   CHECK(pool.opened_count() == 1);
 }
 
+// Guards against a dead target that counts as alive by a connection which has
+// been taken or has ended.
+TEST_CASE_FIXTURE(EchoServer, "a connection is idle only while it is kept") {
+  AsyncConnectionPool pool(loop, clock, {});
+  CHECK_FALSE(pool.HasIdle(kServer));
+  RunTask(loop, [&]() -> Task<> {
+    auto connection = co_await pool.Acquire(kServer, kTimeout);
+    HttpRequest request;
+    request.method = "GET";
+    co_await connection->Call(request, kTimeout);
+    pool.Release(kServer, std::move(connection));
+    CHECK(pool.HasIdle(kServer));
+    connection = co_await pool.Acquire(kServer, kTimeout);
+    CHECK_FALSE(pool.HasIdle(kServer));
+  });
+}
+
 // A caller disconnects while its request is being handled. The handling must
 // stop, and the server must not learn of the disconnect only by writing.
 TEST_CASE_FIXTURE(EchoServer,
