--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -68,6 +68,12 @@
     return heartbeat;
   }
 
+  // The slot's owner counts a request for it, to tell with its next heartbeat.
+  void CountRequest(std::uint32_t slot) {
+    const KeyTable* table = leader->view().FindTable("divided");
+    Node(table->Find(slot).owner).slot_request_counts.push_back({slot, 1});
+  }
+
   void Beat(const std::string& address) {
     Heartbeat& heartbeat = Node(address);
     ++heartbeat.sequence;
@@ -479,9 +485,7 @@
     for (std::uint32_t i = 0; i < kBusySlots; ++i) {
       if ((round + i) % kRoundsPerRequest != 0)
         continue;
-      const std::uint32_t slot = i * (kSlotCount / kBusySlots);
-      const KeyTable* table = leader->view().FindTable("divided");
-      Node(table->Find(slot).owner).slot_request_counts.push_back({slot, 1});
+      CountRequest(i * (kSlotCount / kBusySlots));
     }
     for (const char* address : {"a", "b"})
       GiveBack(address, MovingRunsOf(address));
@@ -502,10 +506,8 @@
   Node("b").incarnation = 2;
   const auto run_loaded = [this](milliseconds duration) {
     for (milliseconds t{0}; t < duration; t += milliseconds(50)) {
-      for (std::uint32_t slot = 0; slot < kSlotCount; slot += kSlotCount / 4) {
-        const KeyTable* table = leader->view().FindTable("divided");
-        Node(table->Find(slot).owner).slot_request_counts.push_back({slot, 1});
-      }
+      for (std::uint32_t slot = 0; slot < kSlotCount; slot += kSlotCount / 4)
+        CountRequest(slot);
       Step(milliseconds(50));
     }
   };
--- a/tests/platform_closed_listener_process_test.py
+++ b/tests/platform_closed_listener_process_test.py
@@ -2,7 +2,6 @@
 keys and work, as real processes against the stand-ins of the platform's store
 and targets."""
 
-import json
 import os
 import signal
 import sys
@@ -11,10 +10,11 @@
 
 BUILD_DIR = sys.argv.pop(1)
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "platform", "testing"))
+sys.path[:0] = [os.path.join(HERE, "soak"), os.path.join(HERE, "..", "platform", "testing")]
 
 from mesh_callers import MeshCallers  # noqa: E402
 from platform_mesh import Mesh  # noqa: E402
+from promises import TargetLife, holds_of  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 # Two targets may hold a key together for so long, if neither works on it.
@@ -26,26 +26,11 @@
 WORK_MS = 900
 
 
-def events_of(node):
-    with open(node.journal) as file:
-        return [json.loads(line) for line in file if line.endswith("\n")]
-
-
-def holds_of(events, key):
-    """[begin, end] of each time in which the target held the key."""
-    holds = []
-    for event in events:
-        if event["event"] not in ("grant", "release") or not event["first"] <= key <= event["last"]:
-            continue
-        is_held = bool(holds) and event["at"] < holds[-1][1]
-        if event["event"] == "release":
-            if is_held:
-                holds[-1][1] = event["at"]
-        elif is_held:
-            holds[-1][1] = max(holds[-1][1], event["until"])
-        elif event["at"] < event["until"]:
-            holds.append([event["at"], event["until"]])
-    return holds
+def life_of(node):
+    """All that the node's targets did, as one life."""
+    life = TargetLife(node.index, 0.0, f"node {node.index}")
+    life.events = node.events()
+    return life
 
 
 def runs_on(events, key_of):
@@ -88,17 +73,18 @@
         longer than the rules bear."""
         self.callers.stop()
         key_of = {a: key_of_attempt(*map(int, a.split("-"))) for _, a, _ in self.callers.outcomes}
-        events = events_of(self.leaving)
-        runs = runs_on(events, key_of)
+        given = life_of(self.leaving)
+        runs = runs_on(given.events, key_of)
         problems = []
         for other in self.others:
-            taken = events_of(other)
+            taken = life_of(other)
             for key, begin, end in runs:
-                if any(begin < first < end - SAME_TIME for first, _ in holds_of(taken, key)):
+                if any(begin < hold.begin < end - SAME_TIME for hold in holds_of(taken, key)):
                     problems.append(f"key {key} was given on during a run")
             for key in PROBED_KEYS:
-                for first, last in holds_of(events, key):
-                    together = max((min(last, e) - max(first, b) for b, e in holds_of(taken, key)), default=0)
+                later = holds_of(taken, key)
+                for hold in holds_of(given, key):
+                    together = max((min(hold.end, other_hold.end) - max(hold.begin, other_hold.begin) for other_hold in later), default=0)
                     if together > HELD_TOGETHER:
                         problems.append(f"key {key} was held by two for {together:.2f} s")
         self.assertEqual(problems[:5], [], f"{len(problems)} in all")
--- a/tests/platform_cold_target_process_test.py
+++ b/tests/platform_cold_target_process_test.py
@@ -1,7 +1,6 @@
 """Targets of citrongrade-router that are cold, as real processes against the
 stand-ins of the platform's store and targets."""
 
-import json
 import os
 import signal
 import sys
@@ -25,8 +24,7 @@
 def cold_runs(node):
     """Begins of the runs at the node's target while it was cold and its node had
     been told."""
-    with open(node.journal) as file:
-        events = [json.loads(line) for line in file]
+    events = node.events()
     cold = [(e["at"], e["until"]) for e in events if e["event"] == "cold-told"]
     return [e["at"] for e in events if e["event"] == "run" and any(a <= e["at"] < b for a, b in cold)]
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,11 +1,10 @@
 """Checks of the promises, from what callers got and what targets did."""
 
-import json
 import random
 from collections import Counter, defaultdict
 
 from platform_mesh import COLD_EXCESS, COLD_PER_S, COLD_SLACK
-from said_checks import Passed, arrivals_of, check_limit, late_after_leaving
+from said_checks import DRAIN, Passed, arrivals_of, check_limit, late_after_leaving
 
 # Held keys are compared at so many of them.
 PROBES = 96
@@ -13,7 +12,6 @@
 SAME_TIME = 0.002
 # Orders that a node sends as it wakes up don't count: ThawSlackMs.
 THAW_SLACK = 0.3
-DRAIN = 2.0
 # Requests that a cold target may get in any second, counted from when its node
 # has been told.
 MAX_COLD = COLD_PER_S * COLD_EXCESS + COLD_SLACK
@@ -36,9 +34,7 @@
 def read_lives(mesh):
     lives = []
     for node in mesh.nodes:
-        with open(node.journal) as journal:
-            events = [json.loads(line) for line in journal if line.endswith("\n")]
-        for event in events:
+        for event in node.events():
             if event["event"] == "start":
                 life = TargetLife(node.index, event["at"], event["target"])
                 later = [t for t in mesh.deaths[node.index] if t > life.started]
--- a/tests/soak/soak_mesh.py
+++ b/tests/soak/soak_mesh.py
@@ -2,7 +2,6 @@
 that faults can be set on them. Remembers what was done to which node, and when:
 promises with a time bound hold only for nodes that were left alone."""
 
-import json
 import os
 import random
 import signal
@@ -138,9 +137,7 @@
 
     def runs_at(self, node):
         """When the node's targets began their runs."""
-        with open(node.journal) as journal:
-            events = [json.loads(line) for line in journal if line.endswith("\n")]
-        return [event["at"] for event in events if event["event"] == "run"]
+        return [event["at"] for event in node.events() if event["event"] == "run"]
 
     def add_route(self):
         self.version += random.randint(1, 3)
