Test of a withdrawn limit: callers spread their keys evenly

Traced: without keys and without any limit a target's share is 0.28 to 0.29 in each second; with keys and without any limit it swings between 0.13 and 0.39 from one second to the next, as all callers walk through the keys in step (a stride of 2,719 of 65,536), and the case compares two such seconds (0.36 and 0.23).

The keys of a caller now follow each other by a stride that spreads any few of them over all keys: shares of an owner stay within 0.02 to 0.06 over eight seconds.

--- a/tests/platform_target_says_process_test.py
+++ b/tests/platform_target_says_process_test.py
@@ -2,7 +2,6 @@
 that they leave, in the headers of their answers: real processes against the
 stand-ins of the platform's store and targets."""
 
-import json
 import os
 import signal
 import sys
@@ -23,6 +22,9 @@
 WITHDRAWN = 1.0
 # Time in which a target that takes nothing is tried again.
 TRIED_AGAIN = 5.0
+# Of the keys of one caller: a few requests in a row are spread evenly over all
+# keys, and so over their owners in any second.
+EVEN_STRIDE = 40503
 # A caller learns so soon that there is no room for its request.
 AT_ONCE = 0.5
 
@@ -43,12 +45,7 @@
     return int(number) if dash else None
 
 
-def events_of(node):
-    with open(node.journal) as file:
-        return [json.loads(line) for line in file if line.endswith("\n")]
-
-
-class Fixture(unittest.TestCase):
+class TargetSaysTest(unittest.TestCase):
     def setUp(self):
         self.mesh = Mesh(ROUTER, divided=4, undivided=3)
         self.addCleanup(self.mesh.close)
@@ -71,7 +68,7 @@
         while not self.stopping:
             count += 1
             attempt = Attempt(number, f"{number}-{caller}-{count}")
-            key = (count * 2719 + number * 911 + caller * 5077) % 65536
+            key = (count * EVEN_STRIDE + number * 911 + caller * 5077) % 65536
             try:
                 attempt.status, attempt.headers, _ = node.request(path, key, attempt.name, "POST", b"body")
             except OSError:
@@ -96,20 +93,20 @@
 
     def passed_by(self, target):
         """What the nodes passed on of this target's answers."""
-        its = {attempt for _, attempt in arrivals_of(events_of(target))}
+        its = {attempt for _, attempt in arrivals_of(target.events())}
         return [Passed(a.ended, a.origin, a.headers) for a in self.attempts if a.name in its]
 
     def check_limit(self, target, is_excused=never):
-        excess = check_limit(events_of(target), self.passed_by(target), time.monotonic(), origin_of, is_excused)
+        excess = check_limit(target.events(), self.passed_by(target), time.monotonic(), origin_of, is_excused)
         self.assertIsNone(excess, "got more requests in 4 s than it allows")
 
     def check_left(self, target, is_excused=never):
         sent = {a.name: a.sent for a in self.attempts}
-        late = late_after_leaving(events_of(target), self.passed_by(target), sent, origin_of, is_excused)
+        late = late_after_leaving(target.events(), self.passed_by(target), sent, origin_of, is_excused)
         self.assertEqual(late, [])
 
     def served_by(self, target, begin, end):
-        return sum(begin <= at < end for at, _ in arrivals_of(events_of(target)))
+        return sum(begin <= at < end for at, _ in arrivals_of(target.events()))
 
     def check_refusals(self, since):
         """What has no room is refused at once, with a time to return."""
@@ -129,8 +126,6 @@
         """Some time after the limit was withdrawn, its share is that before it."""
         self.assertGreater(self.share_of(target, withdrawn + seconds), 0.7 * self.share_of(target, named - 1))
 
-
-class TargetSaysTest(Fixture):
     # Guards against a named limit that nobody hears, at the owner of keys; and
     # against keys that stay where most of their requests are refused.
     def test_an_owner_of_keys_gets_what_it_takes_until_they_have_moved(self):
@@ -189,6 +184,23 @@
         self.end_callers()
         self.check_limit(limited)
 
+    # Guards against a withdrawn limit that is kept, and keys that move for a
+    # limit of a second.
+    def test_a_limit_ends_when_it_is_withdrawn(self):
+        for path, service in (("/plain/x", UNDIVIDED), ("/lock/x", DIVIDED)):
+            limited = self.of(service)[0]
+            self.begin_callers(path)
+            time.sleep(1.5)
+            named = time.monotonic()
+            limited.target_says(limit=LIMIT)
+            time.sleep(1.5)
+            limited.target_says()
+            withdrawn = time.monotonic()
+            time.sleep(WITHDRAWN + 1)
+            self.end_callers()
+            self.stopping = False
+            self.check_served_as_before(limited, named, withdrawn, WITHDRAWN)
+
     # Guards against a header that can't be parsed and is taken for a limit, or
     # for its end.
     def test_a_limit_that_is_no_number_changes_nothing(self):
