Test of a target that leaves: no two attempts share a name

All were of one node and had the numbers 2 to 38, that is of the first second of the second round, before the target had said anything.

Cause: the case plays two rounds, each with its own leaving target, and the callers numbered their attempts anew in each. The check finds a target's answers by the names of the attempts that reached it. An answer of the first round's target counted as one of the second round's where the name came again, so that its node had been "told" seconds before.

Ruled out: the router.

The check stays in the test.

--- a/tests/platform_target_says_process_test.py
+++ b/tests/platform_target_says_process_test.py
@@ -51,12 +51,14 @@
         self.addCleanup(self.mesh.close)
         self.mesh.start()
         self.attempts = []
+        self.presses = 0
         self.threads = []
         self.stopping = False
         self.addCleanup(self.end_callers)
 
     def begin_callers(self, path):
         """Each node gets some 80 requests a second."""
+        self.presses += 1
         for number, node in enumerate(self.mesh.nodes):
             for caller in range(2):
                 self.threads.append(threading.Thread(target=self.send, args=(path, number, caller, node)))
@@ -67,7 +69,7 @@
         count = 0
         while not self.stopping:
             count += 1
-            attempt = Attempt(number, f"{number}-{caller}-{count}")
+            attempt = Attempt(number, f"{number}-{self.presses}-{caller}-{count}")
             key = (count * EVEN_STRIDE + number * 911 + caller * 5077) % 65536
             try:
                 attempt.status, attempt.headers, _ = node.request(path, key, attempt.name, "POST", b"body")
@@ -93,6 +95,8 @@
 
     def passed_by(self, target):
         """What the nodes passed on of this target's answers."""
+        names = [a.name for a in self.attempts]
+        self.assertEqual(len(names), len(set(names)), "an attempt's name tells which target answered it")
         its = {attempt for _, attempt in arrivals_of(target.events())}
         return [Passed(a.ended, a.origin, a.headers) for a in self.attempts if a.name in its]
 
