A grant that met a refused connection is made again

Its node answered "the target does not hold the key" until the end.

Cause: the result of a call that met a refused connection was dropped as if it concerned an earlier process of the target. The hold kept the call's id and counted as "call under way", so that no grant and no release was made for it again.

Ruled out: the leader (it had assigned the keys, nobody returned them), the lease, a suspected restart (reports came, and clear that).

Now such a call counts as not sent: its grant is due again after the usual delay, its release as unanswered.

The test's check of work goes over all lives of all targets and lives beside the soak's other promises, which gains it: no key is given on during a run.

--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -489,6 +489,9 @@
   } catch (const ConnectRefusedError&) {
     if (incarnation_number == m_incarnation_number)
       OnRefused();
+    // OnRefused() may have ended the incarnation.
+    result.is_current = incarnation_number == m_incarnation_number;
+    result.was_sent = false;
     co_return result;
   } catch (const ResponseTimeoutError& error) {
     result.failure = error.what();
@@ -518,6 +521,10 @@
       std::move(command), PushHoldTracker::kCallTimeout, incarnation_number);
   if (!result.is_current)
     co_return;
+  if (!result.was_sent) {
+    m_push_holds.OnGrantNotSent(id);
+    co_return;
+  }
   if (!result.response) {
     spdlog::debug("event=grant-unanswered first={} last={} reason=\"{}\"",
                   grant.range.first, grant.range.last, result.failure);
@@ -548,6 +555,10 @@
       std::move(command), kReleaseTimeout, incarnation_number);
   if (!result.is_current)
     co_return;
+  if (!result.was_sent) {
+    m_push_holds.OnReleaseUnanswered(release.id);
+    co_return;
+  }
   if (!result.response) {
     spdlog::log(release.is_retry ? spdlog::level::debug : spdlog::level::info,
                 "event=release-unanswered first={} last={} reason=\"{}\"",
--- a/tests/platform_closed_listener_process_test.py
+++ b/tests/platform_closed_listener_process_test.py
@@ -14,12 +14,11 @@
 
 from mesh_callers import MeshCallers  # noqa: E402
 from platform_mesh import Mesh  # noqa: E402
-from promises import TargetLife, holds_of  # noqa: E402
+from promises import TargetLife, check_work, holds_of  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 # Two targets may hold a key together for so long, if neither works on it.
 HELD_TOGETHER = 0.5
-SAME_TIME = 0.005
 # Keys of a target that crashed are served again.
 TAKEOVER = 2.0
 PROBED_KEYS = range(0, 65536, 512)
@@ -33,23 +32,6 @@
     return life
 
 
-def runs_on(events, key_of):
-    """[key, begin, end] of each run."""
-    begun = {}
-    runs = []
-    for event in events:
-        if event["event"] == "run" and event["attempt"] in key_of:
-            begun[event["attempt"]] = event["at"]
-        elif event["event"] == "run-end" and event["attempt"] in begun:
-            runs.append([key_of[event["attempt"]], begun[event["attempt"]], event["at"]])
-    return runs
-
-
-def key_of_attempt(number, count):
-    """As MeshCallers choose it."""
-    return (count * 2719 + number * 911) % 65536
-
-
 class ClosedListenerTest(unittest.TestCase):
     grants = "request"
 
@@ -72,15 +54,10 @@
         """None is given on while its last holder works on it, or holds it for
         longer than the rules bear."""
         self.callers.stop()
-        key_of = {a: key_of_attempt(*map(int, a.split("-"))) for _, a, _ in self.callers.outcomes}
         given = life_of(self.leaving)
-        runs = runs_on(given.events, key_of)
-        problems = []
-        for other in self.others:
-            taken = life_of(other)
-            for key, begin, end in runs:
-                if any(begin < hold.begin < end - SAME_TIME for hold in holds_of(taken, key)):
-                    problems.append(f"key {key} was given on during a run")
+        others = [life_of(other) for other in self.others]
+        problems = check_work([given, *others])
+        for taken in others:
             for key in PROBED_KEYS:
                 later = holds_of(taken, key)
                 for hold in holds_of(given, key):
@@ -125,6 +102,21 @@
         self.check_keys()
         self.assertTrue(any(h[4] > time.monotonic() for h in self.leaving.holds()))
 
+    # Guards against keys that are never granted again, as a grant was under way
+    # when their target refused a connection.
+    def test_a_target_that_refuses_a_grant(self):
+        self.leaving.target_fault("unanswered", 100)
+        time.sleep(0.2)
+        self.leaving.target_fault("refuse", 1000)
+        time.sleep(1.2)
+        self.leaving.target_fault("unanswered", 0)
+        never_held = set(PROBED_KEYS)
+        until = time.monotonic() + TAKEOVER
+        while never_held and time.monotonic() < until:
+            never_held -= {key for key in never_held if any(node.holds_key(key) for node in self.mesh.nodes)}
+        self.assertEqual(never_held, set(), "keys that are held by nobody since")
+        self.check_keys()
+
     # Guards against keys that stay unserved once their target has died, in the
     # middle of its leaving too.
     def test_a_target_that_dies(self):
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,6 +1,7 @@
 """Checks of the promises, from what callers got and what targets did."""
 
 import random
+from bisect import bisect_right
 from collections import Counter, defaultdict
 
 from platform_mesh import COLD_EXCESS, COLD_PER_S, COLD_SLACK
@@ -57,6 +58,7 @@
     problems += check_cold(lives)
     problems += check_said(mesh, lives, outcomes)
     problems += check_holds(mesh, lives)
+    problems += check_work(lives, mesh.thaws)
     return problems
 
 
@@ -163,6 +165,45 @@
     return holds
 
 
+def work_of(life):
+    """[key, begin, end] of each run on a key."""
+    runs = {}
+    for event in life.events:
+        if event["event"] == "run" and event["key"] is not None:
+            runs[event["attempt"]] = [event["key"], event["at"], life.ended]
+        elif event["event"] == "run-end" and event["attempt"] in runs:
+            runs[event["attempt"]][2] = event["at"]
+    return list(runs.values())
+
+
+def first_grants(lives):
+    """(time, life, first, last) of the grants that gave a life new keys."""
+    grants = []
+    for life in lives:
+        fences = set()
+        for event in life.events:
+            if event["event"] == "grant" and event["until"] > event["at"] and event["fence"] not in fences:
+                fences.add(event["fence"])
+                grants.append((event["at"], life, event["first"], event["last"]))
+    return sorted(grants, key=lambda grant: grant[0])
+
+
+def check_work(lives, thaws=None):
+    """Keys that were given on while their last holder still worked on them."""
+    grants = first_grants(lives)
+    times = [grant[0] for grant in grants]
+    problems = []
+    for life in lives:
+        for key, begin, end in work_of(life):
+            for at, other, first, last in grants[bisect_right(times, begin) :]:
+                if at >= end - SAME_TIME:
+                    break
+                is_thawed = thaws and any(0 <= at - thaw < THAW_SLACK for thaw in thaws[other.node])
+                if other is not life and first <= key <= last and not is_thawed:
+                    problems.append(f"{other.identity} was given key {key} during a run at {life.identity}")
+    return problems
+
+
 def check_holds(mesh, lives):
     problems = []
     for key in random.Random(1).sample(range(65536), PROBES):
