Soak: targets close their listeners

A fourth generation of faults: a target refuses new connections for a while, as it leaves or in the middle of its work, and works on for those that it has. The proxy of its link closes its listener, so that its node sees a refusal and not a reset.

--- a/tests/failures_soak_seeds_process_test.py
+++ b/tests/failures_soak_seeds_process_test.py
@@ -65,6 +65,15 @@
     def test_324951_a_restarted_node_that_is_to_give_keys(self):
         self.play(324951, generation=2)
 
+    # Keys are served by nobody, for good: their target had refused connections
+    # for a moment, and a grant that met this was never made again.
+    def test_814103_a_target_that_refused_a_grant(self):
+        self.play(814103, generation=4)
+
+    # The same, seen by callers only after all had recovered.
+    def test_814106_a_target_that_refused_a_grant(self):
+        self.play(814106, generation=4)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,9 +15,11 @@
 COLD_MS = 3000
 # A named limit binds 3 s after it was first named.
 LIMITED = 4.0
-# The kinds of faults have grown twice: by evacuations and cold targets, then by
-# what targets say in their answers.
-LATEST = 3
+# The kinds of faults have grown three times: by evacuations and cold targets, by
+# what targets say in their answers, and by targets that refuse connections.
+LATEST = 4
+# Work that outlasts many a closed listener.
+LONG_WORK_MS = 400
 
 
 class Faults:
@@ -49,6 +51,8 @@
             self.kinds += [(2, self.evacuation), (3, self.cold_target)]
         if generation >= 3:
             self.kinds += [(3, self.limited_target), (2, self.target_says_it_leaves)]
+        if generation >= 4:
+            self.kinds += [(3, self.closed_listener)]
 
     def play(self, seconds):
         until = time.monotonic() + seconds
@@ -206,6 +210,21 @@
         time.sleep(length * pick)
         self.mesh.revive_target(node, keeps_id=False)
 
+    def closed_listener(self, node, length, pick):
+        is_leaving = pick < 0.4
+        node.target_fault("work", LONG_WORK_MS)
+        if is_leaving:
+            node.tell_target("/drain")
+        time.sleep(pick)
+        node.target_proxy.refuse()
+        time.sleep(length)
+        node.target_fault("work", 5)
+        if is_leaving:
+            self.mesh.kill_target(node)
+        node.target_proxy.listen_again()
+        if is_leaving:
+            self.mesh.revive_target(node, keeps_id=False)
+
     def cold_target(self, node, length, pick):
         node.target_fault("cold", COLD_MS)
 
--- a/tests/soak/link_proxy.py
+++ b/tests/soak/link_proxy.py
@@ -56,6 +56,7 @@
     cut_out   the same for bytes from it
     silence() connections of now pass nothing ever again; new ones work
     reset()   connections of now are reset
+    refuse()  new connections are refused until listen_again(); those of now work
     """
 
     def __init__(self, proxies, listen, target):
@@ -66,6 +67,7 @@
         self.cut_out = False
         self.connections = set()
         self.proxies = proxies
+        self.server = None
         proxies.run(self._serve())
 
     def heal(self):
@@ -84,9 +86,23 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def refuse(self):
+        self.proxies.loop.call_soon_threadsafe(self._close)
+
+    def listen_again(self):
+        self.proxies.run(self._serve())
+
+    def _close(self):
+        if self.server is not None:
+            self.server.close()
+            self.proxies.servers.remove(self.server)
+            self.server = None
+
     async def _serve(self):
-        ip, port = self.listen
-        self.proxies.servers.append(await asyncio.start_server(self._accept, ip, port))
+        if self.server is None:
+            ip, port = self.listen
+            self.server = await asyncio.start_server(self._accept, ip, port)
+            self.proxies.servers.append(self.server)
 
     async def _accept(self, reader, writer):
         try:
--- a/tests/soak/soak_mesh.py
+++ b/tests/soak/soak_mesh.py
@@ -154,6 +154,7 @@
         for node in self.nodes:
             for link in self.links_of(node):
                 link.heal()
+                link.listen_again()
             self.resume(node)
             self.revive_target(node, keeps_id=False)
             self.start_node(node)
