The log names the evidence by which keys were taken as returned

Who looks for two holders of a key could see that a range had a new owner, not why the leader took it as returned. Each range that changes hands is now logged with its evidence, the evidence's age, its fencing token and the epoch: one line for each owner and step of the leader, so that the loss of a zone writes as many lines as it has targets.

--- a/modules/coordination/mesh/key_assigner.cc
+++ b/modules/coordination/mesh/key_assigner.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "modules/coordination/mesh/key_placement.h"
+#include "modules/coordination/mesh/returned_keys_log.h"
 
 namespace citrongrade {
 
@@ -96,19 +97,24 @@
 }
 
 void KeyAssigner::UnassignLostOwners(
-    const std::function<bool(const SlotAssignment&)>& is_lost) {
+    const std::function<std::optional<OwnershipEnd>(const SlotAssignment&)>&
+        find_end) {
   for (const auto& [service, table] : m_tables) {
+    ReturnedKeysLog log(service, m_epoch);
     const auto is_next_lost = [&](const SlotAssignment& assignment) {
       return assignment.is_moving() &&
-             is_lost(WithOwner(assignment, assignment.next));
+             find_end(WithOwner(assignment, assignment.next));
     };
     ReplaceNextOwners(service, CopyMatching(table.assignments(), is_next_lost));
     const auto is_owner_lost = [&](const SlotAssignment& assignment) {
-      return assignment.has_owner() && is_lost(assignment);
+      return assignment.has_owner() && find_end(assignment);
     };
     for (const SlotAssignment& assignment :
-         CopyMatching(table.assignments(), is_owner_lost))
+         CopyMatching(table.assignments(), is_owner_lost)) {
+      if (const auto end = find_end(assignment))
+        log.Add(assignment, *end);
       CompleteRelease(service, assignment, {});
+    }
   }
 }
 
@@ -272,8 +278,14 @@
   };
   const std::vector<SlotAssignment> assignments =
       CopyMatching(found->second.AssignmentsIn(released.range), is_released);
+  OwnershipEnd end;
+  end.evidence = released.handover.empty()
+                     ? OwnershipEnd::Evidence::kHoldExpired
+                     : OwnershipEnd::Evidence::kReleased;
+  ReturnedKeysLog log(released.service, m_epoch);
   for (SlotAssignment assignment : assignments) {
     assignment.range = assignment.range.Intersection(released.range);
+    log.Add(assignment, end);
     CompleteRelease(released.service, assignment, released.handover);
   }
   if (!assignments.empty())
--- a/modules/coordination/mesh/key_assigner.h
+++ b/modules/coordination/mesh/key_assigner.h
@@ -10,6 +10,7 @@
 
 #include "modules/coordination/mesh/heartbeat.h"
 #include "modules/coordination/mesh/key_balancer.h"
+#include "modules/coordination/mesh/ownership_end.h"
 #include "modules/state/mesh/key_table.h"
 
 namespace citrongrade {
@@ -63,8 +64,10 @@
   void EndMeasurementRound(double seconds);
 
   // Steps of a tick.
+  // `find_end`: why the owner no longer holds the slots; nothing if it may.
   void UnassignLostOwners(
-      const std::function<bool(const SlotAssignment&)>& is_lost);
+      const std::function<std::optional<OwnershipEnd>(const SlotAssignment&)>&
+          find_end);
   void AssignUnowned();
   void PlanDrains();
   void PlanRebalancing();
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -304,29 +304,45 @@
          m_lease_duration.MaxDurationInForce() + m_timing.max_clock_drift;
 }
 
-bool MeshLeader::HasOwnershipExpired(const SlotAssignment& assignment) const {
+std::optional<OwnershipEnd> MeshLeader::FindOwnershipEnd(
+    const SlotAssignment& assignment) const {
+  using Evidence = OwnershipEnd::Evidence;
   const Clock::TimePoint now = m_clock.Now();
+  // Evidence that counts once `since` has passed.
+  const auto end_since = [now](Evidence evidence, Clock::TimePoint since) {
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(now - since);
+    return now > since ? std::optional(OwnershipEnd{evidence, age})
+                       : std::nullopt;
+  };
   const auto found = m_nodes.find(assignment.owner);
   // The previous leader may have granted the node a lease until the end of its
   // leadership.
   if (found == m_nodes.end())
-    return now > m_previous_leases_end;
+    return end_since(Evidence::kEarlierLeasesExpired, m_previous_leases_end);
   const Node& node = found->second;
-  switch (node.last_heartbeat.target.state) {
+  const Heartbeat::Target& target = node.last_heartbeat.target;
+  const auto heard_age =
+      std::chrono::floor<std::chrono::milliseconds>(now - node.last_heard);
+  switch (target.state) {
     case Heartbeat::TargetState::kUnknown:
       // The node's process is new; the leases of its earlier process expire in
       // the meantime.
-      return now > m_previous_leases_end && !MayHoldEarlierGrants(node);
+      return MayHoldEarlierGrants(node)
+                 ? std::nullopt
+                 : end_since(Evidence::kEarlierLeasesExpired,
+                             m_previous_leases_end);
     case Heartbeat::TargetState::kGone:
-      return true;
+      return OwnershipEnd{Evidence::kTargetGone, heard_age};
     case Heartbeat::TargetState::kServing:
     case Heartbeat::TargetState::kDraining:
-      if (node.last_heartbeat.target.incarnation != assignment.incarnation)
-        return true;
-      return now > std::max(node.lease_until, m_previous_leases_end) &&
-             IsTimedOut(node);
+      if (target.incarnation != assignment.incarnation)
+        return OwnershipEnd{Evidence::kNewIncarnation, heard_age};
+      return IsTimedOut(node)
+                 ? end_since(Evidence::kLeaseExpired,
+                             std::max(node.lease_until, m_previous_leases_end))
+                 : std::nullopt;
   }
-  return false;
+  return std::nullopt;
 }
 
 bool MeshLeader::IsPlacementAllowed() const {
@@ -368,7 +384,7 @@
 void MeshLeader::UpdateAssignments() {
   m_assigner.SetMembers(AssignableMembers());
   m_assigner.UnassignLostOwners([this](const SlotAssignment& assignment) {
-    return HasOwnershipExpired(assignment);
+    return FindOwnershipEnd(assignment);
   });
   if (!IsPlacementAllowed())
     return;
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -16,6 +16,7 @@
 #include "modules/coordination/mesh/leadership_lease.h"
 #include "modules/coordination/mesh/lease_duration_controller.h"
 #include "modules/coordination/mesh/mesh_timing.h"
+#include "modules/coordination/mesh/ownership_end.h"
 #include "modules/state/mesh/mesh_record.h"
 #include "modules/state/mesh/mesh_view.h"
 
@@ -107,7 +108,9 @@
   // Whether grants of an earlier process of the node may still hold its keys,
   // so that it can't give them back yet.
   bool MayHoldEarlierGrants(const Node& node) const;
-  bool HasOwnershipExpired(const SlotAssignment& assignment) const;
+  // Why the owner no longer holds the slots; nothing if it may.
+  std::optional<OwnershipEnd> FindOwnershipEnd(
+      const SlotAssignment& assignment) const;
   bool IsTimedOut(const Node& node) const;
   MeshMember::State StateOf(const Node& node) const;
   void PublishMember(const Node& node);
