--- a/modules/transport/mesh/target_controller.h
+++ b/modules/transport/mesh/target_controller.h
@@ -177,8 +177,8 @@
   enum class State { kUnknown, kServing, kDraining, kGone };
 
   struct CommandResult {
-    // False: the call was for an earlier incarnation, so the result says nothing
-    // of the present one.
+    // False: the call was for an earlier incarnation, so the result says
+    // nothing of the present one.
     bool is_current = false;
     // False: nobody listened at the address, so the call has no effect.
     bool was_sent = true;
