The leader looks once for the end of an ownership

UnassignLostOwners() asked find_end for each lost assignment twice: to select it, and for the reason that it logs, with a branch for the case that the two answers differ. It now collects assignment and reason in one pass. Behaviour and log are as before.

Checked: formatter, linter on the file, 246 cases of coordination_tests without the six that look for violations in the model, both classes of platform_closed_listener_process_test.

--- a/modules/coordination/mesh/key_assigner.cc
+++ b/modules/coordination/mesh/key_assigner.cc
@@ -23,6 +23,11 @@
 // A fencing token consists of the leader's epoch above a counter of its grants.
 constexpr unsigned kFenceCounterBits = 24;
 
+struct LostAssignment {
+  SlotAssignment assignment;
+  OwnershipEnd end;
+};
+
 // Copy of the assignment with the owner `owner`; unowned if that is not set.
 SlotAssignment WithOwner(SlotAssignment assignment, const NextOwner& owner) {
   assignment.owner = owner.address;
@@ -106,13 +111,15 @@
              find_end(WithOwner(assignment, assignment.next));
     };
     ReplaceNextOwners(service, CopyMatching(table.assignments(), is_next_lost));
-    const auto is_owner_lost = [&](const SlotAssignment& assignment) {
-      return assignment.has_owner() && find_end(assignment);
-    };
-    for (const SlotAssignment& assignment :
-         CopyMatching(table.assignments(), is_owner_lost)) {
+    std::vector<LostAssignment> lost;
+    for (const SlotAssignment& assignment : table.assignments()) {
+      if (!assignment.has_owner())
+        continue;
       if (const auto end = find_end(assignment))
-        log.Add(assignment, *end);
+        lost.push_back({assignment, *end});
+    }
+    for (const auto& [assignment, end] : lost) {
+      log.Add(assignment, end);
       CompleteRelease(service, assignment, {});
     }
   }
