--- a/tests/log_standin_process_test.py
+++ b/tests/log_standin_process_test.py
@@ -3,7 +3,6 @@
 import http.client
 import sys
 import threading
-import time
 import unittest
 
 from support.log_client import LogClient
