--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -155,6 +155,15 @@
   return {mesh.ToString(), data.ToString(), file.zone, LeaderFitness(file)};
 }
 
+// Whether this node takes part in sharing what targets can take, and keeps
+// slots of its own target for short calls.
+bool HasContendedCapacity(const RouterSettings& settings,
+                          const platform::SettingsFile& file) {
+  if (settings.capacity_reports == "auto")
+    return file.has_contended_capacity;
+  return settings.capacity_reports == "on";
+}
+
 TargetController::Settings MakeTargetControllerSettings(
     const platform::SettingsFile& file) {
   TargetController::Settings settings;
@@ -209,6 +218,7 @@
 
   const RouterSettings m_settings;
   platform::SettingsFile m_file;
+  const bool m_has_contended_capacity;
   const SteadyClock m_clock{};
   const MeshTiming m_timing{};
   boost::asio::io_context m_loop{1};
@@ -248,6 +258,7 @@
                                            const platform::SettingsFile& file)
     : m_settings(settings),
       m_file(file),
+      m_has_contended_capacity(HasContendedCapacity(settings, file)),
       m_monitor(m_clock),
       m_body_budget(static_cast<std::uint64_t>(
           file.memory_mb * kBytesPerMegabyte * kBodyMemoryShare)),
@@ -325,10 +336,10 @@
 void RouterNode::Implementation::Run() {
   spdlog::info(
       "event=started node={} zone={} service={} callers={} target={} store={} "
-      "cores={:.2f} link_mbps={:.0f}",
+      "cores={:.2f} link_mbps={:.0f} contended_capacity={}",
       m_file.node_name, m_file.zone, m_file.service, m_file.callers.ToString(),
       m_file.target.ToString(), m_file.store.ToString(), m_file.cpu_share,
-      m_file.link_mbps);
+      m_file.link_mbps, m_has_contended_capacity);
   m_config.Start([this] { return m_agent.should_read_store(); });
   m_agent.Start();
   boost::asio::co_spawn(m_loop, TickLoop(), boost::asio::detached);
