Leases cover the long runs of each node's target

Cause: leases were sized by the mean over all routes of a target. With calls of 30 ms beside reports of 300 ms they stayed at their minimum, and runs that outlasted the hold that they had at their start were aborted.

Change: a heartbeat has longRunUs, the 95th percentile of the run times of the longest sharded route. A node that reports it gets a lease that leaves at least that much of the hold at the start of any run, up to max_lease. The stored maximum follows longer runs at once, and shorter ones after 20 s. Nodes that report nothing get leases by the mean service times as before. The schema also has capacityRps, which is not used yet.

Measured: unit tests only (holds left at any start, writes of the record); failed runs in a mesh with processes not measured.

--- a/modules/coordination/mesh/heartbeat.h
+++ b/modules/coordination/mesh/heartbeat.h
@@ -100,6 +100,9 @@
   std::vector<SlotRequestCount> slot_request_counts;
   // Mean time that the target takes for a request; 0 if unknown.
   std::uint32_t mean_service_time_us = 0;
+  // 95th percentile of the run times of the target's longest sharded route; 0
+  // if unknown, also from nodes that don't report it.
+  std::uint32_t long_run_us = 0;
   // Fingerprints of the requests that were running when the target crashed.
   std::vector<std::uint64_t> crash_suspects;
   // As this node knows them.
--- a/modules/coordination/mesh/lease_duration_controller_test.cc
+++ b/modules/coordination/mesh/lease_duration_controller_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <random>
 #include <vector>
@@ -66,6 +67,36 @@
     return static_cast<double>(outlasting) / started;
   }
 
+  // Shortest hold left at any time while the leader delays each reply by a
+  // heartbeat interval and a round trip takes 20 ms.
+  static milliseconds ShortestHold(milliseconds lease) {
+    constexpr milliseconds kRoundTrip{20};
+    constexpr milliseconds kStart{5000};
+    ManualClock clock;
+    clock.Advance(milliseconds(4000));
+    PushHoldTracker holds{clock};
+    holds.SetAssignments({MakeOwnedAssignment(0, 9, 1)});
+    const milliseconds reply_time =
+        MeshTiming().heartbeat_interval + kRoundTrip;
+    Clock::TimePoint lease_until;
+    Clock::TimePoint sent = clock.Now();
+    auto shortest = milliseconds::max();
+    for (milliseconds t{0}; t < kSimulatedTime; t += kTick) {
+      clock.Advance(kTick);
+      if (clock.Now() - sent >= reply_time) {
+        lease_until = sent + lease;
+        sent = clock.Now();
+      }
+      for (const PushHoldTracker::Grant& grant : holds.DueGrants(lease_until))
+        holds.OnGranted(grant.id);
+      if (t > kStart) {
+        shortest = std::min(
+            shortest, std::chrono::floor<milliseconds>(holds.RemainingHold(5)));
+      }
+    }
+    return shortest;
+  }
+
  private:
   static constexpr double kSpread = 0.8;
 
@@ -161,4 +192,67 @@
   CHECK(length.DurationToStore() == timing.min_lease);
 }
 
+// Guards against runs that are aborted although all leases cover the mean:
+// calls of 30 ms make the mean of calls and reports short.
+TEST_CASE_FIXTURE(Fixture, "the hold at any start covers a long run") {
+  for (const int run_ms : {300, 700, 1200}) {
+    const milliseconds long_run(run_ms);
+    length.UpdateLongRuns({long_run});
+    Store();
+    CHECK(BusyTarget::ShortestHold(length.DurationToGrant(long_run)) >=
+          long_run);
+  }
+}
+
+TEST_CASE_FIXTURE(Fixture, "a slow target lengthens only its own lease") {
+  length.UpdateLongRuns({milliseconds(200), milliseconds(5000)});
+  Store();
+  CHECK(length.DurationToGrant(milliseconds(200)) == timing.min_lease);
+  CHECK(length.DurationToGrant(milliseconds(5000)) == timing.max_lease);
+  CHECK(length.MaxDurationInForce() == timing.max_lease);
+}
+
+// Guards against a later leader that assumes that a longer lease has already
+// expired.
+TEST_CASE_FIXTURE(Fixture, "a lease for long runs waits for the record") {
+  length.UpdateLongRuns({milliseconds(900)});
+  CHECK(length.DurationToGrant(milliseconds(900)) == timing.min_lease);
+  Store();
+  CHECK(length.DurationToGrant(milliseconds(900)) > milliseconds(2500));
+}
+
+// Guards against a record that is written all the time: long runs vary, while
+// work takes three times as long for 0.4 s in every 2 s.
+TEST_CASE_FIXTURE(Fixture, "varying long runs cause few writes of the record") {
+  constexpr int kRounds = 4 * 60;
+  int writes = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    clock.Advance(milliseconds(250));
+    length.UpdateLongRuns({milliseconds(round % 8 < 2 ? 900 : 500)});
+    if (length.DurationToStore() != length.MaxDurationInForce()) {
+      ++writes;
+      Store();
+    }
+  }
+  CHECK(writes == 1);
+}
+
+// Guards against leases that stay long for good after long runs have ended.
+TEST_CASE_FIXTURE(Fixture, "leases are shortened slowly, in force and stored") {
+  length.UpdateLongRuns({milliseconds(900)});
+  Store();
+  const milliseconds longer = length.MaxDurationInForce();
+  const auto run = [this](milliseconds duration) {
+    for (milliseconds t{0}; t < duration; t += milliseconds(250)) {
+      clock.Advance(milliseconds(250));
+      length.UpdateServiceTimes({});
+      length.UpdateLongRuns({milliseconds(100)});
+    }
+  };
+  run(milliseconds(15'000));
+  CHECK(length.DurationToStore() == longer);
+  run(milliseconds(30'000));
+  CHECK(length.DurationToStore() == timing.min_lease);
+}
+
 }  // namespace citrongrade
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -50,6 +50,11 @@
   return limit > 0 ? std::min(limit, capacity) : capacity * kColdCapacityFactor;
 }
 
+std::chrono::milliseconds MillisecondsFrom(std::uint32_t microseconds) {
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::chrono::microseconds(microseconds));
+}
+
 double CapacityOf(const Heartbeat& heartbeat) {
   const double capacity = UnlimitedCapacityOf(heartbeat);
   const double named = heartbeat.target.named_requests_per_second;
@@ -235,7 +240,7 @@
   if (found == m_nodes.end() || !HasAuthority())
     return reply;
   Node& node = found->second;
-  const std::chrono::milliseconds lease = m_lease_duration.DurationToGrant();
+  const std::chrono::milliseconds lease = LeaseFor(heartbeat);
   reply.lease_ms = static_cast<std::uint32_t>(lease.count());
   // An earlier lease may have been longer.
   node.lease_until =
@@ -394,7 +399,7 @@
   if (round < KeyBalancer::kRoundInterval)
     return;
   m_round_started = m_clock.Now();
-  m_lease_duration.UpdateServiceTimes(MeanServiceTimes());
+  UpdateLeaseDuration();
   m_assigner.EndMeasurementRound(std::chrono::duration<double>(round).count());
   // Doesn't rebalance while the store is unavailable: released keys could not
   // be assigned again and would stay without an owner until the store is back.
@@ -403,18 +408,29 @@
     m_assigner.PlanRebalancing();
 }
 
-std::vector<std::chrono::milliseconds> MeshLeader::MeanServiceTimes() const {
+void MeshLeader::UpdateLeaseDuration() {
   std::vector<std::chrono::milliseconds> means;
+  std::vector<std::chrono::milliseconds> long_runs;
   for (const auto& [address, node] : m_nodes) {
-    const bool has_keys =
-        m_assigner.tables().contains(node.last_heartbeat.target.service);
-    if (has_keys && node.last_heartbeat.mean_service_time_us > 0 &&
-        !IsTimedOut(node)) {
-      means.push_back(std::chrono::ceil<std::chrono::milliseconds>(
-          std::chrono::microseconds(node.last_heartbeat.mean_service_time_us)));
-    }
+    const Heartbeat& heartbeat = node.last_heartbeat;
+    if (IsTimedOut(node) ||
+        !m_assigner.tables().contains(heartbeat.target.service))
+      continue;
+    if (heartbeat.long_run_us > 0)
+      long_runs.push_back(MillisecondsFrom(heartbeat.long_run_us));
+    else if (heartbeat.mean_service_time_us > 0)
+      means.push_back(MillisecondsFrom(heartbeat.mean_service_time_us));
   }
-  return means;
+  m_lease_duration.UpdateServiceTimes(std::move(means));
+  m_lease_duration.UpdateLongRuns(long_runs);
+}
+
+std::chrono::milliseconds MeshLeader::LeaseFor(
+    const Heartbeat& heartbeat) const {
+  return heartbeat.long_run_us > 0
+             ? m_lease_duration.DurationToGrant(
+                   MillisecondsFrom(heartbeat.long_run_us))
+             : m_lease_duration.DurationToGrant();
 }
 
 std::vector<std::string> MeshLeader::DesiredVoters() const {
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -121,9 +121,8 @@
   bool IsNextOwnerStored(const KeyAssigner::Change& change) const;
   bool NeedsStore() const;
   void UpdateAssignments();
-  // Mean service times of the targets of sharded services, from their last
-  // heartbeats.
-  std::vector<std::chrono::milliseconds> MeanServiceTimes() const;
+  void UpdateLeaseDuration();
+  std::chrono::milliseconds LeaseFor(const Heartbeat& heartbeat) const;
   // Chooses other nodes to read the store if the current readers can't reach
   // it.
   void ChooseStoreReaders();
--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -226,6 +226,28 @@
   CHECK(took < lease + milliseconds(200));
 }
 
+// Guards against runs that outlast the hold that they had at their start: the
+// mean over calls and reports is short, the reports are not. Keys of nodes
+// without long runs are not to wait for longer than before.
+TEST_CASE_FIXTURE(Fixture, "each node's lease covers its long runs") {
+  for (const char* address : {"a", "b", "c"}) {
+    Node(address).mean_service_time_us = 220'000;
+    Node(address).long_run_us = 250'000;
+  }
+  Node("b").long_run_us = 900'000;
+  Run(milliseconds(4000));
+  REQUIRE(SlotsOf("b") > 0);
+  const milliseconds lease(replies["b"].lease_ms);
+  CHECK(lease > milliseconds(2500));
+  CHECK(milliseconds(replies["c"].lease_ms) == timing.min_lease);
+  CHECK(milliseconds(replies["c"].max_lease_ms) >= lease);
+  const Clock::TimePoint last_heartbeat = clock.Now();
+  while (SlotsOf("b") > 0 && clock.Now() - last_heartbeat < milliseconds(5000))
+    Step(milliseconds(10), "b");
+  CHECK(clock.Now() - last_heartbeat > lease);
+  CHECK(clock.Now() - last_heartbeat < lease + milliseconds(200));
+}
+
 // Guards against the same failure if the leader is lost together with the node.
 TEST_CASE_FIXTURE(Fixture, "the next leader waits for extended leases") {
   for (const char* address : {"a", "b", "c"})
--- a/modules/coordination/mesh/push_hold_tracker.h
+++ b/modules/coordination/mesh/push_hold_tracker.h
@@ -54,6 +54,8 @@
   // Pause before a call is repeated that failed or was not answered.
   static constexpr std::chrono::milliseconds kRetryDelay{60};
   using TargetHoldTracker::kCallTimeout;
+  using TargetHoldTracker::kMinTargetClockRate;
+  using TargetHoldTracker::kServeMargin;
 
   explicit PushHoldTracker(const Clock& clock);
 
--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -54,6 +54,11 @@
   evacuations @30 :Evacuations;
   coldRequestsPerSecond @31 :Float64;
   namedRequestsPerSecond @32 :Float64;
+  # 95th percentile of the run times of the longest sharded route; 0: unknown.
+  longRunUs @33 :UInt32;
+  # Requests per second that the target can serve, by a slow estimate; 0:
+  # unknown.
+  capacityRps @34 :Float64;
 
   struct Released {
     service @0 :Text;
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -81,7 +81,7 @@
   struct Released;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 13, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 15, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -596,6 +596,10 @@
 
   inline double getNamedRequestsPerSecond() const;
 
+  inline  ::uint32_t getLongRunUs() const;
+
+  inline double getCapacityRps() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -765,6 +769,12 @@
   inline double getNamedRequestsPerSecond();
   inline void setNamedRequestsPerSecond(double value);
 
+  inline  ::uint32_t getLongRunUs();
+  inline void setLongRunUs( ::uint32_t value);
+
+  inline double getCapacityRps();
+  inline void setCapacityRps(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3596,6 +3606,34 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t MeshHeartbeat::Reader::getLongRunUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MeshHeartbeat::Builder::getLongRunUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setLongRunUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS, value);
+}
+
+inline double MeshHeartbeat::Reader::getCapacityRps() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline double MeshHeartbeat::Builder::getCapacityRps() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setCapacityRps(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MeshHeartbeat::Released::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -171,6 +171,7 @@
   for (unsigned i = 0; i + 1 < arrivals.size(); i += 2)
     heartbeat.slot_request_counts.push_back({arrivals[i], arrivals[i + 1]});
   heartbeat.mean_service_time_us = in.getMeanWorkUs();
+  heartbeat.long_run_us = in.getLongRunUs();
   heartbeat.crash_suspects = ReadNumbers(in.getCrashSuspects());
   heartbeat.evacuations = ReadEvacuations(in.getEvacuations());
   return heartbeat;
@@ -437,6 +438,7 @@
   WriteReleased(heartbeat.released, out);
   WriteArrivals(heartbeat.slot_request_counts, out);
   out.setMeanWorkUs(heartbeat.mean_service_time_us);
+  out.setLongRunUs(heartbeat.long_run_us);
   out.setCrashSuspects(NumbersOf(heartbeat.crash_suspects));
   WriteEvacuations(heartbeat.evacuations, out.initEvacuations());
   return Pack(message);
--- a/modules/protocol/mesh_message_codec_test.cc
+++ b/modules/protocol/mesh_message_codec_test.cc
@@ -94,6 +94,7 @@
   heartbeat.target.cold_requests_per_second = 12.15;
   heartbeat.target.named_requests_per_second = 26.1;
   heartbeat.evacuations = {17, {"derby", "suape"}};
+  heartbeat.long_run_us = 900'000;
   CHECK(MeshMessageCodec::DecodeHeartbeat(
             MeshMessageCodec::Encode(heartbeat)) == heartbeat);
 }
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -102,7 +102,8 @@
       m_admission(clock, TargetAdmission::Parameters()),
       m_poison_detector(
           std::make_unique<PoisonDetector>(clock,
-                                           PoisonDetector::Parameters())) {}
+                                           PoisonDetector::Parameters())),
+      m_long_runs(clock) {}
 
 TargetGateway::~TargetGateway() = default;
 
@@ -363,8 +364,9 @@
       m_controller.OnSignals(m_protocol.ReadTargetSignals(response), started,
                              incarnation_number);
     if (!response_info.did_not_run) {
-      guard.SetServiceTime(m_clock.Now() - started);
-      m_has_measured_service_time = true;
+      const Clock::Duration run_time = m_clock.Now() - started;
+      guard.SetServiceTime(run_time);
+      OnRunEnded(metadata, run_time);
       if (response_info.is_authentic)
         m_controller.OnIncarnationConfirmed();
       m_poison_detector->OnFinished(
@@ -392,6 +394,13 @@
   }
 }
 
+void TargetGateway::OnRunEnded(const ForwardMetadata& metadata,
+                               Clock::Duration run_time) {
+  m_has_measured_service_time = true;
+  if (metadata.key)
+    m_long_runs.OnRun(metadata.route, run_time);
+}
+
 ForwardResult TargetGateway::ClassifyResponse(
     HttpResponse response,
     const TargetResponseInfo& response_info) {
@@ -515,6 +524,13 @@
           .count());
 }
 
+std::uint32_t TargetGateway::long_run_us() const {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          m_long_runs.long_run())
+          .count());
+}
+
 void TargetGateway::CountResult(const ForwardResult& result) {
   switch (result.outcome) {
     case RequestOutcome::kDone:
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -9,6 +9,7 @@
 
 #include "modules/coordination/clock.h"
 #include "modules/coordination/load/load_identifiers.h"
+#include "modules/coordination/load/long_run_estimator.h"
 #include "modules/coordination/load/target_admission.h"
 #include "modules/coordination/mesh/heartbeat.h"
 #include "modules/transport/async/task.h"
@@ -79,6 +80,9 @@
   std::vector<std::uint64_t> TakeCrashSuspects();
   void MergeCrashSuspects(const std::vector<std::uint64_t>& suspects);
   std::uint32_t mean_service_time_us() const;
+  // 95th percentile of the run times of the longest sharded route; 0 if
+  // unknown.
+  std::uint32_t long_run_us() const;
   std::size_t running() const { return m_admission.running(); }
   std::size_t waiting() const { return m_admission.waiting(); }
   const Counts& counts() const { return m_counts; }
@@ -124,6 +128,8 @@
   void UpdateAdmission();
   // Refusal of a request for which there is no room in time.
   ForwardResult RefuseForLackOfRoom() const;
+  // `run_time`: how long the target ran the request.
+  void OnRunEnded(const ForwardMetadata& metadata, Clock::Duration run_time);
   ForwardResult ClassifyResponse(HttpResponse response,
                                  const TargetResponseInfo& response_info);
   // Called when the connection of a running request breaks. Probes the target
@@ -147,6 +153,7 @@
   std::vector<BrokenConnection> m_broken_connections;
   RequestTicket m_next_ticket{1};
   std::map<std::uint32_t, std::uint32_t> m_slot_request_counts;
+  LongRunEstimator m_long_runs;
   bool m_has_measured_service_time = false;
   bool m_has_cold_limit = false;
   Counts m_counts;
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -404,6 +404,7 @@
   heartbeat.released = m_target_controller.MakeHeartbeatReleases();
   heartbeat.slot_request_counts = m_gateway.TakeSlotRequestCounts();
   heartbeat.mean_service_time_us = m_gateway.mean_service_time_us();
+  heartbeat.long_run_us = m_gateway.long_run_us();
   heartbeat.crash_suspects = m_gateway.TakeCrashSuspects();
 }
 
@@ -584,7 +585,8 @@
                      {"cold_left_ms", ColdLeft().count()},
                      {"held_ranges", m_target_controller.held_range_count()},
                      {"running", m_gateway.running()},
-                     {"waiting", m_gateway.waiting()}};
+                     {"waiting", m_gateway.waiting()},
+                     {"long_run_ms", m_gateway.long_run_us() / 1e3}};
   state["target"].update(DumpCondition());
   for (const MeshMember* member : m_agent.view().members()) {
     state["members"].push_back({{"address", member->address},
@@ -632,6 +634,7 @@
   add("citrongrade_target_waiting", static_cast<double>(m_gateway.waiting()));
   add("citrongrade_target_mean_work_seconds",
       m_gateway.mean_service_time_us() / 1e6);
+  add("citrongrade_target_long_run_seconds", m_gateway.long_run_us() / 1e6);
   add("citrongrade_target_connections_opened_total",
       static_cast<double>(m_target_pool.opened_count()));
   add("citrongrade_held_ranges",
