A new mesh assigns its keys once no target registers any more

Cause: the first placement took place 2.5 s after the leader's start. One of 25 targets had registered by then and got all keys, so that all keys moved in the first second of traffic. A leader that took over before the first placement assigned the keys 0.7 s after its claim, because the stored record already contained the tables without owners.

Change: the first placement waits until no target of a sharded service has registered for 1 s, at least 2.5 s and at most 6 s after the leader's start. A mesh is new as long as no key has had an owner, also for the next leader.

--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -55,6 +55,18 @@
       std::chrono::microseconds(microseconds));
 }
 
+// Whether no keys have been assigned yet. An earlier leader may have stored the
+// tables before that.
+bool IsNewMesh(const MeshRecord& record) {
+  return std::all_of(
+      record.tables.begin(), record.tables.end(), [](const auto& entry) {
+        const std::vector<SlotAssignment>& runs = entry.second.assignments();
+        return std::none_of(
+            runs.begin(), runs.end(),
+            [](const SlotAssignment& run) { return run.has_owner(); });
+      });
+}
+
 double CapacityOf(const Heartbeat& heartbeat) {
   const double capacity = UnlimitedCapacityOf(heartbeat);
   const double named = heartbeat.target.named_requests_per_second;
@@ -73,7 +85,7 @@
       m_self(self),
       m_nonce(nonce),
       m_leading_since(clock.Now()),
-      m_is_new_mesh(claimed.tables.empty()),
+      m_is_new_mesh(IsNewMesh(claimed)),
       m_stored_record(claimed),
       m_leadership_lease(clock,
                          timing.vote_duration,
@@ -137,6 +149,11 @@
     if (m_crash_suspects.size() < kMaxCrashSuspects)
       m_crash_suspects.push_back(suspect);
   }
+  const Heartbeat::Target& known = node.last_heartbeat.target;
+  if (heartbeat.target.state == Heartbeat::TargetState::kServing &&
+      (known.state != Heartbeat::TargetState::kServing ||
+       known.incarnation != heartbeat.target.incarnation))
+    node.target_registered = now;
   node.last_heartbeat = heartbeat;
   PublishMember(node);
   PublishBeforeStore();
@@ -351,9 +368,25 @@
 }
 
 bool MeshLeader::IsPlacementAllowed() const {
-  const Clock::Duration wait =
-      m_is_new_mesh ? m_timing.initial_placement_delay : kFirstHeartbeatsDelay;
-  return m_clock.Now() > m_leading_since + wait;
+  const Clock::Duration elapsed = m_clock.Now() - m_leading_since;
+  if (!m_is_new_mesh)
+    return elapsed > kFirstHeartbeatsDelay;
+  if (elapsed <= m_timing.initial_placement_delay)
+    return false;
+  return elapsed > m_timing.max_initial_placement_delay ||
+         !AreTargetsRegistering();
+}
+
+bool MeshLeader::AreTargetsRegistering() const {
+  const Clock::TimePoint now = m_clock.Now();
+  return std::any_of(
+      m_nodes.begin(), m_nodes.end(), [this, now](const auto& entry) {
+        const Node& node = entry.second;
+        const Heartbeat::Target& target = node.last_heartbeat.target;
+        return target.state == Heartbeat::TargetState::kServing &&
+               m_assigner.tables().contains(target.service) &&
+               now - node.target_registered < m_timing.initial_placement_quiet;
+      });
 }
 
 std::vector<KeyAssigner::Member> MeshLeader::AssignableMembers() const {
@@ -393,6 +426,7 @@
   });
   if (!IsPlacementAllowed())
     return;
+  m_is_new_mesh = false;
   m_assigner.AssignUnowned();
   m_assigner.PlanDrains();
   const Clock::Duration round = m_clock.Now() - m_round_started;
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -100,6 +100,8 @@
     bool is_restarted = false;
     Clock::TimePoint last_heard;
     Clock::TimePoint lease_until;
+    // When the present incarnation of its target was first reported to serve.
+    Clock::TimePoint target_registered;
     std::size_t crash_suspects_sent = 0;
     bool has_promised = false;
   };
@@ -133,13 +135,16 @@
   std::vector<KeyAssigner::Member> AssignableMembers() const;
   std::vector<std::string> DesiredVoters() const;
   bool IsPlacementAllowed() const;
+  // Whether a target of a sharded service has registered a moment ago.
+  bool AreTargetsRegistering() const;
 
   const Clock& m_clock;
   const MeshTiming m_timing;
   const std::string m_self;
   const std::uint64_t m_nonce;
   const Clock::TimePoint m_leading_since;
-  const bool m_is_new_mesh;
+  // No keys have been assigned yet.
+  bool m_is_new_mesh;
   MeshRecord m_stored_record;
   std::optional<MeshRecord> m_pending_record;
   std::vector<KeyAssigner::Change> m_pending_changes;
--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -133,6 +133,74 @@
     CHECK(SlotsOf(address) == kSlotCount / 4);
 }
 
+// Guards against a target that gets all keys because the others register a
+// little later. All keys then move in the first second of traffic.
+TEST_CASE_FIXTURE(Fixture, "the first placement waits while targets register") {
+  Node("a");
+  for (const char* address : {"b", "c", "d"})
+    Node(address).target.state = Heartbeat::TargetState::kUnknown;
+  Run(milliseconds(2000));
+  for (const char* address : {"b", "c", "d"}) {
+    Node(address).target.state = Heartbeat::TargetState::kServing;
+    Run(milliseconds(700));
+    CHECK(SlotsOf("a") == 0);
+  }
+  Run(milliseconds(500));
+  for (const char* address : {"a", "b", "c", "d"})
+    CHECK(SlotsOf(address) == kSlotCount / 4);
+}
+
+// Guards against a mesh without owners because its targets keep restarting.
+TEST_CASE_FIXTURE(Fixture, "the first placement waits for 6 s at most") {
+  Node("a");
+  Node("b");
+  std::int64_t started = 0;
+  for (milliseconds t{0}; t < milliseconds(5500); t += milliseconds(500)) {
+    Node("b").target.incarnation = {"t-b", ++started};
+    Run(milliseconds(500));
+    CHECK(SlotsOf("a") == 0);
+  }
+  for (milliseconds t{0}; t < milliseconds(1000); t += milliseconds(500)) {
+    Node("b").target.incarnation = {"t-b", ++started};
+    Run(milliseconds(500));
+  }
+  CHECK(SlotsOf("a") > 0);
+}
+
+// Guards against targets of other services that delay the first placement.
+TEST_CASE_FIXTURE(Fixture, "only targets of sharded services are waited for") {
+  Node("a");
+  Node("b");
+  Run(milliseconds(2000));
+  Node("c").target.service = "plain";
+  Run(milliseconds(650));
+  CHECK(SlotsOf("a") == kSlotCount / 2);
+}
+
+// Guards against the next leader that assigns all keys to the few targets that
+// it has heard of: the record may contain the tables, but no owners yet.
+TEST_CASE_FIXTURE(Fixture,
+                  "a leader lost in the first placement changes nothing") {
+  Node("a");
+  Node("b").target.state = Heartbeat::TargetState::kUnknown;
+  stores = false;
+  Run(milliseconds(1500));
+  std::optional<MeshRecord> stored = leader->RecordToStore();
+  REQUIRE(stored.has_value());
+  REQUIRE(stored->tables.contains("divided"));
+  ++stored->epoch;
+  Lead(*stored);
+  stores = true;
+  Run(milliseconds(2000));
+  CHECK(SlotsOf("a") == 0);
+  Node("b").target.state = Heartbeat::TargetState::kServing;
+  Run(milliseconds(800));
+  CHECK(SlotsOf("a") == 0);
+  Run(milliseconds(500));
+  CHECK(SlotsOf("a") == kSlotCount / 2);
+  CHECK(SlotsOf("b") == kSlotCount / 2);
+}
+
 // Guards against two holders of a key after the loss of a node: its target may
 // hold keys until its last lease expires. Nobody gets them before, and another
 // node gets them soon after.
--- a/modules/coordination/mesh/mesh_timing.h
+++ b/modules/coordination/mesh/mesh_timing.h
@@ -30,10 +30,15 @@
   // A member without a heartbeat for this long gets no requests of unsharded
   // services.
   std::chrono::milliseconds member_timeout{1300};
-  // Time for which a new mesh waits for targets to register before it assigns
-  // keys. Most targets are present by then, so that few keys have to move right
-  // after the start.
+  // A new mesh waits for targets to register before it assigns keys: at least
+  // initial_placement_delay after its leader's start, then until none has
+  // registered for initial_placement_quiet, and at most
+  // max_initial_placement_delay. Most targets are present by then, so that few
+  // keys have to move right after the start. With a fixed delay, one of 25
+  // targets had registered in time and got all keys.
   std::chrono::milliseconds initial_placement_delay{2500};
+  std::chrono::milliseconds initial_placement_quiet{1000};
+  std::chrono::milliseconds max_initial_placement_delay{6000};
   // A member without a heartbeat for this long is removed from the voters.
   std::chrono::milliseconds voter_timeout{5000};
 
