--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -50,6 +50,23 @@
   return limit > 0 ? std::min(limit, capacity) : capacity * kColdCapacityFactor;
 }
 
+std::chrono::milliseconds MillisecondsFrom(std::uint32_t microseconds) {
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::chrono::microseconds(microseconds));
+}
+
+// Whether no keys have been assigned yet. An earlier leader may have stored the
+// tables before that.
+bool IsNewMesh(const MeshRecord& record) {
+  return std::all_of(
+      record.tables.begin(), record.tables.end(), [](const auto& entry) {
+        const std::vector<SlotAssignment>& runs = entry.second.assignments();
+        return std::none_of(
+            runs.begin(), runs.end(),
+            [](const SlotAssignment& run) { return run.has_owner(); });
+      });
+}
+
 double CapacityOf(const Heartbeat& heartbeat) {
   const double capacity = UnlimitedCapacityOf(heartbeat);
   const double named = heartbeat.target.named_requests_per_second;
@@ -68,7 +85,7 @@
       m_self(self),
       m_nonce(nonce),
       m_leading_since(clock.Now()),
-      m_is_new_mesh(claimed.tables.empty()),
+      m_is_new_mesh(IsNewMesh(claimed)),
       m_stored_record(claimed),
       m_leadership_lease(clock,
                          timing.vote_duration,
@@ -132,6 +149,11 @@
     if (m_crash_suspects.size() < kMaxCrashSuspects)
       m_crash_suspects.push_back(suspect);
   }
+  const Heartbeat::Target& known = node.last_heartbeat.target;
+  if (heartbeat.target.state == Heartbeat::TargetState::kServing &&
+      (known.state != Heartbeat::TargetState::kServing ||
+       known.incarnation != heartbeat.target.incarnation))
+    node.target_registered = now;
   node.last_heartbeat = heartbeat;
   PublishMember(node);
   PublishBeforeStore();
@@ -235,7 +257,7 @@
   if (found == m_nodes.end() || !HasAuthority())
     return reply;
   Node& node = found->second;
-  const std::chrono::milliseconds lease = m_lease_duration.DurationToGrant();
+  const std::chrono::milliseconds lease = LeaseFor(heartbeat);
   reply.lease_ms = static_cast<std::uint32_t>(lease.count());
   // An earlier lease may have been longer.
   node.lease_until =
@@ -346,9 +368,25 @@
 }
 
 bool MeshLeader::IsPlacementAllowed() const {
-  const Clock::Duration wait =
-      m_is_new_mesh ? m_timing.initial_placement_delay : kFirstHeartbeatsDelay;
-  return m_clock.Now() > m_leading_since + wait;
+  const Clock::Duration elapsed = m_clock.Now() - m_leading_since;
+  if (!m_is_new_mesh)
+    return elapsed > kFirstHeartbeatsDelay;
+  if (elapsed <= m_timing.initial_placement_delay)
+    return false;
+  return elapsed > m_timing.max_initial_placement_delay ||
+         !AreTargetsRegistering();
+}
+
+bool MeshLeader::AreTargetsRegistering() const {
+  const Clock::TimePoint now = m_clock.Now();
+  return std::any_of(
+      m_nodes.begin(), m_nodes.end(), [this, now](const auto& entry) {
+        const Node& node = entry.second;
+        const Heartbeat::Target& target = node.last_heartbeat.target;
+        return target.state == Heartbeat::TargetState::kServing &&
+               m_assigner.tables().contains(target.service) &&
+               now - node.target_registered < m_timing.initial_placement_quiet;
+      });
 }
 
 std::vector<KeyAssigner::Member> MeshLeader::AssignableMembers() const {
@@ -388,13 +426,14 @@
   });
   if (!IsPlacementAllowed())
     return;
+  m_is_new_mesh = false;
   m_assigner.AssignUnowned();
   m_assigner.PlanDrains();
   const Clock::Duration round = m_clock.Now() - m_round_started;
   if (round < KeyBalancer::kRoundInterval)
     return;
   m_round_started = m_clock.Now();
-  m_lease_duration.UpdateServiceTimes(MeanServiceTimes());
+  UpdateLeaseDuration();
   m_assigner.EndMeasurementRound(std::chrono::duration<double>(round).count());
   // Doesn't rebalance while the store is unavailable: released keys could not
   // be assigned again and would stay without an owner until the store is back.
@@ -403,18 +442,29 @@
     m_assigner.PlanRebalancing();
 }
 
-std::vector<std::chrono::milliseconds> MeshLeader::MeanServiceTimes() const {
+void MeshLeader::UpdateLeaseDuration() {
   std::vector<std::chrono::milliseconds> means;
+  std::vector<std::chrono::milliseconds> long_runs;
   for (const auto& [address, node] : m_nodes) {
-    const bool has_keys =
-        m_assigner.tables().contains(node.last_heartbeat.target.service);
-    if (has_keys && node.last_heartbeat.mean_service_time_us > 0 &&
-        !IsTimedOut(node)) {
-      means.push_back(std::chrono::ceil<std::chrono::milliseconds>(
-          std::chrono::microseconds(node.last_heartbeat.mean_service_time_us)));
-    }
+    const Heartbeat& heartbeat = node.last_heartbeat;
+    if (IsTimedOut(node) ||
+        !m_assigner.tables().contains(heartbeat.target.service))
+      continue;
+    if (heartbeat.long_run_us > 0)
+      long_runs.push_back(MillisecondsFrom(heartbeat.long_run_us));
+    else if (heartbeat.mean_service_time_us > 0)
+      means.push_back(MillisecondsFrom(heartbeat.mean_service_time_us));
   }
-  return means;
+  m_lease_duration.UpdateServiceTimes(std::move(means));
+  m_lease_duration.UpdateLongRuns(long_runs);
+}
+
+std::chrono::milliseconds MeshLeader::LeaseFor(
+    const Heartbeat& heartbeat) const {
+  return heartbeat.long_run_us > 0
+             ? m_lease_duration.DurationToGrant(
+                   MillisecondsFrom(heartbeat.long_run_us))
+             : m_lease_duration.DurationToGrant();
 }
 
 std::vector<std::string> MeshLeader::DesiredVoters() const {
