Log and metric tell which kind of answer changed a target's limit

Runs, refusals, grants and releases were all logged as source=answer, so a limit that ends with each renewed grant looked like one that the target withdraws. The source is now run, refusal or command, and a counter tells how often the limit changed. Not measured.

--- a/modules/coordination/load/target_condition.cc
+++ b/modules/coordination/load/target_condition.cc
@@ -37,6 +37,8 @@
   if (!rate_limit)
     m_limited_since.reset();
   const bool is_changed = rate_limit != m_rate_limit;
+  if (is_changed)
+    ++m_rate_limit_changes;
   m_rate_limit = rate_limit;
   m_rate_limit_source = rate_limit ? source : Source::kNone;
   return is_changed;
@@ -49,6 +51,7 @@
 }
 
 TargetCondition::Changes TargetCondition::OnAnswer(const TargetSignals& signals,
+                                                   AnswerKind /*kind*/,
                                                    Clock::TimePoint sent_at) {
   Changes changes;
   const Clock::TimePoint now = m_clock.Now();
--- a/modules/coordination/load/target_condition.h
+++ b/modules/coordination/load/target_condition.h
@@ -28,6 +28,16 @@
     kPeer,
   };
 
+  // What the target answers.
+  enum class AnswerKind : std::uint8_t {
+    // A request that it ran.
+    kRun,
+    // A request that it refused to run.
+    kRefusal,
+    // A grant or a release of keys.
+    kCommand,
+  };
+
   struct Changes {
     bool is_rate_limit_changed = false;
     bool is_leaving_new = false;
@@ -43,7 +53,9 @@
   void BeginIncarnation(const TargetIncarnation& target);
 
   // `sent_at`: when the request was sent that the target answers.
-  Changes OnAnswer(const TargetSignals& signals, Clock::TimePoint sent_at);
+  Changes OnAnswer(const TargetSignals& signals,
+                   AnswerKind kind,
+                   Clock::TimePoint sent_at);
   // Ignores what is of another process of the target. Its limit counts until
   // the target itself has answered.
   Changes OnNotice(const TargetNotice& notice);
@@ -61,6 +73,9 @@
     return m_leaving_since;
   }
   const std::optional<TargetLoad>& load() const { return m_load; }
+  // Times that the limit was set, changed or withdrawn, over all processes of
+  // the target.
+  std::uint64_t rate_limit_changes() const { return m_rate_limit_changes; }
 
  private:
   bool SetRateLimit(std::optional<double> rate_limit, Source source);
@@ -74,6 +89,7 @@
   std::optional<Clock::TimePoint> m_limited_since;
   // When an answer last named the limit that counts.
   Clock::TimePoint m_rate_limit_confirmed_at;
+  std::uint64_t m_rate_limit_changes = 0;
   bool m_has_answered = false;
   bool m_is_malformed = false;
   std::optional<Clock::TimePoint> m_leaving_since;
--- a/modules/coordination/load/target_condition_test.cc
+++ b/modules/coordination/load/target_condition_test.cc
@@ -25,7 +25,8 @@
   // An answer to a request that was sent so long ago.
   TargetCondition::Changes Answer(const TargetSignals& signals,
                                   milliseconds sent_ago) {
-    return condition.OnAnswer(signals, clock.Now() - sent_ago);
+    return condition.OnAnswer(signals, TargetCondition::AnswerKind::kRun,
+                              clock.Now() - sent_ago);
   }
 
   ManualClock clock;
--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -53,6 +53,18 @@
 // keys are planned to move within this time.
 constexpr std::chrono::milliseconds kDrainingGrantReplyWait{250};
 
+const char* SourceName(TargetCondition::AnswerKind kind) {
+  switch (kind) {
+    case TargetCondition::AnswerKind::kRun:
+      return "run";
+    case TargetCondition::AnswerKind::kRefusal:
+      return "refusal";
+    case TargetCondition::AnswerKind::kCommand:
+      return "command";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 struct TargetController::WaitingReport {
@@ -372,19 +384,20 @@
 }
 
 void TargetController::OnSignals(const TargetSignals& signals,
+                                 TargetCondition::AnswerKind kind,
                                  Clock::TimePoint sent_at,
                                  std::uint64_t incarnation_number) {
   if (incarnation_number != m_incarnation_number)
     return;
   const std::optional<double> previous = m_condition.rate_limit();
   const TargetCondition::Changes changes =
-      m_condition.OnAnswer(signals, sent_at);
+      m_condition.OnAnswer(signals, kind, sent_at);
   LogUnknownHeaders(signals);
   if (changes.is_malformed_new) {
     spdlog::warn("event=target-limit-malformed target={} service={} value={}",
                  m_incarnation.id, m_service, signals.malformed_rate_limit);
   }
-  ApplyChanges(changes, previous, "answer");
+  ApplyChanges(changes, previous, SourceName(kind));
 }
 
 void TargetController::CheckSilence() {
@@ -473,8 +486,8 @@
   const std::uint64_t incarnation_number = m_incarnation_number;
   HttpResponse response =
       co_await connection->Call(std::move(command), left, std::move(is_answer));
-  OnSignals(m_protocol.ReadTargetSignals(response), sent_at,
-            incarnation_number);
+  OnSignals(m_protocol.ReadTargetSignals(response),
+            TargetCondition::AnswerKind::kCommand, sent_at, incarnation_number);
   m_command_pool->Release(m_settings.address, std::move(connection));
   co_return response;
 }
--- a/modules/transport/mesh/target_controller.h
+++ b/modules/transport/mesh/target_controller.h
@@ -111,6 +111,7 @@
   // What an answer of the target says of itself. `sent_at`: when the request
   // was sent that it answers. `incarnation_number`: as it was then.
   void OnSignals(const TargetSignals& signals,
+                 TargetCondition::AnswerKind kind,
                  Clock::TimePoint sent_at,
                  std::uint64_t incarnation_number);
   // What another node has been told of the target. Ignored if it is of another
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -359,9 +359,13 @@
     m_controller.OnCallEnded(true);
     const TargetResponseInfo response_info =
         m_protocol.ReadTargetResponse(response);
-    if (response_info.is_authentic || response_info.did_not_run)
-      m_controller.OnSignals(m_protocol.ReadTargetSignals(response), started,
-                             incarnation_number);
+    if (response_info.is_authentic || response_info.did_not_run) {
+      m_controller.OnSignals(m_protocol.ReadTargetSignals(response),
+                             response_info.did_not_run
+                                 ? TargetCondition::AnswerKind::kRefusal
+                                 : TargetCondition::AnswerKind::kRun,
+                             started, incarnation_number);
+    }
     if (!response_info.did_not_run) {
       guard.SetServiceTime(m_clock.Now() - started);
       m_has_measured_service_time = true;
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -623,6 +623,8 @@
   add("citrongrade_target_is_limited", condition.rate_limit() ? 1 : 0);
   add("citrongrade_target_limit_requests_per_second",
       condition.rate_limit().value_or(0));
+  add("citrongrade_target_limit_changes_total",
+      static_cast<double>(condition.rate_limit_changes()));
   add("citrongrade_target_is_leaving", condition.leaving_since() ? 1 : 0);
   add("citrongrade_target_answered_total",
       static_cast<double>(counts.answered));
