Only the answer to a run ends a target's limit

Cause: an answer without the limit's header ended the limit, whatever it answered. A target with keys that names its limit in the answers to requests only answers its renewed grants without it, each 600 ms for each range, so the limit ended with each renewal, as many waiting requests as the target has slots were sent at once, and the next run named it anew. As it never lasted, its keys never moved either. The first grant after a restart of the node also counted as the target's answer, so that what other nodes had been told was ignored.

Change: answers to commands and refusals may set, tighten and loosen a limit, but don't end it by not naming it; the log and a metric tell of such answers. What was sent under a limit stays counted when it ends and is named again. The stand-in can name its limit in runs only, the soak does so for half of the limits.

--- a/modules/coordination/load/target_condition.cc
+++ b/modules/coordination/load/target_condition.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace citrongrade {
 
@@ -25,6 +26,7 @@
   m_limited_since.reset();
   m_rate_limit_confirmed_at = Clock::TimePoint();
   m_has_answered = false;
+  m_has_omitted_limit = false;
   m_is_malformed = false;
   m_leaving_since.reset();
   m_load.reset();
@@ -34,8 +36,10 @@
                                    Source source) {
   if (rate_limit && !m_rate_limit)
     m_limited_since = m_clock.Now();
-  if (!rate_limit)
+  if (!rate_limit) {
     m_limited_since.reset();
+    m_has_omitted_limit = false;
+  }
   const bool is_changed = rate_limit != m_rate_limit;
   if (is_changed)
     ++m_rate_limit_changes;
@@ -44,6 +48,13 @@
   return is_changed;
 }
 
+bool TargetCondition::CountOmission() {
+  if (!m_rate_limit)
+    return false;
+  ++m_omissions;
+  return !std::exchange(m_has_omitted_limit, true);
+}
+
 bool TargetCondition::SetLeaving(Clock::TimePoint since) {
   const bool is_new = !m_leaving_since;
   m_leaving_since = is_new ? since : std::min(since, *m_leaving_since);
@@ -51,7 +62,7 @@
 }
 
 TargetCondition::Changes TargetCondition::OnAnswer(const TargetSignals& signals,
-                                                   AnswerKind /*kind*/,
+                                                   AnswerKind kind,
                                                    Clock::TimePoint sent_at) {
   Changes changes;
   const Clock::TimePoint now = m_clock.Now();
@@ -64,6 +75,10 @@
   m_is_malformed = is_malformed;
   if (is_malformed)
     return changes;
+  if (!signals.rate_limit && kind != AnswerKind::kRun) {
+    changes.is_omission_new = CountOmission();
+    return changes;
+  }
   const bool is_looser = IsStricter(m_rate_limit, signals.rate_limit);
   if (is_looser && sent_at < m_rate_limit_confirmed_at)
     return changes;
--- a/modules/coordination/load/target_condition.h
+++ b/modules/coordination/load/target_condition.h
@@ -17,6 +17,10 @@
 // the answer to a request that was sent after the last answer which named it; a
 // stricter limit counts at once. That a target leaves is final.
 //
+// Only the answer to a run withdraws a limit by not naming it. The process that
+// answers grants, releases and refused requests need not know the limit: on one
+// platform each renewed grant ended it, and all waiting requests were sent.
+//
 // Thread-confined.
 class TargetCondition {
  public:
@@ -43,6 +47,9 @@
     bool is_leaving_new = false;
     // The named limit can't be parsed, for the first time since one could.
     bool is_malformed_new = false;
+    // An answer that can't withdraw the limit doesn't name it, for the first
+    // time since it began.
+    bool is_omission_new = false;
 
     friend auto operator<=>(const Changes&, const Changes&) = default;
   };
@@ -76,9 +83,15 @@
   // Times that the limit was set, changed or withdrawn, over all processes of
   // the target.
   std::uint64_t rate_limit_changes() const { return m_rate_limit_changes; }
+  // Answers that didn't name the limit in force and couldn't withdraw it, over
+  // all processes of the target.
+  std::uint64_t omissions() const { return m_omissions; }
 
  private:
   bool SetRateLimit(std::optional<double> rate_limit, Source source);
+  // Counts an answer that doesn't name a limit and can't withdraw one. Returns
+  // whether it is the first since the present limit began.
+  bool CountOmission();
   // Returns false if it was known to leave.
   bool SetLeaving(Clock::TimePoint since);
 
@@ -90,6 +103,8 @@
   // When an answer last named the limit that counts.
   Clock::TimePoint m_rate_limit_confirmed_at;
   std::uint64_t m_rate_limit_changes = 0;
+  std::uint64_t m_omissions = 0;
+  bool m_has_omitted_limit = false;
   bool m_has_answered = false;
   bool m_is_malformed = false;
   std::optional<Clock::TimePoint> m_leaving_since;
--- a/modules/coordination/load/target_condition_test.cc
+++ b/modules/coordination/load/target_condition_test.cc
@@ -11,6 +11,8 @@
 
 using std::chrono::milliseconds;
 
+using AnswerKind = TargetCondition::AnswerKind;
+
 const TargetIncarnation kTarget{"t-1", 7};
 
 TargetSignals Limit(double requests_per_second) {
@@ -24,9 +26,9 @@
 
   // An answer to a request that was sent so long ago.
   TargetCondition::Changes Answer(const TargetSignals& signals,
-                                  milliseconds sent_ago) {
-    return condition.OnAnswer(signals, TargetCondition::AnswerKind::kRun,
-                              clock.Now() - sent_ago);
+                                  milliseconds sent_ago,
+                                  AnswerKind kind = AnswerKind::kRun) {
+    return condition.OnAnswer(signals, kind, clock.Now() - sent_ago);
   }
 
   ManualClock clock;
@@ -48,6 +50,50 @@
   CHECK_FALSE(condition.limited_since());
 }
 
+// Load: a target with keys names its limit in the answers to requests only, and
+// its grants are renewed twice each 600 ms. Guards against grants that end the
+// limit, after which all waiting requests are sent at once.
+TEST_CASE_FIXTURE(Fixture, "only a run's answer withdraws a limit") {
+  for (const AnswerKind kind : {AnswerKind::kCommand, AnswerKind::kRefusal}) {
+    CAPTURE(static_cast<int>(kind));
+    Answer(Limit(12), milliseconds(5));
+    const auto limited_since = condition.limited_since();
+    for (int renewal = 0; renewal < 14; ++renewal) {
+      clock.Advance(milliseconds(300));
+      CHECK(Answer(TargetSignals(), milliseconds(1), kind).is_omission_new ==
+            (renewal == 0));
+      CHECK(condition.rate_limit() == 12);
+      Answer(Limit(12), milliseconds(5));
+    }
+    CHECK(condition.limited_since() == limited_since);
+    clock.Advance(milliseconds(10));
+    CHECK(Answer(TargetSignals(), milliseconds(1)).is_rate_limit_changed);
+    CHECK_FALSE(condition.rate_limit());
+  }
+  CHECK(condition.omissions() == 28);
+}
+
+// Guards against a limit that only the answers to commands tell of in time.
+TEST_CASE_FIXTURE(Fixture, "any answer may name a limit or loosen it") {
+  Answer(Limit(12), milliseconds(1), AnswerKind::kCommand);
+  CHECK(condition.rate_limit() == 12);
+  clock.Advance(milliseconds(10));
+  Answer(Limit(30), milliseconds(1), AnswerKind::kRefusal);
+  CHECK(condition.rate_limit() == 30);
+}
+
+// Guards against a new process of a node whose first grant hides what other
+// nodes were told.
+TEST_CASE_FIXTURE(Fixture, "a notice counts after a grant without a limit") {
+  TargetNotice notice;
+  notice.target = kTarget;
+  notice.rate_limit = 12;
+  Answer(TargetSignals(), milliseconds(1), AnswerKind::kCommand);
+  CHECK(condition.OnNotice(notice).is_rate_limit_changed);
+  Answer(TargetSignals(), milliseconds(1), AnswerKind::kCommand);
+  CHECK(condition.rate_limit() == 12);
+}
+
 // Guards against a stricter limit that is put off.
 TEST_CASE_FIXTURE(Fixture, "a stricter limit counts whenever it was sent") {
   Answer(Limit(12), milliseconds(1));
--- a/modules/coordination/load/target_rate_limiter.cc
+++ b/modules/coordination/load/target_rate_limiter.cc
@@ -55,8 +55,8 @@
 void TargetRateLimiter::SetNamedLimit(std::optional<double> rate) {
   m_named_rate = rate;
   if (!rate)
-    m_named_pacer.reset();
-  else if (!m_named_pacer)
+    return;
+  if (!m_named_pacer)
     m_named_pacer.emplace(m_clock, MakeNamedPacing(*rate));
   else
     m_named_pacer->SetParameters(MakeNamedPacing(*rate));
@@ -67,7 +67,7 @@
 }
 
 bool TargetRateLimiter::IsLimiting() const {
-  return m_named_pacer.has_value() || IsColdLimiting();
+  return m_named_rate.has_value() || IsColdLimiting();
 }
 
 std::optional<double> TargetRateLimiter::Rate() const {
@@ -81,24 +81,24 @@
   if (IsColdLimiting())
     wait = std::min(m_cold_pacer.TimeUntilAdmission(ahead),
                     m_cold_until - m_clock.Now());
-  if (m_named_pacer)
+  if (m_named_rate)
     wait = std::max(wait, m_named_pacer->TimeUntilAdmission(ahead));
   return wait;
 }
 
 void TargetRateLimiter::OnAdmitted() {
   m_cold_pacer.OnAdmitted();
-  if (m_named_pacer)
+  if (m_named_rate)
     m_named_pacer->OnAdmitted();
 }
 
 bool TargetRateLimiter::TrySend() {
   if (IsColdLimiting() && !m_cold_pacer.CanSend())
     return false;
-  if (m_named_pacer && !m_named_pacer->CanSend())
+  if (m_named_rate && !m_named_pacer->CanSend())
     return false;
   m_cold_pacer.OnSent();
-  if (m_named_pacer)
+  if (m_named_rate)
     m_named_pacer->OnSent();
   return true;
 }
--- a/modules/coordination/load/target_rate_limiter.h
+++ b/modules/coordination/load/target_rate_limiter.h
@@ -64,8 +64,8 @@
   RequestPacer m_cold_pacer;
   Clock::TimePoint m_cold_until;
   std::optional<double> m_named_rate;
-  // Starts anew when a limit is named after a time without one: what was sent
-  // before it was known doesn't count.
+  // Empty until a limit is named. What was sent without a limit doesn't count;
+  // what was sent under one stays counted if it ends and is named again.
   std::optional<RequestPacer> m_named_pacer;
 };
 
--- a/modules/coordination/load/target_rate_limiter_test.cc
+++ b/modules/coordination/load/target_rate_limiter_test.cc
@@ -183,6 +183,30 @@
   CHECK(static_cast<double>(sent) <= MaxInFourSeconds(5));
 }
 
+// Load: a limit that is withdrawn for a moment each 300 ms, and a bunch of
+// requests admitted in each such moment. Guards against a count that starts
+// anew each time that the limit is named.
+TEST_CASE("a limit that is named again counts what was sent under it before") {
+  ManualClock clock;
+  TargetRateLimiter limiter(clock);
+  constexpr int kBunch = 8;
+  std::vector<Clock::TimePoint> sent;
+  for (int moment = 0; moment < 30; ++moment) {
+    limiter.SetNamedLimit(std::nullopt);
+    for (int i = 0; i < kBunch; ++i)
+      limiter.OnAdmitted();
+    clock.Advance(milliseconds(1));
+    limiter.SetNamedLimit(12);
+    for (int i = 0; i < kBunch; ++i) {
+      if (limiter.TrySend())
+        sent.push_back(clock.Now());
+    }
+    clock.Advance(milliseconds(299));
+  }
+  CHECK(static_cast<double>(BusiestSpan(sent, seconds(4))) <=
+        MaxInFourSeconds(12));
+}
+
 // Guards against the looser one of two limits that hides the other.
 TEST_CASE("a cold target that names a limit is bound by both") {
   ManualClock clock;
--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -397,6 +397,12 @@
     spdlog::warn("event=target-limit-malformed target={} service={} value={}",
                  m_incarnation.id, m_service, signals.malformed_rate_limit);
   }
+  if (changes.is_omission_new) {
+    spdlog::info(
+        "event=target-limit-omitted target={} service={} source={} "
+        "reason=\"only the answer to a run ends the limit\"",
+        m_incarnation.id, m_service, SourceName(kind));
+  }
   ApplyChanges(changes, previous, SourceName(kind));
 }
 
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -625,6 +625,8 @@
       condition.rate_limit().value_or(0));
   add("citrongrade_target_limit_changes_total",
       static_cast<double>(condition.rate_limit_changes()));
+  add("citrongrade_target_limit_omissions_total",
+      static_cast<double>(condition.omissions()));
   add("citrongrade_target_is_leaving", condition.leaving_since() ? 1 : 0);
   add("citrongrade_target_answered_total",
       static_cast<double>(counts.answered));
--- a/tests/platform_target_says_process_test.py
+++ b/tests/platform_target_says_process_test.py
@@ -130,11 +130,9 @@
         """Some time after the limit was withdrawn, its share is that before it."""
         self.assertGreater(self.share_of(target, withdrawn + seconds), 0.7 * self.share_of(target, named - 1))
 
-    # Guards against a named limit that nobody hears, at the owner of keys; and
-    # against keys that stay where most of their requests are refused.
-    def test_an_owner_of_keys_gets_what_it_takes_until_they_have_moved(self):
+    def check_owner_of_keys(self, **said):
         limited = self.of(DIVIDED)[0]
-        limited.target_says(limit=LIMIT)
+        limited.target_says(limit=LIMIT, **said)
         named = time.monotonic()
         self.press("/lock/x", CONTACT + 5)
         end = time.monotonic()
@@ -144,6 +142,16 @@
         last = [a.status for a in self.attempts if a.sent > end - 1]
         self.assertGreater(last.count(200), 0.9 * len(last))
 
+    # Guards against a named limit that nobody hears, at the owner of keys; and
+    # against keys that stay where most of their requests are refused.
+    def test_an_owner_of_keys_gets_what_it_takes_until_they_have_moved(self):
+        self.check_owner_of_keys()
+
+    # Guards against a renewed grant whose answer names no limit and ends the one
+    # that the answers to requests name.
+    def test_the_answer_to_a_grant_does_not_end_a_limit(self):
+        self.check_owner_of_keys(runs_only=True)
+
     # Guards against a named limit that nobody hears, where others can take the
     # rest.
     def test_without_keys_the_others_take_the_rest(self):
@@ -159,9 +167,9 @@
     # Guards against a new process of the node that has heard of no limit, while
     # the other nodes have been told.
     def test_a_limit_holds_across_a_restart_of_its_node(self):
-        for path, service in (("/plain/x", UNDIVIDED), ("/lock/x", DIVIDED)):
-            limited = self.of(service)[0]
-            limited.target_says(limit=LIMIT)
+        for path, service, runs_only in (("/plain/x", UNDIVIDED, False), ("/lock/x", DIVIDED, False), ("/lock/x", DIVIDED, True)):
+            limited = self.of(service)[1 if runs_only else 0]
+            limited.target_says(limit=LIMIT, runs_only=runs_only)
             self.begin_callers(path)
             time.sleep(CONTACT + 2)
             limited.stop(signal.SIGKILL)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -196,12 +196,13 @@
 
     def limited_target(self, node, length, pick):
         limit = round(1 + 29 * pick, 2) if pick > 0.1 else 0
-        self.mesh.target_says(node, limit=limit)
+        # Half of the targets name it in the answers to requests alone.
+        self.mesh.target_says(node, limit=limit, runs_only=int(100 * pick) % 2 == 1)
         time.sleep(LIMITED)
         if pick > 0.5:
             self.mesh.target_says(node, limit=round(limit / 3, 2))
         time.sleep(length)
-        self.mesh.target_says(node, limit=None)
+        self.mesh.target_says(node, limit=None, runs_only=False)
 
     def target_says_it_leaves(self, node, length, pick):
         self.mesh.target_says(node, leaving=True)
