The log stand-in answers waiting readers before it stops

Cause: the stop woke the waiting readers and stopped the server at once; the HTTP library drops what is written after its stop began, so a reader that was slower to wake than the server to stop got a closed connection. Change: LogService::Close returns when the calls that had begun are answered, at most 5 s later, and streams that are made after it don't wait.

--- a/programs/citrongrade-log-standin/log_service.cc
+++ b/programs/citrongrade-log-standin/log_service.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -30,6 +31,8 @@
 constexpr std::size_t kMaxFaultsBytes = 4096;
 constexpr std::uint64_t kDefaultMaxRecords = 1000;
 constexpr std::uint64_t kMaxWaitMs = 30000;
+// A client that doesn't read its answer must not delay the stop for longer.
+constexpr std::chrono::seconds kMaxAnswerTime{5};
 constexpr std::string_view kStreamsPrefix = "/v1/streams/";
 constexpr std::string_view kRecordsSuffix = "/records";
 
@@ -110,7 +113,30 @@
 
 LogService::~LogService() = default;
 
+// A call that Close() waits for, from its begin until it is answered.
+class LogService::RunningCall {
+ public:
+  explicit RunningCall(LogService& service) : m_service(service) {
+    const std::lock_guard lock(m_service.m_mutex);
+    m_is_counted = !m_service.m_is_closed;
+    if (m_is_counted)
+      ++m_service.m_running_calls;
+  }
+  ~RunningCall() {
+    const std::lock_guard lock(m_service.m_mutex);
+    if (m_is_counted && --m_service.m_running_calls == 0)
+      m_service.m_calls_ended.notify_all();
+  }
+  RunningCall(const RunningCall&) = delete;
+  RunningCall& operator=(const RunningCall&) = delete;
+
+ private:
+  LogService& m_service;
+  bool m_is_counted = false;
+};
+
 void LogService::Handle(HttpExchange& exchange) {
+  const RunningCall call(*this);
   if (exchange.path().starts_with(kStreamsPrefix))
     HandleStreamCall(exchange);
   else if (exchange.path() == "/v1/faults")
@@ -120,9 +146,12 @@
 }
 
 void LogService::Close() {
-  const std::lock_guard lock(m_mutex);
+  std::unique_lock lock(m_mutex);
+  m_is_closed = true;
   for (const auto& [name, stream] : m_streams)
     stream->Close();
+  m_calls_ended.wait_for(lock, kMaxAnswerTime,
+                         [this] { return m_running_calls == 0; });
 }
 
 void LogService::HandleStreamCall(HttpExchange& exchange) {
@@ -221,8 +250,11 @@
 LogStream& LogService::StreamOf(const std::string& name) {
   const std::lock_guard lock(m_mutex);
   std::unique_ptr<LogStream>& stream = m_streams[name];
-  if (!stream)
+  if (!stream) {
     stream = std::make_unique<LogStream>();
+    if (m_is_closed)
+      stream->Close();
+  }
   return *stream;
 }
 
--- a/programs/citrongrade-log-standin/log_service.h
+++ b/programs/citrongrade-log-standin/log_service.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <condition_variable>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -24,10 +26,14 @@
 
   void Handle(HttpExchange& exchange) override;
 
-  // Ends all waits, so that the server can stop.
+  // Ends all waits, and returns when the calls that had begun are answered: the
+  // server drops what is written after its stop began. Calls that begin later
+  // don't wait for records.
   void Close();
 
  private:
+  class RunningCall;
+
   void HandleStreamCall(HttpExchange& exchange);
   void HandleFaults(HttpExchange& exchange);
   void Append(HttpExchange& exchange, LogStream& stream);
@@ -39,6 +45,10 @@
   bool TakeLostAnswer();
 
   mutable std::mutex m_mutex;
+  bool m_is_closed = false;
+  // Calls that began before Close().
+  std::size_t m_running_calls = 0;
+  std::condition_variable m_calls_ended;
   LogFaults m_faults;
   AppendRateLimit m_rate_limit;
   std::map<std::string, std::unique_ptr<LogStream>, std::less<>> m_streams;
