Test of a target that dies judges each key by itself

Cause of the known failure, by the trace of 18 deaths beside load: the keys of the dead target had a new holder after 0.01 to 0.23 s in each. The test asked for one moment at which all keys are held. After a death the leader evens out the load; a range that moves has no holder until the runs on it end, 0.9 s in this test, and moves follow each other. In one trial a third of all keys, none of them the dead target's, moved 0.09 s after the death and was held again at 0.90 s, when the next range moved until 1.81 s. The failure itself, 3 s, was not reproduced.

A key that is lost later than the first good moment fails now, too. With the target stopped instead of killed both cases fail (3.0 s).

--- a/tests/platform_target_dies_process_test.py
+++ b/tests/platform_target_dies_process_test.py
@@ -5,13 +5,26 @@
 import unittest
 
 import platform_closed_listener_process_test as shared
+from promises import holds_of
 
 TAKEOVER = shared.TAKEOVER
 
 
+def longest_unheld(lives, key, begin, end):
+    """The longest time from `begin` to `end` in which no target held the key."""
+    longest = 0
+    held_until = begin
+    for hold in sorted((h for life in lives for h in holds_of(life, key)), key=lambda h: h.begin):
+        longest = max(longest, min(hold.begin, end) - held_until)
+        held_until = max(held_until, min(hold.end, end))
+    return max(longest, end - held_until)
+
+
 class TargetDiesTest(shared.ClosedListenerCase):
     # Guards against keys that stay unserved once their target has died, in the
-    # middle of its leaving too.
+    # middle of its leaving too. Keys that move afterwards, to even out the load,
+    # have no holder while the work on them ends: each key is judged by itself, as
+    # there need be no moment at which all are held.
     def test_a_target_that_dies(self):
         for leaves in (False, True):
             node = self.others.pop()
@@ -20,9 +33,11 @@
                 time.sleep(0.1)
             node.target.kill()
             died = time.monotonic()
-            keys = range(0, 65536, 2048)
-            self.mesh.wait_for(lambda: sum(o.holds_key(k) for o in [self.leaving, *self.others] for k in keys) >= len(keys), TAKEOVER + 1, "a holder of each key")
-            self.assertLess(time.monotonic() - died, TAKEOVER, f"leaves={leaves}")
+            time.sleep(TAKEOVER + 1)
+            lives = [shared.life_of(other) for other in [self.leaving, *self.others]]
+            unheld = {key: longest_unheld(lives, key, died, died + TAKEOVER + 1) for key in shared.PROBED_KEYS}
+            key = max(unheld, key=unheld.get)
+            self.assertLess(unheld[key], TAKEOVER, f"key {key}, leaves={leaves}")
 
 
 class TargetDiesWithReportedGrantsTest(TargetDiesTest):
