--- a/tests/platform_shutdown_process_test.py
+++ b/tests/platform_shutdown_process_test.py
@@ -5,6 +5,7 @@
 import http.client
 import os
 import signal
+import socket
 import sys
 import threading
 import time
@@ -52,22 +53,60 @@
         self.ended = time.monotonic()
 
 
-class ShutdownTest(unittest.TestCase):
+class OldNodeLink:
+    """Passes connections on to a node, and answers withdrawals as a node does that
+    doesn't know them."""
+
+    def __init__(self, ip, port, node_address):
+        self.node_address = node_address
+        self.withdrawals = 0
+        self.listener = socket.create_server((ip, port))
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                caller, _ = self.listener.accept()
+            except OSError:
+                return
+            node = socket.create_connection(self.node_address)
+            threading.Thread(target=self.pump, args=(caller, node, True), daemon=True).start()
+            threading.Thread(target=self.pump, args=(node, caller, False), daemon=True).start()
+
+    def pump(self, source, sink, is_caller):
+        try:
+            while data := source.recv(65536):
+                if is_caller and data.startswith(b"POST /mesh/withdraw "):
+                    self.withdrawals += 1
+                    source.sendall(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+                else:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        for end in (source, sink):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
+class ShutdownTestCase(unittest.TestCase):
     def setUp(self):
         # With one target that isn't sharded, nothing can go elsewhere.
         self.mesh = Mesh(ROUTER, divided=2, undivided=1)
         self.addCleanup(self.mesh.close)
+        self.prepare()
         self.mesh.start()
         self.mesh.publish(config(2, timeout_ms=DEADLINE_MS, extra_routes=["added"]))
         self.mesh.await_route("added", 3)
         self.entry = next(n for n in self.mesh.nodes if n.service == DIVIDED)
         self.plain = next(n for n in self.mesh.nodes if n.service == UNDIVIDED)
-        self.callers = []
+
+    def prepare(self):
+        """Changes the mesh before its start."""
 
     def send(self, node, attempt, path="/plain/x", key=None):
-        caller = Caller(node, path, key, attempt)
-        self.callers.append(caller)
-        return caller
+        return Caller(node, path, key, attempt)
 
     def fill_target(self, through):
         """All slots of the target without keys run long work."""
@@ -108,6 +147,8 @@
         self.assertTrue(all("Retry-After" in caller.answer for caller in waiting))
         self.check_never_runs("wait-")
 
+
+class ShutdownTest(ShutdownTestCase):
     # Guards against closed connections of requests that wait at another node, and
     # against runs of requests that nobody waits for any more.
     def test_requests_that_wait_at_another_node_are_withdrawn(self):
@@ -175,5 +216,25 @@
         self.check_never_runs("late-")
 
 
+class ShutdownBesideOldNodeTest(ShutdownTestCase):
+    def prepare(self):
+        plain = next(n for n in self.mesh.nodes if n.service == UNDIVIDED)
+        ip = f"127.{self.mesh.network}.3.1"
+        plain.flags = ["--published-ip", ip]
+        self.links = [OldNodeLink(ip, port, (plain.ip, port)) for port in (18202, 18210)]
+        for link in self.links:
+            self.addCleanup(link.listener.close)
+
+    # Guards against a shutdown that counts on withdrawals at a node of a build that
+    # doesn't know them, or asks it again and again.
+    def test_a_request_at_a_node_without_withdrawals_ends_with_504(self):
+        self.fill_target(self.plain)
+        waiting = self.send(self.entry, "wait")
+        self.mesh.wait_for(lambda: self.plain.state()["target"]["waiting"] == 1, 2, "a request that waits")
+        self.stop(self.entry)
+        self.assertEqual(self.answers([waiting]), [504])
+        self.assertEqual(sum(link.withdrawals for link in self.links), 1)
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
