TargetAdmission: deadlines end with the node's shutdown

Cause: requests in the queue of a stopping node waited until its process ended. LimitDeadlines() lets the admission refuse, as not run, what can't be answered before that, and still admit what can.

--- a/modules/coordination/load/target_admission.cc
+++ b/modules/coordination/load/target_admission.cc
@@ -53,7 +53,8 @@
                                               double share) const {
   const auto service_time = std::chrono::duration_cast<Clock::Duration>(
       ExpectedServiceTime(request.route) * share);
-  return request.deadline - m_parameters.response_transit_time - service_time;
+  return std::min(request.deadline, m_latest_deadline) -
+         m_parameters.response_transit_time - service_time;
 }
 
 TargetAdmission::Rank TargetAdmission::RankOf(const Request& request,
--- a/modules/coordination/load/target_admission.h
+++ b/modules/coordination/load/target_admission.h
@@ -111,6 +111,9 @@
   void SetConcurrency(std::size_t concurrency) {
     m_parameters.concurrency = concurrency;
   }
+  // No request can be answered after `time`: this node stops. Requests that
+  // wait, and later ones, get no later deadline than this.
+  void LimitDeadlines(Clock::TimePoint time) { m_latest_deadline = time; }
   // The target gets requests only as its limiter allows. The caller has to keep
   // the limiter's state up to date, and asks it again when it sends.
   TargetRateLimiter& rate_limiter() { return m_rate_limiter; }
@@ -160,6 +163,7 @@
   std::map<RequestTicket, Request> m_running;
   std::map<Rank, Request> m_waiting;
   std::uint64_t m_next_sequence = 1;
+  Clock::TimePoint m_latest_deadline = Clock::TimePoint::max();
   std::map<std::string, Clock::Duration> m_service_times;
   Clock::Duration m_mean_service_time;
   // Of the route with the longest one.
--- a/modules/coordination/load/target_admission_test.cc
+++ b/modules/coordination/load/target_admission_test.cc
@@ -259,6 +259,33 @@
   CHECK(simulation.admission().waiting() == 1);
 }
 
+// Guards against requests that still wait when their node's time to stop is
+// over, whose connections ended without a response, and against the refusal of
+// what can be answered before.
+TEST_CASE("a node that stops refuses what can't be answered before its end") {
+  constexpr milliseconds kTimeLeft{250};
+  constexpr int kRound = static_cast<int>(kConcurrency);
+  Simulation simulation;
+  // One request ends every eighth of the service time.
+  for (int i = 0; i < kRound; ++i) {
+    simulation.Arrive("read", 1, kTargetLatency, kDeadline, kServiceTime);
+    simulation.Step(kServiceTime / kRound);
+  }
+  for (int i = 0; i < 3 * kRound; ++i)
+    simulation.Arrive("read", 1, kTargetLatency, kDeadline, kServiceTime);
+  CHECK(simulation.OutcomeOf("read").refused == 0);
+  simulation.admission().LimitDeadlines(simulation.clock().Now() + kTimeLeft);
+  simulation.Step(milliseconds(1));
+  CHECK(simulation.OutcomeOf("read").refused >= kRound);
+  for (milliseconds passed(1); passed < kTimeLeft; ++passed)
+    simulation.Step(milliseconds(1));
+  CHECK(simulation.admission().waiting() == 0);
+  CHECK(simulation.admission().running() == 0);
+  CHECK(simulation.OutcomeOf("read").on_time >= 2 * kRound);
+  simulation.Arrive("read", 1, kTargetLatency, kDeadline, kServiceTime);
+  CHECK(simulation.admission().running() == 0);
+}
+
 // Load is a third above capacity: short calls of other targets, which are late
 // after 120 ms, and long uploads that have more time. The calls waited behind
 // the uploads until their deadline, and each one that failed also failed a
