--- a/modules/transport/async/async_http_server.cc
+++ b/modules/transport/async/async_http_server.cc
@@ -112,6 +112,7 @@
   void Listen();
   void DisableKeepAlive() { m_is_keep_alive_enabled = false; }
   void Close();
+  std::size_t AnswerPending(const HttpResponse& response);
   std::size_t in_flight() const { return m_in_flight; }
   std::size_t connection_count() const { return m_sessions.size(); }
   void SetIdleTimeout(std::chrono::milliseconds timeout) {
@@ -200,6 +201,8 @@
                               HttpRequest request);
   // Writes the responses that are ready, in the order of the requests.
   Task<> WriteResponses(SessionPointer session);
+  static Task<> WriteResponsesOf(std::shared_ptr<Implementation> self,
+                                 SessionPointer session);
   Task<> WriteRejection(SessionPointer session, HttpResponse rejection);
   // Returns false if the budget has no room for a body of this length.
   bool ReserveBody(Exchange& exchange, std::uint64_t bytes);
@@ -251,6 +254,34 @@
   }
 }
 
+std::size_t AsyncHttpServer::Implementation::AnswerPending(
+    const HttpResponse& response) {
+  std::size_t count = 0;
+  // A copy, as a session is removed with its last response.
+  const std::set<SessionPointer> sessions = m_sessions;
+  for (const SessionPointer& session : sessions) {
+    for (const ExchangePointer& exchange : session->exchanges) {
+      if (exchange->has_ended)
+        continue;
+      exchange->response = response;
+      exchange->has_ended = true;
+      ++count;
+    }
+    if (!session->is_writing && !session->exchanges.empty()) {
+      asio::co_spawn(m_loop, WriteResponsesOf(shared_from_this(), session),
+                     asio::detached);
+    }
+  }
+  return count;
+}
+
+Task<> AsyncHttpServer::Implementation::WriteResponsesOf(
+    std::shared_ptr<Implementation> self,
+    SessionPointer session) {
+  if (!session->is_writing)
+    co_await self->WriteResponses(session);
+}
+
 Task<> AsyncHttpServer::Implementation::Accept(
     std::shared_ptr<Implementation> self) {
   while (!self->m_is_closing) {
@@ -469,15 +500,19 @@
     SessionPointer session,
     ExchangePointer exchange,
     HttpRequest request) {
+  std::optional<HttpResponse> response;
   try {
-    exchange->response =
+    response =
         co_await self->m_handler.Handle(std::move(request), exchange->context);
   } catch (const std::exception& error) {
     spdlog::error("event=request-handler-failed reason=\"{}\"", error.what());
   }
+  // AnswerPending() has responded.
+  if (exchange->has_ended)
+    co_return;
+  exchange->response = std::move(response);
   exchange->has_ended = true;
-  if (!session->is_writing)
-    co_await self->WriteResponses(session);
+  co_await WriteResponsesOf(self, session);
 }
 
 Task<> AsyncHttpServer::Implementation::WriteResponses(SessionPointer session) {
@@ -610,6 +645,10 @@
   m_implementation->Close();
 }
 
+std::size_t AsyncHttpServer::AnswerPending(const HttpResponse& response) {
+  return m_implementation->AnswerPending(response);
+}
+
 std::size_t AsyncHttpServer::in_flight() const {
   return m_implementation->in_flight();
 }
--- a/modules/transport/async/async_http_server.h
+++ b/modules/transport/async/async_http_server.h
@@ -99,6 +99,11 @@
   // connection after its pending responses.
   void Close();
 
+  // Sends `response` to every request whose handling has not ended, and ignores
+  // what their handlers return. Returns the number of these requests. Call it
+  // after Close(), for requests that would otherwise end without a response.
+  std::size_t AnswerPending(const HttpResponse& response);
+
   // Requests being read or handled.
   std::size_t in_flight() const;
   std::size_t connection_count() const;
--- a/modules/transport/async/async_http_test.cc
+++ b/modules/transport/async/async_http_test.cc
@@ -437,6 +437,28 @@
   CHECK(handler.handled == 1);
 }
 
+// Guards against connections that end without a response because their requests
+// still run when the process has to end.
+TEST_CASE_FIXTURE(PipeliningFixture,
+                  "a closed server answers what is still being handled") {
+  std::size_t answered = 0;
+  asio::steady_timer stop(loop, milliseconds(30));
+  stop.async_wait([&](const boost::system::error_code& /*error*/) {
+    server->Close();
+    answered = server->AnswerPending(HttpResponse::WithStatus(504));
+  });
+  const std::string responses =
+      SendAndReceive(Post("/ahead/pause", "1") + Post("/ahead", "2") +
+                         Post("/ahead/pause", "3"),
+                     "Connection: close\r\nContent-Length: 0\r\n\r\n");
+  CHECK(answered == 2);
+  CHECK(responses.starts_with("HTTP/1.1 504"));
+  CHECK(responses.find("echo:2") != std::string::npos);
+  CHECK(responses.find("504", responses.find("echo:2")) != std::string::npos);
+  CHECK(responses.find("echo:1") == std::string::npos);
+  CHECK(server->connection_count() == 0);
+}
+
 // A caller disconnects while several of its requests are being handled.
 TEST_CASE_FIXTURE(PipeliningFixture,
                   "a disconnect cancels all requests of its connection") {
