A target's node rejects waiting requests that their sender withdraws

POST /mesh/withdraw names attempt ids of one sender. What waits for admission, or for the permission to send its body, is rejected as not run on its own connection; what runs is not touched. A node that stops rejects what it can't serve in time; a request with a key is told that its key moves, so that its new owner may run it.

--- a/modules/transport/mesh/body_flow_controller.cc
+++ b/modules/transport/mesh/body_flow_controller.cc
@@ -9,8 +9,10 @@
 namespace citrongrade {
 
 struct BodyFlowController::Pending {
-  explicit Pending(boost::asio::io_context& loop) : wakeup(loop) {}
+  Pending(boost::asio::io_context& loop, Owner body_owner)
+      : owner(std::move(body_owner)), wakeup(loop) {}
 
+  const Owner owner;
   boost::asio::steady_timer wakeup;
   bool is_granted = false;
 };
@@ -45,6 +47,7 @@
 BodyFlowController::~BodyFlowController() = default;
 
 Task<std::shared_ptr<void>> BodyFlowController::Acquire(
+    Owner owner,
     std::uint64_t bytes,
     Clock::TimePoint soft_deadline,
     Clock::TimePoint deadline) {
@@ -57,8 +60,8 @@
   auto permit = std::make_shared<Permit>(m_alive_token, ticket);
   if (verdict == BodyTransferScheduler::Verdict::kGranted)
     co_return permit;
-  auto pending = std::make_shared<Pending>(m_loop);
-  // ResumeWaiting() ends the wait.
+  auto pending = std::make_shared<Pending>(m_loop, std::move(owner));
+  // ResumeWaiting() or Withdraw() ends the wait.
   pending->wakeup.expires_at(boost::asio::steady_timer::time_point::max());
   m_pending.emplace(ticket, pending);
   boost::system::error_code ignored;
@@ -70,6 +73,21 @@
   co_return permit;
 }
 
+std::size_t BodyFlowController::Withdraw(
+    std::uint64_t sender_id,
+    const std::set<std::string>& request_ids) {
+  std::size_t count = 0;
+  for (const auto& [ticket, pending] : m_pending) {
+    if (pending->is_granted || pending->owner.sender_id != sender_id ||
+        !request_ids.contains(pending->owner.request_id))
+      continue;
+    // Its permit, which leaves the scheduler's queue, ends with the wait.
+    pending->wakeup.cancel();
+    ++count;
+  }
+  return count;
+}
+
 void BodyFlowController::ResumeWaiting() {
   const BodyTransferScheduler::Changes changes = m_scheduler.Poll();
   const auto wake = [this](RequestTicket ticket, bool is_granted) {
--- a/modules/transport/mesh/body_flow_controller.h
+++ b/modules/transport/mesh/body_flow_controller.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 
 #include "modules/coordination/clock.h"
 #include "modules/coordination/load/body_transfer_scheduler.h"
@@ -28,11 +31,25 @@
   BodyFlowController(const BodyFlowController&) = delete;
   BodyFlowController& operator=(const BodyFlowController&) = delete;
 
+  // The request that a body belongs to.
+  struct Owner {
+    // As in ForwardMetadata.
+    std::uint64_t sender_id = 0;
+    std::string request_id;
+
+    friend auto operator<=>(const Owner&, const Owner&) = default;
+  };
+
   // Waits for a permit, to be kept until the body has arrived or its transfer
-  // has failed. Returns nullptr if the body can't arrive by `deadline`.
-  Task<std::shared_ptr<void>> Acquire(std::uint64_t bytes,
+  // has failed. Returns nullptr if the body can't arrive by `deadline` or has
+  // been withdrawn.
+  Task<std::shared_ptr<void>> Acquire(Owner owner,
+                                      std::uint64_t bytes,
                                       Clock::TimePoint soft_deadline,
                                       Clock::TimePoint deadline);
+  // Rejects those of the sender's bodies that still wait. Returns their number.
+  std::size_t Withdraw(std::uint64_t sender_id,
+                       const std::set<std::string>& request_ids);
   // Call this every 20 ms.
   void Tick() { ResumeWaiting(); }
   Clock::Duration DrainTime() const { return m_scheduler.DrainTime(); }
--- a/modules/transport/mesh/forward_metadata.cc
+++ b/modules/transport/mesh/forward_metadata.cc
@@ -54,6 +54,10 @@
   WriteTargetNotice(notice, request.headers);
 }
 
+bool ForwardMetadata::IsIn(const HttpRequest& request) {
+  return FindHeader(request.headers, kHeader).has_value();
+}
+
 ForwardMetadata ForwardMetadata::ExtractFrom(HttpRequest& request) {
   const std::optional<std::string> text = TakeHeader(request.headers, kHeader);
   if (!text)
--- a/modules/transport/mesh/forward_metadata.h
+++ b/modules/transport/mesh/forward_metadata.h
@@ -35,6 +35,8 @@
 
   // Replaces such headers of the caller.
   void WriteTo(HttpRequest& request) const;
+  // Whether the request carries such metadata.
+  static bool IsIn(const HttpRequest& request);
   // Reads and removes the headers. Throws MalformedMessageError.
   static ForwardMetadata ExtractFrom(HttpRequest& request);
 
--- a/modules/transport/mesh/forwarded_request_handler.cc
+++ b/modules/transport/mesh/forwarded_request_handler.cc
@@ -1,5 +1,9 @@
 #include "modules/transport/mesh/forwarded_request_handler.h"
 
+#include <spdlog/spdlog.h>
+
+#include <set>
+#include <string>
 #include <utility>
 
 #include "modules/protocol/malformed_message_error.h"
@@ -9,11 +13,13 @@
 #include "modules/transport/mesh/forward_result.h"
 #include "modules/transport/mesh/request_log.h"
 #include "modules/transport/mesh/target_gateway.h"
+#include "modules/transport/mesh/withdrawal_message.h"
 
 namespace citrongrade {
 
 namespace {
 
+constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr std::chrono::milliseconds kRetryAfterMemory{300};
 
@@ -21,6 +27,8 @@
 
 Task<HttpResponse> ForwardedRequestHandler::Handle(HttpRequest request,
                                                    RequestContext& context) {
+  if (WithdrawalMessage::IsIn(request))
+    co_return HandleWithdrawal(request, context);
   TakeHeader(request.headers, "Expect");
   ForwardMetadata metadata;
   try {
@@ -48,6 +56,28 @@
   co_return result.ToHttpResponse();
 }
 
+HttpResponse ForwardedRequestHandler::HandleWithdrawal(
+    const HttpRequest& request,
+    const RequestContext& context) {
+  try {
+    const auto message = WithdrawalMessage::FromHttpRequest(request);
+    const std::set<std::string> ids(message.request_ids.begin(),
+                                    message.request_ids.end());
+    const std::size_t withdrawn =
+        m_gateway.Withdraw(message.sender_id, ids) +
+        m_body_flow_controller.Withdraw(message.sender_id, ids);
+    if (withdrawn > 0) {
+      spdlog::info(
+          "event=requests-withdrawn-by-peer from={} asked={} "
+          "withdrawn={}",
+          context.caller_ip(), message.request_ids.size(), withdrawn);
+    }
+    return HttpResponse::WithStatus(kOk);
+  } catch (const MalformedMessageError&) {
+    return HttpResponse::WithStatus(kBadRequest);
+  }
+}
+
 Task<std::optional<HttpResponse>> ForwardedRequestHandler::AdmitBody(
     HttpRequest head,
     std::uint64_t bytes,
@@ -66,7 +96,8 @@
   const std::chrono::microseconds service_time(
       m_gateway.mean_service_time_us());
   permit = co_await m_body_flow_controller.Acquire(
-      bytes, sent + metadata.soft_time_left - service_time,
+      {metadata.sender_id, metadata.request_id}, bytes,
+      sent + metadata.soft_time_left - service_time,
       sent + metadata.time_left - service_time);
   if (permit)
     co_return std::nullopt;
--- a/modules/transport/mesh/forwarded_request_handler.h
+++ b/modules/transport/mesh/forwarded_request_handler.h
@@ -14,7 +14,8 @@
 class RequestLog;
 class TargetGateway;
 
-// Handles requests that other nodes forward to this node's target.
+// Handles requests that other nodes forward to this node's target, and their
+// withdrawals.
 class ForwardedRequestHandler final : public AsyncHttpServer::Handler {
  public:
   ForwardedRequestHandler(const Clock& clock,
@@ -37,6 +38,9 @@
   HttpResponse RejectForMemory() override;
 
  private:
+  HttpResponse HandleWithdrawal(const HttpRequest& request,
+                                const RequestContext& context);
+
   const Clock& m_clock;
   TargetGateway& m_gateway;
   BodyFlowController& m_body_flow_controller;
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -48,6 +48,7 @@
 constexpr milliseconds kMinRenewedHold{600};
 constexpr milliseconds kRetryAfterTargetLoss{300};
 constexpr milliseconds kRetryAfterRefusal{100};
+constexpr milliseconds kRetryAfterWithdrawal{300};
 
 std::uint64_t ComputeFingerprint(const HttpRequest& request) {
   std::uint64_t fingerprint =
@@ -62,10 +63,16 @@
 
 // A request that waits for admission.
 struct TargetGateway::WaitingRequest {
-  explicit WaitingRequest(boost::asio::io_context& loop) : wakeup(loop) {}
+  WaitingRequest(boost::asio::io_context& loop, const ForwardMetadata& metadata)
+      : wakeup(loop),
+        sender_id(metadata.sender_id),
+        request_id(metadata.request_id) {}
 
   boost::asio::steady_timer wakeup;
+  const std::uint64_t sender_id;
+  const std::string request_id;
   std::optional<TargetAdmission::Verdict> verdict;
+  bool is_withdrawn = false;
 };
 
 // Frees the request's place at the target when the request ends, on every path.
@@ -252,7 +259,7 @@
   request.can_go_elsewhere = !metadata.key;
   TargetAdmission::Verdict verdict = m_admission.Offer(request);
   if (verdict == TargetAdmission::Verdict::kQueued) {
-    auto waiting_request = std::make_shared<WaitingRequest>(m_loop);
+    auto waiting_request = std::make_shared<WaitingRequest>(m_loop, metadata);
     waiting_request->wakeup.expires_after(metadata.time_left);
     m_waiting_requests.emplace(ticket, waiting_request);
     context.SetCancelCallback(
@@ -262,6 +269,11 @@
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     context.ClearCancelCallback();
     m_waiting_requests.erase(ticket);
+    if (waiting_request->is_withdrawn) {
+      co_return ForwardResult::NotRun(RequestErrorCode::kNodeDraining,
+                                      "its sender stops",
+                                      kRetryAfterWithdrawal);
+    }
     if (!waiting_request->verdict)
       m_admission.Withdraw(ticket);
     verdict =
@@ -272,6 +284,12 @@
     admitted.outcome = RequestOutcome::kDone;
     co_return admitted;
   }
+  // The key's next owner may have room in time.
+  if (m_is_stopping && metadata.key) {
+    co_return ForwardResult::NotRun(RequestErrorCode::kLeaseLost,
+                                    "the target's node stops",
+                                    RetryAfterMove());
+  }
   co_return RefuseForLackOfRoom();
 }
 
@@ -431,6 +449,28 @@
     wake(ticket, TargetAdmission::Verdict::kRefused);
 }
 
+void TargetGateway::LimitDeadlines(Clock::TimePoint time) {
+  m_is_stopping = true;
+  m_admission.LimitDeadlines(time);
+}
+
+std::size_t TargetGateway::Withdraw(std::uint64_t sender_id,
+                                    const std::set<std::string>& request_ids) {
+  std::size_t count = 0;
+  for (const auto& [ticket, waiting_request] : m_waiting_requests) {
+    // One that isn't in the queue any more has been admitted or refused.
+    if (waiting_request->sender_id != sender_id ||
+        !request_ids.contains(waiting_request->request_id) ||
+        !m_admission.Withdraw(ticket))
+      continue;
+    waiting_request->is_withdrawn = true;
+    waiting_request->wakeup.cancel();
+    ++count;
+  }
+  m_counts.withdrawn += count;
+  return count;
+}
+
 void TargetGateway::SetColdLimit(const TargetRateLimiter::ColdLimit& limit) {
   m_admission.rate_limiter().SetColdLimit(limit);
   m_has_cold_limit = true;
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,8 @@
     std::uint64_t answered = 0;
     std::uint64_t not_run = 0;
     std::uint64_t unknown = 0;
+    // Rejected while they waited, because their sender withdrew them.
+    std::uint64_t withdrawn = 0;
   };
 
   TargetGateway(boost::asio::io_context& loop,
@@ -60,6 +63,13 @@
                           ForwardMetadata metadata,
                           RequestContext& context);
 
+  // Rejects those of the sender's requests that still wait for admission, as
+  // not run. Returns their number.
+  std::size_t Withdraw(std::uint64_t sender_id,
+                       const std::set<std::string>& request_ids);
+  // This node stops: no request can be answered after `time`. Requests that
+  // can't be are rejected as soon as that is known.
+  void LimitDeadlines(Clock::TimePoint time);
   // Must be called every 20 ms.
   void Tick();
   // Requests that the target may get while it is cold. Until this has been
@@ -149,6 +159,7 @@
   std::map<std::uint32_t, std::uint32_t> m_slot_request_counts;
   bool m_has_measured_service_time = false;
   bool m_has_cold_limit = false;
+  bool m_is_stopping = false;
   Counts m_counts;
 };
 
