A shutdown answers every request that the node has read

Cause: Stop() ended the event loop while requests waited or ran at other nodes and at the own target; their connections closed without a response.

Change: waiting requests are withdrawn (503), requests that are forwarded after SIGTERM get a time limit that ends before the shutdown does, and what still runs 500 ms before the end of the grace gets 504. One log line each for withdrawals of a node, requests that are unfinished at the end, and the end itself.

--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -3,6 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -24,6 +26,7 @@
 #include "modules/transport/mesh/router_metrics.h"
 #include "modules/transport/mesh/target_gateway.h"
 #include "modules/transport/mesh/wire_protocol.h"
+#include "modules/transport/mesh/withdrawal_message.h"
 
 namespace citrongrade {
 
@@ -31,6 +34,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -54,6 +58,7 @@
 // Time reserved for sending the result from node to node.
 constexpr milliseconds kHopAllowance{15};
 constexpr milliseconds kMaxConnectionIdle{4000};
+constexpr milliseconds kWithdrawalTimeout{500};
 // A body of this size delays other requests on a narrow link. So the sender
 // asks for permission first, which costs a round trip.
 constexpr std::size_t kLongBodyBytes = std::size_t{16} * 1024;
@@ -79,6 +84,12 @@
   return is_paced ? TargetCallOutcome::kPaced : TargetCallOutcome::kNotRun;
 }
 
+// Whether the target's node rejected the request because this node withdrew it.
+bool IsWithdrawn(const ForwardResult& result) {
+  return result.outcome == RequestOutcome::kNotRun &&
+         result.error == RequestErrorCode::kNodeDraining;
+}
+
 std::string FormatSeconds(milliseconds duration) {
   char text[32];
   std::snprintf(text, sizeof(text), "%.3f",
@@ -110,12 +121,32 @@
   boost::asio::steady_timer timer;
 };
 
+// Ends the attempt's entry in the withdrawal schedule on every path.
+class RequestRouter::ForwardGuard {
+ public:
+  ForwardGuard(WithdrawalSchedule& schedule,
+               const MeshMember& member,
+               const RoutedRequest& routed)
+      : m_schedule(schedule),
+        m_attempt(schedule.OnSent(member.data_address,
+                                  routed.metadata.request_id,
+                                  routed.soft_deadline - routed.arrived)) {}
+  ~ForwardGuard() { m_schedule.OnEnded(m_attempt); }
+  ForwardGuard(const ForwardGuard&) = delete;
+  ForwardGuard& operator=(const ForwardGuard&) = delete;
+
+ private:
+  WithdrawalSchedule& m_schedule;
+  const WithdrawalSchedule::AttemptId m_attempt;
+};
+
 RequestRouter::RequestRouter(const Dependencies& dependencies,
                              std::string origin_service)
     : m_dependencies(dependencies),
       m_origin_service(std::move(origin_service)),
       m_budgets(kRetryShare),
-      m_notices(dependencies.clock) {}
+      m_notices(dependencies.clock),
+      m_withdrawals(dependencies.clock) {}
 
 RetryBudget& RequestRouter::BudgetOf(const ForwardMetadata& metadata) {
   return m_budgets.For(metadata.service, metadata.route);
@@ -359,7 +390,8 @@
                                                 RequestContext& context) {
   const Clock::TimePoint now = m_dependencies.clock.Now();
   ForwardMetadata metadata = routed.metadata;
-  metadata.time_left = std::chrono::floor<milliseconds>(routed.deadline - now);
+  metadata.time_left =
+      std::chrono::floor<milliseconds>(DeadlineOf(routed) - now);
   metadata.soft_time_left =
       std::chrono::floor<milliseconds>(routed.soft_deadline - now);
   if (metadata.time_left <= milliseconds(0)) {
@@ -377,7 +409,11 @@
                                     "its node is gone", kRetryAfterNoOwner);
   }
   const MeshMember owner = *found;
-  co_return co_await Forward(request, owner, metadata, context);
+  const ForwardGuard guard(m_withdrawals, owner, routed);
+  ForwardResult result = co_await Forward(request, owner, metadata, context);
+  if (m_answer_by && IsWithdrawn(result))
+    ++m_withdrawn_count;
+  co_return result;
 }
 
 Task<ForwardResult> RequestRouter::Forward(HttpRequest request,
@@ -444,8 +480,9 @@
                                        RoutedRequest& routed,
                                        RequestContext& context) {
   const Clock::TimePoint now = m_dependencies.clock.Now();
-  const auto left = std::chrono::floor<milliseconds>(routed.deadline - now);
-  if (left < kMinTimeLeft || routed.attempts >= kMaxAttempts)
+  const auto left = std::chrono::floor<milliseconds>(DeadlineOf(routed) - now);
+  if (left < kMinTimeLeft || routed.attempts >= kMaxAttempts ||
+      IsWithdrawn(result))
     co_return false;
   const bool has_failed =
       result.has_answer() && result.response.head.status >= kServerError;
@@ -560,6 +597,48 @@
   m_waiters.erase(waiter);
 }
 
+void RequestRouter::BeginShutdown(Clock::TimePoint answer_by,
+                                  Clock::TimePoint end) {
+  m_answer_by = answer_by;
+  m_withdrawals.BeginShutdown(end);
+}
+
+Clock::TimePoint RequestRouter::DeadlineOf(const RoutedRequest& routed) const {
+  return m_answer_by ? std::min(routed.deadline, *m_answer_by)
+                     : routed.deadline;
+}
+
+void RequestRouter::WithdrawWaiting() {
+  for (WithdrawalSchedule::Batch& batch : m_withdrawals.TakeDue()) {
+    boost::asio::co_spawn(m_dependencies.loop, SendWithdrawal(std::move(batch)),
+                          boost::asio::detached);
+  }
+}
+
+Task<> RequestRouter::SendWithdrawal(WithdrawalSchedule::Batch batch) {
+  WithdrawalMessage message;
+  message.sender_id = m_dependencies.agent.incarnation();
+  message.request_ids = std::move(batch.request_ids);
+  const std::size_t count = message.request_ids.size();
+  try {
+    const HttpAddress address = HttpAddress::Parse(batch.node);
+    auto connection =
+        co_await m_dependencies.peers.Acquire(address, kMaxConnectionIdle);
+    const HttpResponse response =
+        co_await connection->Call(message.ToHttpRequest(), kWithdrawalTimeout);
+    m_dependencies.peers.Release(address, std::move(connection));
+    const int status = response.head.status;
+    // A node of a build without withdrawals.
+    if (status == kBadRequest)
+      m_withdrawals.OnUnknownToNode(batch.node);
+    spdlog::info("event=withdrawal node={} requests={} status={}", batch.node,
+                 count, status);
+  } catch (const HttpError& error) {
+    spdlog::info("event=withdrawal-lost node={} requests={} reason=\"{}\"",
+                 batch.node, count, error.what());
+  }
+}
+
 void RequestRouter::OnViewChanged() {
   const MeshView& view = m_dependencies.agent.view();
   m_notices.RemoveIf([&view](const std::string& address) {
--- a/modules/transport/mesh/request_router.h
+++ b/modules/transport/mesh/request_router.h
@@ -11,6 +11,7 @@
 #include "modules/coordination/clock.h"
 #include "modules/coordination/load/retry_budgets.h"
 #include "modules/coordination/load/target_notices.h"
+#include "modules/coordination/load/withdrawal_schedule.h"
 #include "modules/transport/async/async_http_server.h"
 #include "modules/transport/async/task.h"
 #include "modules/transport/mesh/forward_metadata.h"
@@ -74,6 +75,14 @@
   void SetOriginService(std::string service) {
     m_origin_service = std::move(service);
   }
+  // This node stops. From now on a request is forwarded with a time limit that
+  // ends at `answer_by`; nothing can be answered after `end`.
+  void BeginShutdown(Clock::TimePoint answer_by, Clock::TimePoint end);
+  // Withdraws forwarded requests that may wait at another node for too long.
+  // Must be called every 25 ms during the shutdown.
+  void WithdrawWaiting();
+  // Requests that another node has rejected because this one withdrew them.
+  std::uint64_t withdrawn_count() const { return m_withdrawn_count; }
   // Sets the burst of the retry budgets: this node's part of the mesh's
   // retries.
   void SetRetryBurst(double burst) { m_budgets.SetBurst(burst); }
@@ -81,6 +90,7 @@
  private:
   struct RoutedRequest;
   struct Waiter;
+  class ForwardGuard;
 
   Task<ForwardResult> RouteWithRetries(HttpRequest& request,
                                        const RouteRule& route,
@@ -108,6 +118,10 @@
                                    const std::string& member,
                                    RoutedRequest& routed,
                                    RequestContext& context);
+  Task<> SendWithdrawal(WithdrawalSchedule::Batch batch);
+  // When the request must be answered: its deadline, or earlier if this node
+  // stops.
+  Clock::TimePoint DeadlineOf(const RoutedRequest& routed) const;
   Task<ForwardResult> Forward(HttpRequest request,
                               const MeshMember& member,
                               ForwardMetadata metadata,
@@ -143,6 +157,10 @@
   std::map<std::string, std::map<std::string, double>> m_route_credits;
   std::set<std::shared_ptr<Waiter>> m_waiters;
   TargetNotices m_notices;
+  WithdrawalSchedule m_withdrawals;
+  // Set when this node stops.
+  std::optional<Clock::TimePoint> m_answer_by;
+  std::uint64_t m_withdrawn_count = 0;
 };
 
 }  // namespace citrongrade
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -24,6 +24,7 @@
 #include "modules/transport/mesh/body_flow_controller.h"
 #include "modules/transport/mesh/config_follower.h"
 #include "modules/transport/mesh/config_transfer.h"
+#include "modules/transport/mesh/forward_result.h"
 #include "modules/transport/mesh/forwarded_request_handler.h"
 #include "modules/transport/mesh/instance_chooser.h"
 #include "modules/transport/mesh/loop_monitor.h"
@@ -57,7 +58,13 @@
 constexpr milliseconds kReadinessPropagationDelay{2300};
 // Keys that are not handed over by then are abandoned.
 constexpr milliseconds kMaxHandoverTime{3600};
+// Requests that run go on until this long before the end of the grace.
 constexpr milliseconds kTerminationMargin{500};
+// Time for the final responses after that.
+constexpr milliseconds kFinalResponseTime{250};
+// Requests that this node takes on while it stops are answered this long before
+// that, so that their results are known by then.
+constexpr milliseconds kAnswerMargin{200};
 // Fraction of the mesh's extra retries that the nodes share; the rest is a
 // reserve, as nodes do not tell each other how many they have used.
 constexpr double kRetryFraction = 0.5;
@@ -77,6 +84,7 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
 
 // Handler that gets its response from a function, without waiting.
 class FunctionHandler final : public AsyncHttpServer::Handler {
@@ -203,6 +211,11 @@
   Task<> WatchSettings();
   Task<> AwaitSignals();
   Task<> Stop();
+  // Waits one tick of the shutdown.
+  Task<> AwaitStopTick();
+  // Gives up the requests that run, and waits until their responses are sent.
+  Task<> AnswerPending();
+  std::size_t ConnectionCount() const;
   void Reload(const char* cause);
   bool IsReady() const;
   HttpResponse AnswerStatus(const HttpRequest& request) const;
@@ -487,34 +500,58 @@
   }
 }
 
+Task<> RouterNode::Implementation::AwaitStopTick() {
+  m_router.WithdrawWaiting();
+  boost::asio::steady_timer timer(m_loop, kTickInterval);
+  co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+std::size_t RouterNode::Implementation::ConnectionCount() const {
+  return m_caller_server.connection_count() +
+         m_forwarded_server.connection_count();
+}
+
+Task<> RouterNode::Implementation::AnswerPending() {
+  const std::size_t callers =
+      m_caller_server.AnswerPending(HttpResponse::WithStatus(kGatewayTimeout));
+  // They may run on: their nodes may repeat only idempotent ones.
+  const std::size_t forwarded = m_forwarded_server.AnswerPending(
+      ForwardResult::Unknown(RequestErrorCode::kNodeDraining,
+                             "the target's node stops")
+          .ToHttpResponse());
+  if (callers + forwarded > 0) {
+    spdlog::warn("event=requests-unfinished callers={} forwarded={}", callers,
+                 forwarded);
+  }
+  const Clock::TimePoint end = m_clock.Now() + kFinalResponseTime;
+  while (ConnectionCount() > 0 && m_clock.Now() < end)
+    co_await AwaitStopTick();
+}
+
 Task<> RouterNode::Implementation::Stop() {
-  boost::asio::steady_timer timer(m_loop);
   const Clock::TimePoint start = m_clock.Now();
+  const auto max_time = m_file.termination_grace - kTerminationMargin;
+  const Clock::TimePoint answer_by = start + max_time - kAnswerMargin;
+  m_router.BeginShutdown(answer_by, start + max_time);
+  m_gateway.LimitDeadlines(answer_by);
   m_agent.SetLeaving();
   const auto elapsed = [this, start] { return m_clock.Now() - start; };
   m_caller_server.DisableKeepAlive();
   while (elapsed() < kReadinessPropagationDelay ||
          (!m_target_controller.HasReturnedAllRanges() &&
-          elapsed() < kMaxHandoverTime)) {
-    timer.expires_after(kTickInterval);
-    co_await timer.async_wait(boost::asio::use_awaitable);
-  }
+          elapsed() < kMaxHandoverTime))
+    co_await AwaitStopTick();
   m_caller_server.Close();
   m_forwarded_server.Close();
-  const auto max_time = m_file.termination_grace - kTerminationMargin;
-  const auto connections = [this] {
-    return m_caller_server.connection_count() +
-           m_forwarded_server.connection_count();
-  };
   const auto leads_alone = [this] {
     return m_agent.is_leader() && m_agent.view().members().size() > 1;
   };
-  while ((connections() > 0 || leads_alone()) && elapsed() < max_time) {
-    timer.expires_after(kTickInterval);
-    co_await timer.async_wait(boost::asio::use_awaitable);
-  }
-  spdlog::info("event=stopped in_flight={} held_ranges={}",
+  while ((ConnectionCount() > 0 || leads_alone()) && elapsed() < max_time)
+    co_await AwaitStopTick();
+  co_await AnswerPending();
+  spdlog::info("event=stopped in_flight={} withdrawn={} held_ranges={}",
                m_caller_server.in_flight() + m_forwarded_server.in_flight(),
+               m_router.withdrawn_count(),
                m_target_controller.held_range_count());
   m_loop.stop();
 }
@@ -628,6 +665,8 @@
       static_cast<double>(counts.answered));
   add("citrongrade_target_not_run_total", static_cast<double>(counts.not_run));
   add("citrongrade_target_unknown_total", static_cast<double>(counts.unknown));
+  add("citrongrade_target_withdrawn_total",
+      static_cast<double>(counts.withdrawn));
   add("citrongrade_target_running", static_cast<double>(m_gateway.running()));
   add("citrongrade_target_waiting", static_cast<double>(m_gateway.waiting()));
   add("citrongrade_target_mean_work_seconds",
