--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,8 @@
     std::uint64_t answered = 0;
     std::uint64_t not_run = 0;
     std::uint64_t unknown = 0;
+    // Rejected while they waited, because their sender withdrew them.
+    std::uint64_t withdrawn = 0;
   };
 
   TargetGateway(boost::asio::io_context& loop,
@@ -61,6 +64,13 @@
                           ForwardMetadata metadata,
                           RequestContext& context);
 
+  // Rejects those of the sender's requests that still wait for admission, as
+  // not run. Returns their number.
+  std::size_t Withdraw(std::uint64_t sender_id,
+                       const std::set<std::string>& request_ids);
+  // This node stops: no request can be answered after `time`. Requests that
+  // can't be are rejected as soon as that is known.
+  void LimitDeadlines(Clock::TimePoint time);
   // Must be called every 20 ms.
   void Tick();
   // Requests that the target may get while it is cold. Until this has been
@@ -156,6 +166,7 @@
   LongRunEstimator m_long_runs;
   bool m_has_measured_service_time = false;
   bool m_has_cold_limit = false;
+  bool m_is_stopping = false;
   Counts m_counts;
 };
 
