Slots of a target that long requests leave free for short ones

Cause: calls between targets (30 ms of work, 400 ms limit) found all slots of a target taken by reports of 300 ms to 1.5 s and failed, and the requests that had made them failed with them. Change: ShortCallReserve estimates the slots that short requests need, at most a quarter; long requests wait for the others, and the expected wait is that of the request's own class. Waiting short requests leave long ones their three quarters. A route that has not been measured is expected to take the initial service time at most: by the mean of long requests its first calls were refused and never measured.

--- a/modules/coordination/load/target_admission.cc
+++ b/modules/coordination/load/target_admission.cc
@@ -1,6 +1,7 @@
 #include "modules/coordination/load/target_admission.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace citrongrade {
@@ -41,12 +42,23 @@
     : m_clock(clock),
       m_parameters(parameters),
       m_rate_limiter(clock),
-      m_mean_service_time(parameters.initial_service_time) {}
+      m_mean_service_time(parameters.initial_service_time),
+      m_mean_long_service_time(parameters.initial_service_time) {
+  if (parameters.reserves_slots_for_short)
+    m_short_call_reserve.emplace(clock);
+}
 
 Clock::Duration TargetAdmission::ExpectedServiceTime(
     const std::string& route) const {
   const auto found = m_service_times.find(route);
-  return found == m_service_times.end() ? m_mean_service_time : found->second;
+  if (found != m_service_times.end())
+    return found->second;
+  // By the mean of long requests, the first calls would be refused as too long
+  // for their deadlines, so that their service time never became known.
+  return m_short_call_reserve
+             ? std::min<Clock::Duration>(m_mean_service_time,
+                                         m_parameters.initial_service_time)
+             : m_mean_service_time;
 }
 
 Clock::TimePoint TargetAdmission::LatestStart(const Request& request,
@@ -70,28 +82,77 @@
          m_longest_service_time * kShortServiceTimeShare;
 }
 
-Clock::Duration TargetAdmission::EstimateWaitForSlot(std::size_t ahead) const {
-  const std::size_t concurrency =
-      std::max<std::size_t>(1, m_parameters.concurrency);
-  if (m_running.size() + ahead < concurrency)
+std::size_t TargetAdmission::CountRunning(bool is_long) const {
+  return static_cast<std::size_t>(std::count_if(
+      m_running.begin(), m_running.end(), [this, is_long](const auto& entry) {
+        return IsLong(entry.second.route) == is_long;
+      }));
+}
+
+std::size_t TargetAdmission::reserved_slots() const {
+  return m_short_call_reserve
+             ? m_short_call_reserve->ReservedOf(m_parameters.concurrency)
+             : 0;
+}
+
+std::size_t TargetAdmission::SlotsForLong() const {
+  return m_parameters.concurrency - reserved_slots();
+}
+
+std::size_t TargetAdmission::SlotsForShort() const {
+  const std::size_t concurrency = m_parameters.concurrency;
+  if (!m_short_call_reserve) {
+    return static_cast<std::size_t>(static_cast<double>(concurrency) *
+                                    (1 - kShareReservedForLong));
+  }
+  const auto for_long = static_cast<std::size_t>(
+      static_cast<double>(concurrency) * (1 - ShortCallReserve::kMaxShare));
+  return concurrency -
+         std::min(concurrency, std::max<std::size_t>(1, for_long));
+}
+
+TargetAdmission::SlotUse TargetAdmission::SlotUseOf(bool is_long) const {
+  if (!m_short_call_reserve) {
+    return {std::max<std::size_t>(1, m_parameters.concurrency),
+            m_running.size(), m_mean_service_time};
+  }
+  if (is_long) {
+    return {std::max<std::size_t>(1, SlotsForLong()), CountRunning(true),
+            m_mean_long_service_time};
+  }
+  return {std::max<std::size_t>(1, SlotsForShort()), CountRunning(false),
+          m_short_call_reserve->mean_service_time()};
+}
+
+std::size_t TargetAdmission::CountAhead(const Ahead& ahead,
+                                        bool is_long) const {
+  if (!m_short_call_reserve)
+    return ahead.total();
+  return is_long ? ahead.long_requests : ahead.short_requests;
+}
+
+Clock::Duration TargetAdmission::EstimateWaitForSlot(const SlotUse& use,
+                                                     std::size_t ahead) {
+  if (use.running + ahead < use.slots)
     return Clock::Duration(0);
   const double rounds =
-      static_cast<double>(ahead + 1 + m_running.size() - concurrency) /
-      static_cast<double>(concurrency);
-  return std::chrono::duration_cast<Clock::Duration>(m_mean_service_time *
-                                                     rounds);
+      static_cast<double>(ahead + 1 + use.running - use.slots) /
+      static_cast<double>(use.slots);
+  return std::chrono::duration_cast<Clock::Duration>(use.service_time * rounds);
 }
 
 bool TargetAdmission::IsWorthWaiting(const Request& request,
-                                     std::size_t ahead) const {
+                                     const Ahead& ahead,
+                                     Clock::Duration slot_wait) const {
   const Clock::TimePoint now = m_clock.Now();
-  const Clock::Duration limit_wait = m_rate_limiter.TimeUntilAdmission(ahead);
+  const Clock::Duration limit_wait =
+      m_rate_limiter.TimeUntilAdmission(ahead.total());
   const bool is_limited = limit_wait > Clock::Duration(0);
   if (is_limited && (request.can_go_elsewhere ||
                      now + limit_wait + ExpectedServiceTime(request.route) >=
                          request.soft_deadline))
     return false;
-  return now + std::max(limit_wait, EstimateWaitForSlot(ahead)) <
+  return now + std::max(limit_wait, slot_wait) <
          LatestStart(request, kRequiredShareWhenQueued);
 }
 
@@ -100,6 +161,17 @@
          m_rate_limiter.TimeUntilAdmission(0) == Clock::Duration(0);
 }
 
+bool TargetAdmission::CanStartAtOnce(bool is_long) const {
+  if (!HasCapacity())
+    return false;
+  const bool has_capacity_for_long = HasCapacityForLong();
+  if (m_waiting.empty())
+    return !is_long || has_capacity_for_long;
+  // Long requests that wait for other slots than the reserved ones must not
+  // delay a short one until the next Poll().
+  return !is_long && !has_capacity_for_long && m_waiting.begin()->first.is_long;
+}
+
 void TargetAdmission::Admit(Request request) {
   const RequestTicket ticket = request.ticket;
   m_running.emplace(ticket, std::move(request));
@@ -108,7 +180,10 @@
 
 TargetAdmission::Verdict TargetAdmission::Offer(const Request& request) {
   const Clock::TimePoint now = m_clock.Now();
-  if (HasCapacity() && m_waiting.empty()) {
+  const bool is_long = IsLong(request.route);
+  if (m_short_call_reserve && !is_long)
+    m_short_call_reserve->OnArrival();
+  if (CanStartAtOnce(is_long)) {
     if (now >= LatestStart(request, kRequiredShareWithFreeSlot))
       return Verdict::kRefused;
     Admit(request);
@@ -116,10 +191,14 @@
   }
   const std::uint64_t sequence = m_next_sequence++;
   const Rank rank = RankOf(request, sequence);
-  const auto ahead = static_cast<std::size_t>(
-      std::distance(m_waiting.begin(), m_waiting.lower_bound(rank)));
+  const auto next = m_waiting.lower_bound(rank);
+  Ahead ahead;
+  for (auto it = m_waiting.begin(); it != next; ++it)
+    ahead.Add(it->first);
+  const Clock::Duration slot_wait =
+      EstimateWaitForSlot(SlotUseOf(is_long), CountAhead(ahead, is_long));
   if (m_waiting.size() >= m_parameters.max_waiting ||
-      !IsWorthWaiting(request, ahead))
+      !IsWorthWaiting(request, ahead, slot_wait))
     return Verdict::kRefused;
   m_waiting.emplace(rank, request);
   return Verdict::kQueued;
@@ -134,16 +213,28 @@
   m_running.erase(found);
   if (!service_time)
     return;
-  m_mean_service_time = UpdateAverage(m_mean_service_time, *service_time);
+  UpdateServiceTimes(route, *service_time);
+}
+
+void TargetAdmission::UpdateServiceTimes(const std::string& route,
+                                         Clock::Duration sample) {
+  m_mean_service_time = UpdateAverage(m_mean_service_time, sample);
   const auto known = m_service_times.find(route);
-  if (known != m_service_times.end())
-    known->second = UpdateAverage(known->second, *service_time);
-  else if (m_service_times.size() < kMaxTrackedRoutes)
+  if (known != m_service_times.end()) {
+    known->second = UpdateAverage(known->second, sample);
+  } else if (m_service_times.size() < kMaxTrackedRoutes) {
     m_service_times.emplace(route,
-                            UpdateAverage(m_mean_service_time, *service_time));
+                            m_short_call_reserve
+                                ? sample
+                                : UpdateAverage(m_mean_service_time, sample));
+  }
   m_longest_service_time = Clock::Duration(0);
   for (const auto& [name, mean] : m_service_times)
     m_longest_service_time = std::max(m_longest_service_time, mean);
+  if (IsLong(route))
+    m_mean_long_service_time = UpdateAverage(m_mean_long_service_time, sample);
+  else if (m_short_call_reserve)
+    m_short_call_reserve->OnFinished(sample);
 }
 
 void TargetAdmission::UpdateRanks() {
@@ -162,25 +253,42 @@
 }
 
 bool TargetAdmission::HasCapacityForShort() const {
-  const auto running = static_cast<double>(std::count_if(
-      m_running.begin(), m_running.end(),
-      [this](const auto& entry) { return !IsLong(entry.second.route); }));
-  const auto concurrency = static_cast<double>(m_parameters.concurrency);
-  return running + 1 <= concurrency * (1 - kShareReservedForLong);
+  return CountRunning(false) < SlotsForShort();
+}
+
+bool TargetAdmission::HasCapacityForLong() const {
+  return reserved_slots() == 0 || CountRunning(true) < SlotsForLong();
 }
 
-std::map<TargetAdmission::Rank, TargetAdmission::Request>::iterator
-TargetAdmission::FindNext() {
+TargetAdmission::Queue::iterator TargetAdmission::FindNext() {
   const auto first = m_waiting.begin();
+  if (!HasCapacityForLong()) {
+    return std::find_if(first, m_waiting.end(),
+                        [](const auto& entry) { return !entry.first.is_long; });
+  }
   if (first->first.is_long || HasCapacityForShort())
     return first;
+  return FindLongInsteadOf(first);
+}
+
+TargetAdmission::Queue::iterator TargetAdmission::FindLongInsteadOf(
+    Queue::iterator first) {
+  const std::uint32_t priority = first->first.priority;
+  if (m_short_call_reserve) {
+    // Late long requests are behind all short ones in the queue.
+    const auto next_long =
+        std::find_if(first, m_waiting.end(), [priority](const auto& entry) {
+          return entry.first.is_long && entry.first.priority <= priority;
+        });
+    return next_long != m_waiting.end() ? next_long : first;
+  }
   Rank first_long = first->first;
   first_long.is_long = true;
   first_long.sequence = 0;
   const auto next_long = m_waiting.lower_bound(first_long);
-  const bool has_same_priority =
-      next_long != m_waiting.end() && next_long->first.is_long &&
-      next_long->first.priority == first->first.priority;
+  const bool has_same_priority = next_long != m_waiting.end() &&
+                                 next_long->first.is_long &&
+                                 next_long->first.priority == priority;
   return has_same_priority ? next_long : first;
 }
 
@@ -191,7 +299,10 @@
   UpdateRanks();
   const Clock::TimePoint now = m_clock.Now();
   while (!m_waiting.empty() && HasCapacity()) {
-    auto next = m_waiting.extract(FindNext());
+    const auto found = FindNext();
+    if (found == m_waiting.end())
+      break;
+    auto next = m_waiting.extract(found);
     Request& request = next.mapped();
     if (now >= LatestStart(request, kRequiredShareWithFreeSlot)) {
       changes.refused.push_back(request.ticket);
@@ -200,17 +311,26 @@
     changes.admitted.push_back(request.ticket);
     Admit(std::move(request));
   }
-  std::size_t ahead = 0;
+  RefuseUnmeetable(changes);
+  return changes;
+}
+
+void TargetAdmission::RefuseUnmeetable(Changes& changes) {
+  const SlotUse use_of_short = SlotUseOf(false);
+  const SlotUse use_of_long = SlotUseOf(true);
+  Ahead ahead;
   for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-    if (IsWorthWaiting(it->second, ahead)) {
-      ++ahead;
+    const bool is_long = it->first.is_long;
+    const Clock::Duration slot_wait = EstimateWaitForSlot(
+        is_long ? use_of_long : use_of_short, CountAhead(ahead, is_long));
+    if (IsWorthWaiting(it->second, ahead, slot_wait)) {
+      ahead.Add(it->first);
       ++it;
       continue;
     }
     changes.refused.push_back(it->second.ticket);
     it = m_waiting.erase(it);
   }
-  return changes;
 }
 
 bool TargetAdmission::Withdraw(RequestTicket ticket) {
@@ -223,10 +343,14 @@
   return false;
 }
 
-Clock::Duration TargetAdmission::DrainTime() const {
-  const std::size_t ahead = m_waiting.size();
-  return std::max(m_rate_limiter.TimeUntilAdmission(ahead),
-                  EstimateWaitForSlot(ahead));
+Clock::Duration TargetAdmission::DrainTime(const std::string& route) const {
+  Ahead ahead;
+  for (const auto& [rank, request] : m_waiting)
+    ahead.Add(rank);
+  const bool is_long = IsLong(route);
+  return std::max(
+      m_rate_limiter.TimeUntilAdmission(ahead.total()),
+      EstimateWaitForSlot(SlotUseOf(is_long), CountAhead(ahead, is_long)));
 }
 
 }  // namespace citrongrade
--- a/modules/coordination/load/target_admission.h
+++ b/modules/coordination/load/target_admission.h
@@ -11,6 +11,7 @@
 
 #include "modules/coordination/clock.h"
 #include "modules/coordination/load/load_identifiers.h"
+#include "modules/coordination/load/short_call_reserve.h"
 #include "modules/coordination/load/target_rate_limiter.h"
 
 namespace citrongrade {
@@ -42,6 +43,12 @@
 // requests leave the share kShareReservedForLong of the concurrency to long
 // requests that wait, so that they can't starve them.
 //
+// With Parameters::reserves_slots_for_short, long requests also leave free what
+// short ones need, as ShortCallReserve computes it: without that, a call that
+// arrives while all slots run long requests waits for one of them to end.
+// Waiting short requests go before long ones only in slots beyond the three
+// quarters that long requests keep.
+//
 // A request that can't be answered before its deadline is refused as soon as
 // this is known: by Offer(), or by the next Poll(). Where the target's rate is
 // limited, the wait is known well, so that one which can't be answered by its
@@ -65,6 +72,8 @@
     std::chrono::milliseconds response_transit_time{20};
     // Bounds memory use; with this many waiting, an answer takes seconds.
     std::size_t max_waiting = 512;
+    // Keeps slots free of long requests for short ones.
+    bool reserves_slots_for_short = false;
 
     friend auto operator<=>(const Parameters&, const Parameters&) = default;
   };
@@ -116,12 +125,15 @@
   TargetRateLimiter& rate_limiter() { return m_rate_limiter; }
   const TargetRateLimiter& rate_limiter() const { return m_rate_limiter; }
   // Time until the waiting requests have been worked off, after which a request
-  // that is refused now may be admitted.
-  Clock::Duration DrainTime() const;
+  // of the route that is refused now may be admitted.
+  Clock::Duration DrainTime(const std::string& route) const;
 
   std::size_t running() const { return m_running.size(); }
   std::size_t waiting() const { return m_waiting.size(); }
-  // Mean service time of the route, or of all requests while it is unknown.
+  // Slots that are kept free of long requests now.
+  std::size_t reserved_slots() const;
+  // Mean service time of the route. While it is unknown, that of all requests;
+  // with reserved slots at most the initial one.
   Clock::Duration ExpectedServiceTime(const std::string& route) const;
   // Mean over all requests, regardless of their route.
   Clock::Duration mean_service_time() const { return m_mean_service_time; }
@@ -136,34 +148,84 @@
     friend auto operator<=>(const Rank&, const Rank&) = default;
   };
 
+  using Queue = std::map<Rank, Request>;
+
+  // Requests that go before another one in the queue.
+  struct Ahead {
+    std::size_t short_requests = 0;
+    std::size_t long_requests = 0;
+
+    void Add(const Rank& rank) {
+      ++(rank.is_long ? long_requests : short_requests);
+    }
+    std::size_t total() const { return short_requests + long_requests; }
+
+    friend auto operator<=>(const Ahead&, const Ahead&) = default;
+  };
+
+  struct SlotUse {
+    std::size_t slots = 1;
+    std::size_t running = 0;
+    // Mean.
+    Clock::Duration service_time{0};
+
+    friend auto operator<=>(const SlotUse&, const SlotUse&) = default;
+  };
+
   // Latest start that leaves the `share` of the expected service time before
   // the deadline.
   Clock::TimePoint LatestStart(const Request& request, double share) const;
-  // Whether the request may wait with `ahead` others before it.
-  bool IsWorthWaiting(const Request& request, std::size_t ahead) const;
+  // Whether the request may wait with `ahead` others before it. `slot_wait`:
+  // expected time until the target has a free slot for it.
+  bool IsWorthWaiting(const Request& request,
+                      const Ahead& ahead,
+                      Clock::Duration slot_wait) const;
   Rank RankOf(const Request& request, std::uint64_t sequence) const;
-  // Expected time until the target has a free slot for a request that has
-  // `ahead` others before it in the queue.
-  Clock::Duration EstimateWaitForSlot(std::size_t ahead) const;
+  // The slots that requests of the class may use. Without reserved slots there
+  // are no classes.
+  SlotUse SlotUseOf(bool is_long) const;
+  // How many of the requests ahead use the slots of the class.
+  std::size_t CountAhead(const Ahead& ahead, bool is_long) const;
+  // Expected time until one of the slots is free for a request that has `ahead`
+  // others before it in the queue.
+  static Clock::Duration EstimateWaitForSlot(const SlotUse& use,
+                                             std::size_t ahead);
+  // Removes the waiting requests that can't be answered before their deadlines.
+  void RefuseUnmeetable(Changes& changes);
   void UpdateRanks();
+  void UpdateServiceTimes(const std::string& route, Clock::Duration sample);
   bool IsLong(const std::string& route) const;
-  // The next request to admit. The queue must not be empty.
-  std::map<Rank, Request>::iterator FindNext();
+  std::size_t CountRunning(bool is_long) const;
+  // The next request to admit; the end of the queue if there is none. The queue
+  // must not be empty.
+  Queue::iterator FindNext();
+  // The waiting long request that goes before `first`, a short one; `first` if
+  // there is none.
+  Queue::iterator FindLongInsteadOf(Queue::iterator first);
+  // Slots that short requests may have before long ones that wait.
+  std::size_t SlotsForShort() const;
+  std::size_t SlotsForLong() const;
   bool HasCapacityForShort() const;
+  bool HasCapacityForLong() const;
   // Whether a request could be admitted now if nothing waited.
   bool HasCapacity() const;
+  // Whether a new request could be admitted now, before all that waits.
+  bool CanStartAtOnce(bool is_long) const;
   void Admit(Request request);
 
   const Clock& m_clock;
   Parameters m_parameters;
   TargetRateLimiter m_rate_limiter;
   std::map<RequestTicket, Request> m_running;
-  std::map<Rank, Request> m_waiting;
+  Queue m_waiting;
   std::uint64_t m_next_sequence = 1;
   std::map<std::string, Clock::Duration> m_service_times;
   Clock::Duration m_mean_service_time;
   // Of the route with the longest one.
   Clock::Duration m_longest_service_time{0};
+  Clock::Duration m_mean_long_service_time;
+  // Empty if no slots are reserved.
+  std::optional<ShortCallReserve> m_short_call_reserve;
 };
 
 }  // namespace citrongrade
--- a/modules/coordination/load/target_admission_test.cc
+++ b/modules/coordination/load/target_admission_test.cc
@@ -5,6 +5,8 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <utility>
+#include <vector>
 
 #include "modules/coordination/manual_clock.h"
 
@@ -17,6 +19,13 @@
 constexpr std::size_t kConcurrency = 8;
 constexpr milliseconds kServiceTime{100};
 
+TargetAdmission::Parameters MakeParameters() {
+  TargetAdmission::Parameters parameters;
+  parameters.concurrency = kConcurrency;
+  parameters.initial_service_time = kServiceTime;
+  return parameters;
+}
+
 // Simulates a target that takes `service_time` for each request, and records
 // what its callers see.
 class Simulation {
@@ -29,10 +38,8 @@
     int refused_late = 0;
   };
 
-  Simulation() {
-    TargetAdmission::Parameters parameters;
-    parameters.concurrency = kConcurrency;
-    parameters.initial_service_time = kServiceTime;
+  Simulation() : Simulation(MakeParameters()) {}
+  explicit Simulation(const TargetAdmission::Parameters& parameters) {
     m_admission = std::make_unique<TargetAdmission>(m_clock, parameters);
   }
 
@@ -307,7 +314,7 @@
   Simulation simulation;
   for (std::size_t i = 0; i < kConcurrency * 3; ++i)
     simulation.Arrive("read", 1, kTargetLatency, kDeadline, kServiceTime);
-  const auto drain = simulation.admission().DrainTime();
+  const auto drain = simulation.admission().DrainTime("read");
   CHECK(drain >= milliseconds(100));
   CHECK(drain <= milliseconds(300));
 }
@@ -366,4 +373,208 @@
   CHECK(admitted == 3);
 }
 
+namespace {
+
+constexpr std::size_t kReportSlots = 13;
+constexpr milliseconds kCallServiceTime{30};
+constexpr milliseconds kCallTargetLatency{120};
+constexpr milliseconds kCallDeadline{400};
+constexpr milliseconds kReportDeadline{6000};
+constexpr milliseconds kMinReportTime{300};
+constexpr milliseconds kMaxReportTime{1500};
+constexpr double kCallsPerSecond = 60;
+// 120 % of the slots, at 0.9 s each.
+constexpr double kReportsPerSecond = 1.2 * kReportSlots / 0.9;
+
+// Reports that take 0.3 to 1.5 s, and the calls that targets make while they
+// run them. Both arrive at random times.
+class ReportsAndCalls {
+ public:
+  struct Settings {
+    bool reserves_slots_for_short = true;
+    std::uint32_t report_priority = 1;
+    milliseconds report_target_latency{3000};
+    // Of the calls, in turn.
+    std::vector<std::uint32_t> call_priorities{1};
+  };
+
+  explicit ReportsAndCalls(const Settings& settings)
+      : m_settings(settings),
+        m_simulation(MakeParameters(settings.reserves_slots_for_short)) {}
+
+  void Run(milliseconds duration,
+           double reports_per_second,
+           double calls_per_second) {
+    for (milliseconds past(0); past < duration; ++past) {
+      if (ArrivesNow(reports_per_second))
+        ArriveReport();
+      if (ArrivesNow(calls_per_second))
+        ArriveCall();
+      m_simulation.Step(milliseconds(1));
+      m_running += static_cast<double>(admission().running());
+    }
+    m_mean_running = m_running / static_cast<double>(duration.count());
+    m_running = 0;
+  }
+
+  void ArriveReport() {
+    std::uniform_int_distribution<milliseconds::rep> report_time(
+        kMinReportTime.count(), kMaxReportTime.count());
+    ArriveReport(milliseconds(report_time(m_random)));
+  }
+
+  void ArriveReport(milliseconds report_time) {
+    m_simulation.Arrive("report", m_settings.report_priority,
+                        m_settings.report_target_latency, kReportDeadline,
+                        report_time);
+  }
+
+  void ArriveCall() {
+    const std::vector<std::uint32_t>& priorities = m_settings.call_priorities;
+    const std::uint32_t priority =
+        priorities[m_call_count++ % priorities.size()];
+    m_simulation.Arrive("call", priority, kCallTargetLatency, kCallDeadline,
+                        kCallServiceTime);
+  }
+
+  // Share of the calls so far that were answered within their target latency.
+  double CallsOnTime() {
+    const Simulation::Outcome& calls = m_simulation.OutcomeOf("call");
+    return calls.on_time /
+           static_cast<double>(calls.on_time + calls.late + calls.refused);
+  }
+  int ReportsDone() {
+    const Simulation::Outcome& reports = m_simulation.OutcomeOf("report");
+    return reports.on_time + reports.late;
+  }
+  int ReportsRefusedLate() {
+    return m_simulation.OutcomeOf("report").refused_late;
+  }
+  int ReportsRefused() { return m_simulation.OutcomeOf("report").refused; }
+  // Slots in use, mean over the last Run().
+  double mean_running() const { return m_mean_running; }
+  TargetAdmission& admission() { return m_simulation.admission(); }
+
+ private:
+  static TargetAdmission::Parameters MakeParameters(bool reserves) {
+    TargetAdmission::Parameters parameters;
+    parameters.concurrency = kReportSlots;
+    parameters.reserves_slots_for_short = reserves;
+    return parameters;
+  }
+
+  bool ArrivesNow(double per_second) {
+    return std::uniform_real_distribution<>()(m_random) < per_second / 1000;
+  }
+
+  const Settings m_settings;
+  Simulation m_simulation;
+  std::size_t m_call_count = 0;
+  std::mt19937_64 m_random{7};
+  double m_running = 0;
+  double m_mean_running = 0;
+};
+
+}  // namespace
+
+// Guards against calls that fail, and reports that fail with them, because
+// reports have all slots.
+TEST_CASE("calls are answered in time beside long work above capacity") {
+  ReportsAndCalls without({.reserves_slots_for_short = false});
+  without.Run(milliseconds(60000), kReportsPerSecond, kCallsPerSecond);
+  ReportsAndCalls with({});
+  with.Run(milliseconds(60000), kReportsPerSecond, kCallsPerSecond);
+  MESSAGE("calls on time: ", without.CallsOnTime(), " -> ", with.CallsOnTime(),
+          "; reports done: ", without.ReportsDone(), " -> ", with.ReportsDone(),
+          "; refused late: ", without.ReportsRefusedLate(), " -> ",
+          with.ReportsRefusedLate(), "; refused: ", without.ReportsRefused(),
+          " -> ", with.ReportsRefused());
+  CHECK(with.CallsOnTime() >= 0.98);
+  CHECK(with.ReportsDone() >=
+        without.ReportsDone() * (1 - ShortCallReserve::kMaxShare));
+  // By a wait that doesn't tell the slots of long work apart, 127 were.
+  CHECK(with.ReportsRefusedLate() <= 10);
+}
+
+// Guards against calls that wait for a burst of reports, and against reports
+// that are refused because slots are reserved although they could wait.
+TEST_CASE("a burst of long work leaves calls their slots") {
+  ReportsAndCalls load({});
+  load.Run(milliseconds(5000), kReportsPerSecond / 4, kCallsPerSecond);
+  for (int i = 0; i < 30; ++i)
+    load.ArriveReport(kMaxReportTime);
+  CHECK(load.admission().waiting() >= 15);
+  const std::size_t running = load.admission().running();
+  REQUIRE(running < kReportSlots);
+  load.ArriveCall();
+  CHECK(load.admission().running() == running + 1);
+  load.Run(milliseconds(5000), 0, kCallsPerSecond);
+  CHECK(load.CallsOnTime() >= 0.98);
+  CHECK(load.ReportsRefused() == 0);
+}
+
+// Guards against slots that are idle for calls that never come.
+TEST_CASE("without calls no slot is reserved") {
+  ReportsAndCalls without({.reserves_slots_for_short = false});
+  without.Run(milliseconds(30000), kReportsPerSecond, 0);
+  ReportsAndCalls with({});
+  with.Run(milliseconds(30000), kReportsPerSecond, 0);
+  CHECK(with.admission().reserved_slots() == 0);
+  with.Run(milliseconds(10000), kReportsPerSecond, 0);
+  CHECK(with.mean_running() >= kReportSlots - 0.1);
+  without.Run(milliseconds(10000), kReportsPerSecond, 0);
+  CHECK(with.ReportsDone() >= without.ReportsDone() * 0.98);
+}
+
+// Guards against slots that stay reserved after the calls have ended.
+TEST_CASE("reserved slots come back after the calls have ended") {
+  ReportsAndCalls load({});
+  load.Run(milliseconds(10000), kReportsPerSecond, kCallsPerSecond);
+  CHECK(load.admission().reserved_slots() == 3);
+  load.Run(milliseconds(5000), kReportsPerSecond, 0);
+  CHECK(load.admission().reserved_slots() == 0);
+  load.Run(milliseconds(5000), kReportsPerSecond, 0);
+  CHECK(load.mean_running() >= kReportSlots - 0.1);
+}
+
+// The mean service time is that of reports by then, more than the calls have.
+// Guards against calls that are refused for it, so that they are never measured
+// as short.
+TEST_CASE("the first calls after a time of long work only are admitted") {
+  ReportsAndCalls load({});
+  load.Run(milliseconds(20000), kReportsPerSecond, 0);
+  load.Run(milliseconds(3000), kReportsPerSecond, kCallsPerSecond);
+  CHECK(load.admission().reserved_slots() == 3);
+  CHECK(load.CallsOnTime() >= 0.9);
+}
+
+// Guards against calls that are refused for the reports before them in the
+// queue, or wait for them, although they have slots of their own.
+TEST_CASE("calls have their slots beside long work of higher priority") {
+  ReportsAndCalls load(
+      {.report_priority = 0, .report_target_latency = kReportDeadline});
+  load.Run(milliseconds(30000), kReportsPerSecond, kCallsPerSecond);
+  CHECK(load.CallsOnTime() >= 0.98);
+}
+
+// Calls want three times the slots that there are. Guards against reports that
+// get less than their three quarters, also once they are late and behind calls
+// of lower priority in the queue.
+TEST_CASE("a queue of calls leaves long work three quarters of the slots") {
+  constexpr double kTooManyCallsPerSecond = 3 * kReportSlots / 0.03;
+  const ReportsAndCalls::Settings late_reports = {
+      .report_target_latency = milliseconds(300),
+      .call_priorities = {1, 2, 2, 2, 2, 2, 2, 2, 2, 2}};
+  for (const ReportsAndCalls::Settings& settings :
+       {ReportsAndCalls::Settings(), late_reports}) {
+    ReportsAndCalls load(settings);
+    load.Run(milliseconds(10000), kReportsPerSecond, kCallsPerSecond);
+    const int before = load.ReportsDone();
+    load.Run(milliseconds(30000), kReportsPerSecond, kTooManyCallsPerSecond);
+    // Nine slots for 30 s, at 0.9 s each, are 300 reports.
+    CHECK(load.ReportsDone() - before >= 285);
+    CHECK(load.mean_running() >= kReportSlots - 0.2);
+  }
+}
+
 }  // namespace citrongrade
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -93,13 +93,15 @@
                              const Clock& clock,
                              const WireProtocol& protocol,
                              TargetController& controller,
-                             AsyncConnectionPool& pool)
+                             AsyncConnectionPool& pool,
+                             bool reserves_slots_for_short)
     : m_loop(loop),
       m_clock(clock),
       m_protocol(protocol),
       m_controller(controller),
       m_pool(pool),
-      m_admission(clock, TargetAdmission::Parameters()),
+      m_admission(clock,
+                  {.reserves_slots_for_short = reserves_slots_for_short}),
       m_poison_detector(
           std::make_unique<PoisonDetector>(clock,
                                            PoisonDetector::Parameters())) {}
@@ -272,16 +274,17 @@
     admitted.outcome = RequestOutcome::kDone;
     co_return admitted;
   }
-  co_return RefuseForLackOfRoom();
+  co_return RefuseForLackOfRoom(metadata.route);
 }
 
-ForwardResult TargetGateway::RefuseForLackOfRoom() const {
+ForwardResult TargetGateway::RefuseForLackOfRoom(
+    const std::string& route) const {
   const std::optional<double> limit = rate_limit();
   return ForwardResult::NotRun(
       RequestErrorCode::kOverloaded,
       limit ? fmt::format("the target takes {} requests a second", *limit)
             : std::string("it can't be done in time"),
-      std::chrono::ceil<milliseconds>(m_admission.DrainTime()));
+      std::chrono::ceil<milliseconds>(m_admission.DrainTime(route)));
 }
 
 Task<ForwardResult> TargetGateway::ForwardToTarget(
@@ -330,7 +333,7 @@
   UpdateAdmission();
   if (!m_admission.rate_limiter().TrySend()) {
     m_pool.Release(address, std::move(connection));
-    co_return RefuseForLackOfRoom();
+    co_return RefuseForLackOfRoom(metadata.route);
   }
   TargetRequestInfo target_info;
   target_info.request_id = metadata.request_id;
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -49,11 +49,14 @@
     std::uint64_t unknown = 0;
   };
 
+  // `reserves_slots_for_short`: long requests leave the target slots that short
+  // ones need.
   TargetGateway(boost::asio::io_context& loop,
                 const Clock& clock,
                 const WireProtocol& protocol,
                 TargetController& controller,
-                AsyncConnectionPool& pool);
+                AsyncConnectionPool& pool,
+                bool reserves_slots_for_short);
   ~TargetGateway();
 
   Task<ForwardResult> Run(HttpRequest request,
@@ -81,6 +84,7 @@
   std::uint32_t mean_service_time_us() const;
   std::size_t running() const { return m_admission.running(); }
   std::size_t waiting() const { return m_admission.waiting(); }
+  std::size_t reserved_slots() const { return m_admission.reserved_slots(); }
   const Counts& counts() const { return m_counts; }
 
  private:
@@ -123,7 +127,7 @@
   // Tells the admission what the controller knows of the target.
   void UpdateAdmission();
   // Refusal of a request for which there is no room in time.
-  ForwardResult RefuseForLackOfRoom() const;
+  ForwardResult RefuseForLackOfRoom(const std::string& route) const;
   ForwardResult ClassifyResponse(HttpResponse response,
                                  const TargetResponseInfo& response_info);
   // Called when the connection of a running request breaks. Probes the target
