Weighted destinations start at a random phase at each node

Cause: each node started with the same destination and kept its credits when the weights changed, so that the first requests of all nodes went to one destination. Change: WeightedDestinations, smooth weighted round robin from a random position, which starts anew when destinations or weights change.

--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -115,6 +115,7 @@
     : m_dependencies(dependencies),
       m_origin_service(std::move(origin_service)),
       m_budgets(kRetryShare),
+      m_random(std::random_device()()),
       m_notices(dependencies.clock) {}
 
 RetryBudget& RequestRouter::BudgetOf(const ForwardMetadata& metadata) {
@@ -124,25 +125,9 @@
 std::string RequestRouter::ChooseService(const RouteRule& route) {
   if (route.destinations.size() == 1)
     return route.destinations.front().service;
-  // Smooth weighted round robin: the destination with the highest credit is
-  // next. The shares are exact after a few requests, where random selection
-  // would be off by a tenth for long.
-  std::map<std::string, double>& credits = m_route_credits[route.name];
-  double total_weight = 0;
-  const RouteDestination* best = nullptr;
-  for (const RouteDestination& destination : route.destinations) {
-    if (destination.weight == 0)
-      continue;
-    total_weight += destination.weight;
-    credits[destination.service] += destination.weight;
-    if (best == nullptr ||
-        credits[destination.service] > credits[best->service])
-      best = &destination;
-  }
-  if (best == nullptr)
-    return {};
-  credits[best->service] -= total_weight;
-  return best->service;
+  WeightedDestinations& destinations =
+      m_destinations.try_emplace(route.name, m_random).first->second;
+  return destinations.Choose(route.destinations);
 }
 
 bool RequestRouter::CanPipeline(const HttpRequest& request) const {
--- a/modules/transport/mesh/request_router.h
+++ b/modules/transport/mesh/request_router.h
@@ -5,12 +5,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 
 #include "modules/coordination/clock.h"
 #include "modules/coordination/load/retry_budgets.h"
 #include "modules/coordination/load/target_notices.h"
+#include "modules/coordination/load/weighted_destinations.h"
 #include "modules/transport/async/async_http_server.h"
 #include "modules/transport/async/task.h"
 #include "modules/transport/mesh/forward_metadata.h"
@@ -139,8 +141,9 @@
   const Dependencies m_dependencies;
   std::string m_origin_service;
   RetryBudgets m_budgets;
-  // Weighted round robin: by route, the credit of each destination service.
-  std::map<std::string, std::map<std::string, double>> m_route_credits;
+  std::mt19937_64 m_random;
+  // Of the routes with several destinations.
+  std::map<std::string, WeightedDestinations> m_destinations;
   std::set<std::shared_ptr<Waiter>> m_waiters;
   TargetNotices m_notices;
 };
