Reserved slots and destinations of routes in metrics and /state

Cause: operators could not see either decision. Change: reserved_slots of the target and the credits of destinations in /state, a metric each.

--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -127,7 +127,9 @@
     return route.destinations.front().service;
   WeightedDestinations& destinations =
       m_destinations.try_emplace(route.name, m_random).first->second;
-  return destinations.Choose(route.destinations);
+  std::string service = destinations.Choose(route.destinations);
+  m_dependencies.metrics.OnDestinationChosen(route.name, service);
+  return service;
 }
 
 bool RequestRouter::CanPipeline(const HttpRequest& request) const {
--- a/modules/transport/mesh/request_router.h
+++ b/modules/transport/mesh/request_router.h
@@ -76,6 +76,10 @@
   void SetOriginService(std::string service) {
     m_origin_service = std::move(service);
   }
+  // By the name of the route.
+  const std::map<std::string, WeightedDestinations>& destinations() const {
+    return m_destinations;
+  }
   // Sets the burst of the retry budgets: this node's part of the mesh's
   // retries.
   void SetRetryBurst(double burst) { m_budgets.SetBurst(burst); }
--- a/modules/transport/mesh/router_metrics.cc
+++ b/modules/transport/mesh/router_metrics.cc
@@ -47,6 +47,12 @@
     out << "citrongrade_request_seconds_count{" << label << "} "
         << latency.count << "\n";
   }
+  for (const auto& [route, services] : m_destinations) {
+    for (const auto& [service, count] : services) {
+      out << "citrongrade_route_destinations_total{route=\"" << route
+          << "\",service=\"" << service << "\"} " << count << "\n";
+    }
+  }
   for (const auto& [service, count] : m_retries)
     out << "citrongrade_retries_total{service=\"" << service << "\"} " << count
         << "\n";
--- a/modules/transport/mesh/router_metrics.h
+++ b/modules/transport/mesh/router_metrics.h
@@ -25,6 +25,11 @@
   void OnAnswered(const std::string& route,
                   const ForwardResult& result,
                   Clock::Duration took);
+  // Counts a request of a route with several destinations.
+  void OnDestinationChosen(const std::string& route,
+                           const std::string& service) {
+    ++m_destinations[route][service];
+  }
   void OnRetried(const std::string& service) { ++m_retries[service]; }
   void OnUnrouted(int status) { ++m_unrouted[status]; }
 
@@ -41,6 +46,8 @@
   // By route, then by outcome or error code.
   std::map<std::string, std::map<std::string, std::uint64_t>> m_answers;
   std::map<std::string, LatencyHistogram> m_latencies;
+  // By route, then by destination.
+  std::map<std::string, std::map<std::string, std::uint64_t>> m_destinations;
   std::map<std::string, std::uint64_t> m_retries;
   std::map<int, std::uint64_t> m_unrouted;
 };
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "modules/coordination/load/memory_budget.h"
+#include "modules/coordination/load/weighted_destinations.h"
 #include "modules/coordination/mesh/mesh_timing.h"
 #include "modules/coordination/steady_clock.h"
 #include "modules/transport/async/async_connection_pool.h"
@@ -585,6 +586,7 @@
                      {"cold_left_ms", ColdLeft().count()},
                      {"held_ranges", m_target_controller.held_range_count()},
                      {"running", m_gateway.running()},
+                     {"reserved_slots", m_gateway.reserved_slots()},
                      {"waiting", m_gateway.waiting()}};
   state["target"].update(DumpCondition());
   for (const MeshMember* member : m_agent.view().members()) {
@@ -594,6 +596,14 @@
                                 {"target", member->target.id},
                                 {"state", static_cast<int>(member->state)}});
   }
+  for (const auto& [route, destinations] : m_router.destinations()) {
+    for (const WeightedDestinations::Share& share : destinations.shares()) {
+      state["destinations"][route].push_back(
+          {{"service", share.destination.service},
+           {"weight", share.destination.weight},
+           {"credit", share.credit}});
+    }
+  }
   for (const auto& [service, table] : m_agent.view().tables()) {
     for (const SlotAssignment& assignment : table.assignments()) {
       state["runs"][service].push_back({assignment.range.first_key(),
@@ -631,6 +641,8 @@
   add("citrongrade_target_unknown_total", static_cast<double>(counts.unknown));
   add("citrongrade_target_running", static_cast<double>(m_gateway.running()));
   add("citrongrade_target_waiting", static_cast<double>(m_gateway.waiting()));
+  add("citrongrade_target_reserved_slots",
+      static_cast<double>(m_gateway.reserved_slots()));
   add("citrongrade_target_mean_work_seconds",
       m_gateway.mean_service_time_us() / 1e6);
   add("citrongrade_target_connections_opened_total",
