Targets report a steady capacity, and slot counts weigh the work

Cause: the leader derived a target's capacity from a mean over about ten runs of all routes. It varied by more than the imbalance that triggers moves, so that a fifth of all keys moved each second while work took three times as long for 0.4 s in every 2 s.

Heartbeats contain whole counts weighted in this way, capacityRps, and the mean run time for each counted request, by which leaders of earlier versions come to the same utilization.

Meshes with processes: not measured.

--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -585,6 +585,20 @@
   CHECK(SlotsOf("b") > 0);
 }
 
+// Guards against shares by a mean over a few runs, and against nodes of earlier
+// versions, whose heartbeats lack the capacity, that get none.
+TEST_CASE_FIXTURE(Fixture, "keys are shared by the reported capacity") {
+  for (const char* address : {"a", "b", "c"})
+    Node(address).mean_service_time_us = 200'000;
+  Node("b").capacity_rps = 80;
+  Node("c").capacity_rps = 20;
+  Run(milliseconds(4000));
+  // 8 / 0.2 s = 40 of 140.
+  CHECK(SlotsOf("a") == doctest::Approx(kSlotCount * 40 / 140).epsilon(0.01));
+  CHECK(SlotsOf("b") == doctest::Approx(kSlotCount * 80 / 140).epsilon(0.01));
+  CHECK(SlotsOf("c") == doctest::Approx(kSlotCount * 20 / 140).epsilon(0.01));
+}
+
 // Guards against keys that nobody serves for two seconds: they are to move, for
 // balance, away from a node that has just restarted and can't give them back.
 TEST_CASE_FIXTURE(Fixture, "a restarted node keeps its keys for a while") {
--- a/modules/protocol/mesh_message_codec_test.cc
+++ b/modules/protocol/mesh_message_codec_test.cc
@@ -95,6 +95,7 @@
   heartbeat.target.named_requests_per_second = 26.1;
   heartbeat.evacuations = {17, {"derby", "suape"}};
   heartbeat.long_run_us = 900'000;
+  heartbeat.capacity_rps = 43.3;
   CHECK(MeshMessageCodec::DecodeHeartbeat(
             MeshMessageCodec::Encode(heartbeat)) == heartbeat);
 }
