--- a/modules/protocol/mesh_message_codec_test.cc
+++ b/modules/protocol/mesh_message_codec_test.cc
@@ -7,6 +7,8 @@
 
 #include <random>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "modules/protocol/malformed_message_error.h"
 #include "modules/protocol/mesh.capnp.h"
@@ -100,6 +102,30 @@
             MeshMessageCodec::Encode(heartbeat)) == heartbeat);
 }
 
+// Guards against a leader that can't read the nodes of an earlier version, or
+// takes what they don't report for a capacity or run time of some length.
+TEST_CASE("a heartbeat of an earlier version lacks the estimates") {
+  // As the version before longRunUs and capacityRps encoded it.
+  constexpr std::string_view kHex =
+      "1021500d0a0001120108000570605b030001e0803a4011251211250a11250a11"
+      "250a1125421125071125141125050000511c0101016100027f64697669646564"
+      "5001031105070000110106";
+  std::string bytes;
+  for (std::size_t i = 0; i < kHex.size(); i += 2) {
+    constexpr int kHexBase = 16;
+    bytes += static_cast<char>(
+        std::stoi(std::string(kHex.substr(i, 2)), nullptr, kHexBase));
+  }
+  const Heartbeat heartbeat = MeshMessageCodec::DecodeHeartbeat(bytes);
+  CHECK(heartbeat.address == "a");
+  CHECK(heartbeat.target.named_requests_per_second == 26.5);
+  CHECK(heartbeat.mean_service_time_us == 220'000);
+  CHECK(heartbeat.slot_request_counts ==
+        std::vector<Heartbeat::SlotRequestCount>{{5, 7}});
+  CHECK(heartbeat.long_run_us == 0);
+  CHECK(heartbeat.capacity_rps == 0);
+}
+
 TEST_CASE("what others own takes little room") {
   HeartbeatReply reply;
   constexpr std::uint32_t kRuns = 840;
