Withdrawals are logged singly only at debug level

Cause: repeated withdrawals of a shutdown with many members would log dozens of lines; event=stopped has their count.

Measured: two cases of platform_shutdown_process_test pass.

--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -631,8 +631,8 @@
     // A node of a build without withdrawals.
     if (status == kBadRequest)
       m_withdrawals.OnUnknownToNode(batch.node);
-    spdlog::info("event=withdrawal node={} requests={} status={}", batch.node,
-                 count, status);
+    spdlog::debug("event=withdrawal node={} requests={} status={}", batch.node,
+                  count, status);
   } catch (const HttpError& error) {
     spdlog::info("event=withdrawal-lost node={} requests={} reason=\"{}\"",
                  batch.node, count, error.what());
