--- a/tests/platform_shutdown_process_test.py
+++ b/tests/platform_shutdown_process_test.py
@@ -197,6 +197,20 @@
         self.assertEqual(set(self.answers(running)), {504})
         self.check_never_runs("wait-")
 
+    # Guards against unanswered requests where both nodes stop, so that no withdrawal
+    # reaches the other one.
+    def test_two_nodes_that_stop_at_once_answer_everything(self):
+        running = self.fill_target(self.entry)
+        waiting = [self.send(self.entry, f"wait-{i}") for i in range(3)]
+        self.mesh.wait_for(lambda: self.plain.state()["target"]["waiting"] == 3, 2, "requests that wait")
+        stopper = threading.Thread(target=self.stop, args=(self.plain,))
+        stopper.start()
+        self.stop(self.entry)
+        stopper.join()
+        self.assertEqual(self.answers(waiting), [503] * 3)
+        self.assertLessEqual(set(self.answers(running)), {502, 504})
+        self.check_never_runs("wait-")
+
     # Guards against an unanswered request where the other node's process is
     # paused, so that a withdrawal is lost. It may run later: no 503.
     def test_a_lost_withdrawal_ends_with_504(self):
