--- a/tests/platform_shutdown_process_test.py
+++ b/tests/platform_shutdown_process_test.py
@@ -24,6 +24,8 @@
 SLOTS = 8
 # Longer than a node may take to stop.
 LONG_WORK_MS = 8000
+# Ends between the withdrawals and the end of the grace.
+TIMELY_WORK_MS = 5700
 DEADLINE_MS = 12000
 # A request is where it waits or runs by then.
 ARRIVAL_S = 0.4
@@ -88,6 +90,7 @@
                 end.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
+        source.close()
 
 
 class ShutdownTestCase(unittest.TestCase):
@@ -167,10 +170,10 @@
         self.mesh.wait_for(lambda: not self.entry.state()["store_answers"], 5, "the loss of the store")
         self.stop_while_requests_wait_elsewhere()
 
-    # Guards against a shutdown that aborts what would have ended in time, and
-    # against closed connections of what doesn't.
+    # Guards against a shutdown that aborts what would have ended in time, or what a
+    # withdrawal finds running, and against closed connections of the rest.
     def test_running_requests_go_on_until_the_end_of_the_grace(self):
-        self.plain.target_fault("work", 4500)
+        self.plain.target_fault("work", TIMELY_WORK_MS)
         timely = self.send(self.entry, "timely")
         time.sleep(ARRIVAL_S)
         self.plain.target_fault("work", LONG_WORK_MS)
@@ -179,6 +182,8 @@
         began = time.monotonic()
         self.stop(self.entry)
         self.assertEqual(self.answers([timely, endless]), [200, 504])
+        # Both have been withdrawn by then, a second before the end.
+        self.assertGreater(timely.ended - began, 4.5)
         self.assertGreater(endless.ended - began, 5)
 
     # Guards against closed connections of requests that wait or run at the node
@@ -192,6 +197,20 @@
         self.assertEqual(set(self.answers(running)), {504})
         self.check_never_runs("wait-")
 
+    # Guards against unanswered requests where both nodes stop, so that no withdrawal
+    # reaches the other one.
+    def test_two_nodes_that_stop_at_once_answer_everything(self):
+        running = self.fill_target(self.entry)
+        waiting = [self.send(self.entry, f"wait-{i}") for i in range(3)]
+        self.mesh.wait_for(lambda: self.plain.state()["target"]["waiting"] == 3, 2, "requests that wait")
+        stopper = threading.Thread(target=self.stop, args=(self.plain,))
+        stopper.start()
+        self.stop(self.entry)
+        stopper.join()
+        self.assertEqual(self.answers(waiting), [503] * 3)
+        self.assertLessEqual(set(self.answers(running)), {502, 504})
+        self.check_never_runs("wait-")
+
     # Guards against an unanswered request where the other node's process is
     # paused, so that a withdrawal is lost. It may run later: no 503.
     def test_a_lost_withdrawal_ends_with_504(self):
