--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -594,9 +594,14 @@
   Node("c").capacity_rps = 20;
   Run(milliseconds(4000));
   // 8 / 0.2 s = 40 of 140.
-  CHECK(SlotsOf("a") == doctest::Approx(kSlotCount * 40 / 140).epsilon(0.01));
-  CHECK(SlotsOf("b") == doctest::Approx(kSlotCount * 80 / 140).epsilon(0.01));
-  CHECK(SlotsOf("c") == doctest::Approx(kSlotCount * 20 / 140).epsilon(0.01));
+  const auto part_of = [](double capacity) {
+    constexpr double kTotal = 140;
+    constexpr double kTolerance = 0.01;
+    return doctest::Approx(kSlotCount * capacity / kTotal).epsilon(kTolerance);
+  };
+  CHECK(SlotsOf("a") == part_of(40));
+  CHECK(SlotsOf("b") == part_of(80));
+  CHECK(SlotsOf("c") == part_of(20));
 }
 
 // Guards against keys that nobody serves for two seconds: they are to move, for
--- a/modules/coordination/mesh/ownership_model_test.cc
+++ b/modules/coordination/mesh/ownership_model_test.cc
@@ -63,6 +63,8 @@
   // periods of long service times, which extend the leases.
   bool replaces_leaders = true;
   bool varies_service_time = true;
+  // Some heartbeats report long runs, so that each node's leases vary.
+  bool reports_long_runs = false;
   // A leader knows the maximum lease of its predecessors from the record.
   bool stores_lease_length = true;
   // Targets get their grants in the replies to their reports.
@@ -535,6 +537,11 @@
     heartbeat.target.service = "divided";
     heartbeat.target.concurrency = 8;
     heartbeat.mean_service_time_us = m_work_us;
+    if (m_options.reports_long_runs && RandomBool(0.8)) {
+      constexpr std::uint64_t kMaxLongRunUs = 1'500'000;
+      heartbeat.long_run_us =
+          static_cast<std::uint32_t>(m_random() % kMaxLongRunUs);
+    }
     for (const TargetHoldTracker::ReturnedRange& range :
          node.holds.ReturnedRanges())
       heartbeat.released.push_back(
@@ -1001,6 +1008,25 @@
   }
 }
 
+// Guards against two holders of a key whose leases are sized for each node by
+// its long runs, and change with each heartbeat.
+TEST_CASE("no two targets hold the same key while leases vary by node") {
+  const auto [first, last] = SeedsToRun();
+  for (const bool grants_by_report : {false, true}) {
+    Options options;
+    options.reports_long_runs = true;
+    options.grants_by_report = grants_by_report;
+    int served = 0;
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+      OwnershipModel model(seed, options);
+      CHECK_MESSAGE(model.Run(kSimulatedTime) == 0, "seed ", seed);
+      served += model.served_steps();
+    }
+    CHECK(served > static_cast<int>(last - first + 1) *
+                       (kSimulatedTime / kStep) * 2 / 10);
+  }
+}
+
 TEST_CASE("the model reports a refusal that is taken for a death") {
   Options options;
   options.closes_listeners = true;
