--- a/tests/platform_mesh_process_test.py
+++ b/tests/platform_mesh_process_test.py
@@ -105,6 +105,12 @@
         later = [status for at, _, status in outcomes if at > learned]
         self.assertGreater(later.count(200), 60)
         self.assertEqual(later.count(500), 0)
+        # The lease covers the long runs that the nodes report.
+        states = [node.state() for node in self.divided]
+        for state in states:
+            self.assertGreaterEqual(state["target"]["long_run_ms"], 1000)
+            self.assertGreater(state["target"]["capacity_rps"], 0)
+            self.assertGreater(state["longest_lease_ms"], 2500)
 
     # The leader is killed: another one leads before any lease has run out.
     def test_the_loss_of_the_leader_interrupts_no_keys(self):
