A target whose connections broke is probed until its listener is closed

Cause of the known failure of platform_target_dies_process_test, by the trace of a run that failed: a target that had said that it leaves was killed, its connections broke, and the one probe of its address met a reset instead of a refusal, as a dying process closes its sockets one after the other. A target that leaves gets no further request that would meet the refusal, so its death was never seen and its keys came back when their holds expired, 2.76 s after it; 2 s are asked.

Change: up to five probes, 40 ms apart, until one is refused. New case of the test: the stand-in ends its connections 60 ms before its listener.

--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -37,6 +37,12 @@
 constexpr milliseconds kReplyAllowance{5};
 // Connections that break within this time are attributed to the same crash.
 constexpr milliseconds kCrashWindow{1000};
+// A process that dies closes its sockets one after the other: a connection may
+// still be accepted, or be reset, before one is refused. A target that leaves
+// gets no more requests that would meet the refusal, and its keys then waited
+// 2.8 s for their holds to expire.
+constexpr int kProbesAfterBreak = 5;
+constexpr milliseconds kProbeInterval{40};
 // A target confirms a grant within a few milliseconds. A grant without an
 // answer is sent again after PushHoldTracker::kCallTimeout.
 constexpr milliseconds kGrantWaitTimeout{150};
@@ -525,13 +531,21 @@
 
 Task<> TargetGateway::ProbeTarget() {
   const HttpAddress address = m_controller.address();
-  try {
-    auto connection = co_await m_pool.Acquire(address, Clock::Duration(0));
-    m_pool.Release(address, std::move(connection));
-  } catch (const ConnectRefusedError&) {
-    m_controller.OnRefused();
-  } catch (const ConnectError& error) {
-    spdlog::debug("event=target-probe-failed reason=\"{}\"", error.what());
+  boost::asio::steady_timer timer(m_loop);
+  for (int probe = 0; probe < kProbesAfterBreak; ++probe) {
+    if (probe > 0) {
+      timer.expires_after(kProbeInterval);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    try {
+      auto connection = co_await m_pool.Acquire(address, Clock::Duration(0));
+      m_pool.Release(address, std::move(connection));
+    } catch (const ConnectRefusedError&) {
+      m_controller.OnRefused();
+      co_return;
+    } catch (const ConnectError& error) {
+      spdlog::debug("event=target-probe-failed reason=\"{}\"", error.what());
+    }
   }
 }
 
--- a/tests/platform_target_dies_process_test.py
+++ b/tests/platform_target_dies_process_test.py
@@ -1,6 +1,7 @@
 """Targets of citrongrade-router that die while they hold keys, as real processes
 against the stand-ins of the platform's store and targets."""
 
+import http.client
 import time
 import unittest
 
@@ -8,6 +9,7 @@
 from promises import holds_of
 
 TAKEOVER = shared.TAKEOVER
+LISTENER_CLOSES_MS = 60
 
 
 def longest_unheld(lives, key, begin, end):
@@ -21,6 +23,15 @@
 
 
 class TargetDiesTest(shared.ClosedListenerCase):
+    def check_taken_over(self, died, what):
+        """No key is without a holder for long."""
+        end = died + TAKEOVER + 1
+        time.sleep(end - time.monotonic())
+        lives = [shared.life_of(other) for other in [self.leaving, *self.others]]
+        unheld = {key: longest_unheld(lives, key, died, end) for key in shared.PROBED_KEYS}
+        key = max(unheld, key=unheld.get)
+        self.assertLess(unheld[key], TAKEOVER, f"key {key}, {what}")
+
     # Guards against keys that stay unserved once their target has died, in the
     # middle of its leaving too. Keys that move afterwards, to even out the load,
     # have no holder while the work on them ends: each key is judged by itself, as
@@ -33,11 +44,19 @@
                 time.sleep(0.1)
             node.target.kill()
             died = time.monotonic()
-            time.sleep(TAKEOVER + 1)
-            lives = [shared.life_of(other) for other in [self.leaving, *self.others]]
-            unheld = {key: longest_unheld(lives, key, died, died + TAKEOVER + 1) for key in shared.PROBED_KEYS}
-            key = max(unheld, key=unheld.get)
-            self.assertLess(unheld[key], TAKEOVER, f"key {key}, leaves={leaves}")
+            self.check_taken_over(died, f"leaves={leaves}")
+
+    # Guards against a target that leaves and dies, whose listener still takes the
+    # one connection by which its node looks for it, and whose keys then wait for
+    # their holds to expire.
+    def test_a_target_whose_listener_is_closed_last(self):
+        node = self.others.pop()
+        node.tell_target("/drain")
+        time.sleep(0.1)
+        died = time.monotonic()
+        with self.assertRaises((OSError, http.client.HTTPException)):
+            node.target_fault("die", LISTENER_CLOSES_MS)
+        self.check_taken_over(died, "listener closed last")
 
 
 class TargetDiesWithReportedGrantsTest(TargetDiesTest):
