--- a/programs/citrongrade-router/main.cc
+++ b/programs/citrongrade-router/main.cc
@@ -52,16 +52,17 @@
              "log lines for each event of requests that were served");
   reader.Add("--settings-check-ms", settings.settings_check_interval,
              "how often the settings file is checked for changes");
-  reader.Add("--capacity-reports", settings.capacity_reports,
-             "whether nodes share what their targets can take: on, off, or "
-             "auto, as the platform's settings file says");
+  reader.Add("--contended-capacity", settings.contended_capacity,
+             "whether callers compete for capacity, so that slots are kept for "
+             "short calls: on, off, or auto, as the platform's settings file "
+             "says");
   reader.AddRule(
       [&settings] {
-        return settings.capacity_reports == "auto" ||
-               settings.capacity_reports == "on" ||
-               settings.capacity_reports == "off";
+        return settings.contended_capacity == "auto" ||
+               settings.contended_capacity == "on" ||
+               settings.contended_capacity == "off";
       },
-      "--capacity-reports must be on, off or auto");
+      "--contended-capacity must be on, off or auto");
   reader.Add(
       "--max-body-bytes", settings.max_body_bytes,
       "largest request body, where the configuration allows a larger one");
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -164,13 +164,12 @@
   return {mesh.ToString(), data.ToString(), file.zone, LeaderFitness(file)};
 }
 
-// Whether this node takes part in sharing what targets can take, and keeps
-// slots of its own target for short calls.
+// Whether this node keeps slots of its target for short calls.
 bool HasContendedCapacity(const RouterSettings& settings,
                           const platform::SettingsFile& file) {
-  if (settings.capacity_reports == "auto")
+  if (settings.contended_capacity == "auto")
     return file.has_contended_capacity;
-  return settings.capacity_reports == "on";
+  return settings.contended_capacity == "on";
 }
 
 TargetController::Settings MakeTargetControllerSettings(
--- a/programs/citrongrade-router/router_settings.h
+++ b/programs/citrongrade-router/router_settings.h
@@ -21,9 +21,9 @@
   // How often the settings file is checked for changes; SIGHUP checks it at
   // once.
   std::chrono::milliseconds settings_check_interval{1000};
-  // Whether nodes share capacity reports: "on", "off", or "auto", as the
-  // platform's settings file says.
-  std::string capacity_reports = "auto";
+  // Whether callers compete for capacity, so that slots are kept for short
+  // calls: "on", "off", or "auto", as the platform's settings file says.
+  std::string contended_capacity = "auto";
   // Limit of a body in addition to that of the operators' configuration.
   std::size_t max_body_bytes = std::size_t{64} << 20U;
 
