Reserved slots: short requests may use more than the reserve, and wait for any slot

Cause: beside the reserve, waiting short requests got no more than the quarter that long ones leave, and their expected wait was that of these slots alone. At a service where calls need a third of the slots they fared worse than without a reserve, and stayed in the queue of a full target in place of being refused so that another one could run them.

Change: short requests leave long ones a quarter of the slots, as without the reserve; their wait is that for any slot, behind short ones alone.

--- a/modules/coordination/load/target_admission.cc
+++ b/modules/coordination/load/target_admission.cc
@@ -101,28 +101,19 @@
 }
 
 std::size_t TargetAdmission::SlotsForShort() const {
-  const std::size_t concurrency = m_parameters.concurrency;
-  if (!m_short_call_reserve) {
-    return static_cast<std::size_t>(static_cast<double>(concurrency) *
-                                    (1 - kShareReservedForLong));
-  }
-  const auto for_long = static_cast<std::size_t>(
-      static_cast<double>(concurrency) * (1 - ShortCallReserve::kMaxShare));
-  return concurrency -
-         std::min(concurrency, std::max<std::size_t>(1, for_long));
+  return static_cast<std::size_t>(
+      static_cast<double>(m_parameters.concurrency) *
+      (1 - kShareReservedForLong));
 }
 
 TargetAdmission::SlotUse TargetAdmission::SlotUseOf(bool is_long) const {
-  if (!m_short_call_reserve) {
-    return {std::max<std::size_t>(1, m_parameters.concurrency),
-            m_running.size(), m_mean_service_time};
-  }
-  if (is_long) {
+  if (m_short_call_reserve && is_long) {
     return {std::max<std::size_t>(1, SlotsForLong()), CountRunning(true),
             m_mean_long_service_time};
   }
-  return {std::max<std::size_t>(1, SlotsForShort()), CountRunning(false),
-          m_short_call_reserve->mean_service_time()};
+  // A short request takes any slot, and waits for the end of whatever runs.
+  return {std::max<std::size_t>(1, m_parameters.concurrency), m_running.size(),
+          m_mean_service_time};
 }
 
 std::size_t TargetAdmission::CountAhead(const Ahead& ahead,
--- a/modules/coordination/load/target_admission.h
+++ b/modules/coordination/load/target_admission.h
@@ -46,8 +46,8 @@
 // With Parameters::reserves_slots_for_short, long requests also leave free what
 // short ones need, as ShortCallReserve computes it: without that, a call that
 // arrives while all slots run long requests waits for one of them to end.
-// Waiting short requests go before long ones only in slots beyond the three
-// quarters that long requests keep.
+// The reserve is at most a quarter of the slots. Short requests that need more
+// compete for the others as they do without it.
 //
 // A request that can't be answered before its deadline is refused as soon as
 // this is known: by Offer(), or by the next Poll(). Where the target's rate is
