--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -214,8 +214,11 @@
   }
   const std::uint64_t fingerprint = ComputeFingerprint(request);
   if (m_poison_detector->IsQuarantined(RequestFingerprint(fingerprint))) {
-    auto refusal = ForwardResult::NotRun(RequestErrorCode::kQuarantined,
-                                         "its runs crashed targets");
+    ++m_counts.quarantined;
+    auto refusal = ForwardResult::NotRun(
+        RequestErrorCode::kQuarantined,
+        fmt::format("its runs crashed targets, fingerprint {:016x}",
+                    fingerprint));
     CountResult(refusal);
     co_return refusal;
   }
@@ -547,7 +550,13 @@
   m_broken_connections.clear();
   for (const auto& [ticket, fingerprint] : m_running_fingerprints)
     suspects.emplace_back(fingerprint);
+  if (suspects.empty())
+    return;
+  ++m_counts.crashes;
   m_poison_detector->OnCrash(suspects);
+  spdlog::info("event=target-crashed target={} running={} suspects={}",
+               m_controller.incarnation().id, suspects.size(),
+               m_poison_detector->suspect_count());
 }
 
 std::vector<Heartbeat::SlotRequestCount>
@@ -574,6 +583,8 @@
   for (const std::uint64_t suspect : suspects)
     fingerprints.emplace_back(suspect);
   m_poison_detector->MergePeerReports(fingerprints);
+  spdlog::info("event=crash-reports-merged reports={} suspects={}",
+               suspects.size(), m_poison_detector->suspect_count());
 }
 
 std::uint32_t TargetGateway::mean_service_time_us() const {
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -51,6 +51,10 @@
     std::uint64_t unknown = 0;
     // Rejected while they waited, because their sender withdrew them.
     std::uint64_t withdrawn = 0;
+    // Rejected because runs of them crashed targets.
+    std::uint64_t quarantined = 0;
+    // Losses of the target with requests that ran on it.
+    std::uint64_t crashes = 0;
   };
 
   // `reserves_slots_for_short`: long requests leave the target slots that short
@@ -92,6 +96,7 @@
   std::vector<Heartbeat::SlotRequestCount> TakeSlotRequestCounts();
   std::vector<std::uint64_t> TakeCrashSuspects();
   void MergeCrashSuspects(const std::vector<std::uint64_t>& suspects);
+  const PoisonDetector& poison_detector() const { return *m_poison_detector; }
   std::uint32_t mean_service_time_us() const;
   // 95th percentile of the run times of the longest sharded route; 0 if
   // unknown.
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "modules/coordination/load/memory_budget.h"
+#include "modules/coordination/load/poison_detector.h"
 #include "modules/coordination/load/weighted_destinations.h"
 #include "modules/coordination/mesh/mesh_timing.h"
 #include "modules/coordination/steady_clock.h"
@@ -683,6 +684,11 @@
   add("citrongrade_target_unknown_total", static_cast<double>(counts.unknown));
   add("citrongrade_target_withdrawn_total",
       static_cast<double>(counts.withdrawn));
+  add("citrongrade_target_crashes_total", static_cast<double>(counts.crashes));
+  add("citrongrade_quarantine_refusals_total",
+      static_cast<double>(counts.quarantined));
+  add("citrongrade_crash_suspects",
+      static_cast<double>(m_gateway.poison_detector().suspect_count()));
   add("citrongrade_target_running", static_cast<double>(m_gateway.running()));
   add("citrongrade_target_waiting", static_cast<double>(m_gateway.waiting()));
   add("citrongrade_target_reserved_slots",
