--- a/modules/coordination/mesh/heartbeat.h
+++ b/modules/coordination/mesh/heartbeat.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "modules/coordination/mesh/crash_report.h"
 #include "modules/state/mesh/key_slot.h"
 #include "modules/state/mesh/target_incarnation.h"
 #include "modules/state/mesh/zone_evacuations.h"
@@ -103,8 +104,7 @@
   // 95th percentile of the run times of the target's longest sharded route; 0
   // if unknown, also from nodes that don't report it.
   std::uint32_t long_run_us = 0;
-  // Fingerprints of the requests that were running when the target crashed.
-  std::vector<std::uint64_t> crash_suspects;
+  CrashReport crash_report;
   // As this node knows them.
   ZoneEvacuations evacuations;
 
--- a/modules/coordination/mesh/heartbeat_reply.h
+++ b/modules/coordination/mesh/heartbeat_reply.h
@@ -3,8 +3,8 @@
 #include <compare>
 #include <cstdint>
 #include <string>
-#include <vector>
 
+#include "modules/coordination/mesh/crash_report_reply.h"
 #include "modules/state/mesh/mesh_view.h"
 #include "modules/state/mesh/zone_evacuations.h"
 
@@ -33,7 +33,7 @@
   // the leader can't.
   bool reads_store = false;
   ViewDelta view;
-  std::vector<std::uint64_t> crash_suspects;
+  CrashReportReply crash_report;
   // The newest version that any node has.
   std::uint64_t config_version = 0;
   // Time since it was last known that no newer version is in force.
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -13,9 +13,6 @@
 // Share of its capacity that a target reaches during its cold start, where
 // nothing limits its requests.
 constexpr double kColdCapacityFactor = 0.5;
-// Maximum number of crash suspects that a leader passes on. It sends each one
-// to every node once and passes on none that are reported after that.
-constexpr std::size_t kMaxCrashSuspects = 1024;
 // Time in which a new store reader has to get its first answer from the store.
 constexpr std::chrono::milliseconds kStoreReaderTimeout{600};
 // After this many consecutive readers without an answer, less fit hosts are
@@ -96,7 +93,8 @@
                             m_lease_duration.MaxDurationInForce() +
                             timing.max_clock_drift),
       m_assigner(claimed.epoch, claimed.tables),
-      m_round_started(clock.Now()) {
+      m_round_started(clock.Now()),
+      m_crash_ledger(clock, claimed.crash_suspects) {
   m_leadership_lease.SetVoters(claimed.voters);
   m_view.BeginEpoch(claimed.epoch);
   for (const auto& [service, table] : claimed.tables)
@@ -127,7 +125,6 @@
   if (is_new || is_restart) {
     node.first_heard = now;
     node.is_restarted = is_restart;
-    node.crash_suspects_sent = 0;
     node.has_promised = false;
   }
   node.last_heard = now;
@@ -145,10 +142,7 @@
     if (HasAuthority())
       m_assigner.OnReleased(heartbeat.address, released);
   }
-  for (const std::uint64_t suspect : heartbeat.crash_suspects) {
-    if (m_crash_suspects.size() < kMaxCrashSuspects)
-      m_crash_suspects.push_back(suspect);
-  }
+  m_crash_ledger.OnHeartbeat(heartbeat);
   const Heartbeat::Target& known = node.last_heartbeat.target;
   if (heartbeat.target.state == Heartbeat::TargetState::kServing &&
       (known.state != Heartbeat::TargetState::kServing ||
@@ -253,6 +247,8 @@
   reply.stamp_ns = std::chrono::nanoseconds(now.time_since_epoch()).count();
   reply.view = m_view.ChangesSince(heartbeat.epoch, heartbeat.view_version,
                                    heartbeat.address);
+  reply.crash_report =
+      m_crash_ledger.MakeReply(heartbeat, heartbeat.leader_nonce == m_nonce);
   const auto found = m_nodes.find(heartbeat.address);
   if (found == m_nodes.end() || !HasAuthority())
     return reply;
@@ -263,11 +259,6 @@
   node.lease_until =
       std::max(node.lease_until, now + lease + m_timing.max_clock_drift);
   reply.reads_store = IsStoreReader(heartbeat.address);
-  reply.crash_suspects.assign(
-      m_crash_suspects.begin() +
-          static_cast<std::ptrdiff_t>(node.crash_suspects_sent),
-      m_crash_suspects.end());
-  node.crash_suspects_sent = m_crash_suspects.size();
   return reply;
 }
 
@@ -491,6 +482,8 @@
 }
 
 bool MeshLeader::NeedsStore() const {
+  if (m_crash_ledger.NeedsStore())
+    return true;
   if (m_assigner.change_count() > m_published_unstored)
     return true;
   return m_published_unstored > 0 &&
@@ -512,6 +505,7 @@
   m_pending_record = m_stored_record;
   m_pending_record->tables = m_assigner.tables();
   m_pending_record->max_lease = longest_lease;
+  m_pending_record->crash_suspects = m_crash_ledger.BeginStore();
   if (voters != m_stored_record.voters) {
     m_leadership_lease.SetPendingVoters(voters);
     m_pending_record->voters = std::move(voters);
@@ -527,6 +521,7 @@
   m_stored_record = *std::exchange(m_pending_record, std::nullopt);
   m_leadership_lease.SetVoters(m_stored_record.voters);
   m_lease_duration.OnStoreCompleted();
+  m_crash_ledger.OnStored();
   for (const KeyAssigner::Change& change : std::exchange(m_pending_changes, {}))
     PublishAssignment(change);
 }
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "modules/coordination/clock.h"
+#include "modules/coordination/mesh/crash_ledger.h"
 #include "modules/coordination/mesh/heartbeat.h"
 #include "modules/coordination/mesh/heartbeat_reply.h"
 #include "modules/coordination/mesh/key_assigner.h"
@@ -102,7 +103,6 @@
     Clock::TimePoint lease_until;
     // When the present incarnation of its target was first reported to serve.
     Clock::TimePoint target_registered;
-    std::size_t crash_suspects_sent = 0;
     bool has_promised = false;
   };
 
@@ -174,7 +174,7 @@
   std::array<StoreReader, 2> m_store_readers;
   // Number of readers chosen in a row since one of them reached the store.
   unsigned m_failed_reader_choices = 0;
-  std::vector<std::uint64_t> m_crash_suspects;
+  CrashLedger m_crash_ledger;
   // By node: the first view version that contains all changes to the node's own
   // keys.
   std::map<std::string, std::uint64_t> m_required_view_versions;
--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -18,6 +18,20 @@
   zones @1 :List(Text);
 }
 
+# Requests that ran on targets when they crashed, in columns.
+struct CrashSuspects {
+  # Of all the crashes below, each once.
+  crashIds @0 :List(UInt64);
+  fingerprint @1 :List(UInt64);
+  # Time since the request's last crash.
+  ageS @2 :List(UInt32);
+  # How many of the entries below are the request's.
+  crashCount @3 :List(UInt8);
+  # Places in crashIds, from 0 on.
+  crash @4 :List(UInt16);
+  isCleared @5 :List(Bool);
+}
+
 struct MeshHeartbeat {
   address @0 :Text;
   dataAddress @1 :Text;
@@ -43,7 +57,8 @@
   # Slot and count by turns.
   arrivals @21 :List(UInt32);
   meanWorkUs @22 :UInt32;
-  crashSuspects @23 :List(UInt64);
+  # Crashes without ids travelled in it once.
+  obsoleteCrashSuspects @23 :List(UInt64);
   # Long documents travelled in heartbeats once.
   obsoleteConfigDocument @24 :Data;
   leaderMeritMilli @25 :UInt32;
@@ -59,6 +74,12 @@
   # Requests per second that the target can serve, by a slow estimate; 0:
   # unknown.
   capacityRps @34 :Float64;
+  # Changes at the node from one version to another of what it knows.
+  crashSuspects @35 :CrashSuspects;
+  crashReportsSince @36 :UInt64;
+  crashReportVersion @37 :UInt64;
+  # The leader's version that the node has merged; 0: none.
+  crashLedgerVersion @38 :UInt64;
 
   struct Released {
     service @0 :Text;
@@ -122,7 +143,7 @@
   members @10 :List(MeshMemberEntry);
   # What the receiver owns.
   runs @11 :List(MeshOwnedRun);
-  crashSuspects @12 :List(UInt64);
+  obsoleteCrashSuspects @12 :List(UInt64);
   configVersion @13 :UInt64;
   obsoleteConfigDocument @14 :Data;
   # What others own.
@@ -132,6 +153,11 @@
   configSource @18 :Text;
   configAgeMs @19 :UInt32;
   evacuations @20 :Evacuations;
+  crashSuspects @21 :CrashSuspects;
+  crashLedgerVersion @22 :UInt64;
+  # Versions of the node's reports that have been merged, and stored.
+  crashReportsReceived @23 :UInt64;
+  crashReportsStored @24 :UInt64;
 }
 
 struct MeshConfigRequest {
@@ -243,4 +269,5 @@
   runs @3 :List(MeshOwnedRun);
   keys @4 :List(StoredKeys);
   longestLeaseMs @5 :UInt32;
+  crashSuspects @6 :CrashSuspects;
 }
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(b0980035f580847d);
 CAPNP_DECLARE_SCHEMA(c88e80ed14cf3d49);
+CAPNP_DECLARE_SCHEMA(9d6eb21f630ddd85);
 CAPNP_DECLARE_SCHEMA(a74a30e248e45cf0);
 CAPNP_DECLARE_SCHEMA(d98985fa4cf0c55e);
 CAPNP_DECLARE_SCHEMA(d830fe406b94f282);
@@ -72,6 +73,21 @@
   };
 };
 
+struct CrashSuspects {
+  CrashSuspects() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9d6eb21f630ddd85, 0, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct MeshHeartbeat {
   MeshHeartbeat() = delete;
 
@@ -81,7 +97,7 @@
   struct Released;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 15, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 18, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -156,7 +172,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afed84799603774a, 7, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(afed84799603774a, 10, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -326,7 +342,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bc85cf3fbc8a6568, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bc85cf3fbc8a6568, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -503,6 +519,143 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashSuspects::Reader {
+public:
+  typedef CrashSuspects Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashIds() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashIds() const;
+
+  inline bool hasFingerprint() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getFingerprint() const;
+
+  inline bool hasAgeS() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getAgeS() const;
+
+  inline bool hasCrashCount() const;
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashCount() const;
+
+  inline bool hasCrash() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrash() const;
+
+  inline bool hasIsCleared() const;
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader getIsCleared() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashSuspects::Builder {
+public:
+  typedef CrashSuspects Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashIds();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashIds();
+  inline void setCrashIds( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrashIds(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashIds(unsigned int size);
+  inline void adoptCrashIds(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCrashIds();
+
+  inline bool hasFingerprint();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getFingerprint();
+  inline void setFingerprint( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setFingerprint(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initFingerprint(unsigned int size);
+  inline void adoptFingerprint(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownFingerprint();
+
+  inline bool hasAgeS();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getAgeS();
+  inline void setAgeS( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAgeS(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initAgeS(unsigned int size);
+  inline void adoptAgeS(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownAgeS();
+
+  inline bool hasCrashCount();
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashCount();
+  inline void setCrashCount( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrashCount(::kj::ArrayPtr<const  ::uint8_t> value);
+  inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashCount(unsigned int size);
+  inline void adoptCrashCount(::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> disownCrashCount();
+
+  inline bool hasCrash();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrash();
+  inline void setCrash( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrash(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrash(unsigned int size);
+  inline void adoptCrash(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownCrash();
+
+  inline bool hasIsCleared();
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder getIsCleared();
+  inline void setIsCleared( ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setIsCleared(::kj::ArrayPtr<const bool> value);
+  inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder initIsCleared(unsigned int size);
+  inline void adoptIsCleared(::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>> disownIsCleared();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashSuspects::Pipeline {
+public:
+  typedef CrashSuspects Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class MeshHeartbeat::Reader {
 public:
   typedef MeshHeartbeat Reads;
@@ -573,8 +726,8 @@
 
   inline  ::uint32_t getMeanWorkUs() const;
 
-  inline bool hasCrashSuspects() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashSuspects() const;
+  inline bool hasObsoleteCrashSuspects() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getObsoleteCrashSuspects() const;
 
   inline bool hasObsoleteConfigDocument() const;
   inline  ::capnp::Data::Reader getObsoleteConfigDocument() const;
@@ -600,6 +753,15 @@
 
   inline double getCapacityRps() const;
 
+  inline bool hasCrashSuspects() const;
+  inline  ::citrongrade::rpc::CrashSuspects::Reader getCrashSuspects() const;
+
+  inline  ::uint64_t getCrashReportsSince() const;
+
+  inline  ::uint64_t getCrashReportVersion() const;
+
+  inline  ::uint64_t getCrashLedgerVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -726,13 +888,13 @@
   inline  ::uint32_t getMeanWorkUs();
   inline void setMeanWorkUs( ::uint32_t value);
 
-  inline bool hasCrashSuspects();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashSuspects();
-  inline void setCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashSuspects(unsigned int size);
-  inline void adoptCrashSuspects(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCrashSuspects();
+  inline bool hasObsoleteCrashSuspects();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getObsoleteCrashSuspects();
+  inline void setObsoleteCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setObsoleteCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initObsoleteCrashSuspects(unsigned int size);
+  inline void adoptObsoleteCrashSuspects(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownObsoleteCrashSuspects();
 
   inline bool hasObsoleteConfigDocument();
   inline  ::capnp::Data::Builder getObsoleteConfigDocument();
@@ -775,6 +937,22 @@
   inline double getCapacityRps();
   inline void setCapacityRps(double value);
 
+  inline bool hasCrashSuspects();
+  inline  ::citrongrade::rpc::CrashSuspects::Builder getCrashSuspects();
+  inline void setCrashSuspects( ::citrongrade::rpc::CrashSuspects::Reader value);
+  inline  ::citrongrade::rpc::CrashSuspects::Builder initCrashSuspects();
+  inline void adoptCrashSuspects(::capnp::Orphan< ::citrongrade::rpc::CrashSuspects>&& value);
+  inline ::capnp::Orphan< ::citrongrade::rpc::CrashSuspects> disownCrashSuspects();
+
+  inline  ::uint64_t getCrashReportsSince();
+  inline void setCrashReportsSince( ::uint64_t value);
+
+  inline  ::uint64_t getCrashReportVersion();
+  inline void setCrashReportVersion( ::uint64_t value);
+
+  inline  ::uint64_t getCrashLedgerVersion();
+  inline void setCrashLedgerVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -794,6 +972,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::citrongrade::rpc::Evacuations::Pipeline getEvacuations();
+  inline  ::citrongrade::rpc::CrashSuspects::Pipeline getCrashSuspects();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1397,8 +1576,8 @@
   inline bool hasRuns() const;
   inline  ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
 
-  inline bool hasCrashSuspects() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashSuspects() const;
+  inline bool hasObsoleteCrashSuspects() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getObsoleteCrashSuspects() const;
 
   inline  ::uint64_t getConfigVersion() const;
 
@@ -1420,6 +1599,15 @@
   inline bool hasEvacuations() const;
   inline  ::citrongrade::rpc::Evacuations::Reader getEvacuations() const;
 
+  inline bool hasCrashSuspects() const;
+  inline  ::citrongrade::rpc::CrashSuspects::Reader getCrashSuspects() const;
+
+  inline  ::uint64_t getCrashLedgerVersion() const;
+
+  inline  ::uint64_t getCrashReportsReceived() const;
+
+  inline  ::uint64_t getCrashReportsStored() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1496,13 +1684,13 @@
   inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::citrongrade::rpc::MeshOwnedRun,  ::capnp::Kind::STRUCT>> disownRuns();
 
-  inline bool hasCrashSuspects();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashSuspects();
-  inline void setCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashSuspects(unsigned int size);
-  inline void adoptCrashSuspects(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCrashSuspects();
+  inline bool hasObsoleteCrashSuspects();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getObsoleteCrashSuspects();
+  inline void setObsoleteCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setObsoleteCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initObsoleteCrashSuspects(unsigned int size);
+  inline void adoptObsoleteCrashSuspects(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownObsoleteCrashSuspects();
 
   inline  ::uint64_t getConfigVersion();
   inline void setConfigVersion( ::uint64_t value);
@@ -1544,6 +1732,22 @@
   inline void adoptEvacuations(::capnp::Orphan< ::citrongrade::rpc::Evacuations>&& value);
   inline ::capnp::Orphan< ::citrongrade::rpc::Evacuations> disownEvacuations();
 
+  inline bool hasCrashSuspects();
+  inline  ::citrongrade::rpc::CrashSuspects::Builder getCrashSuspects();
+  inline void setCrashSuspects( ::citrongrade::rpc::CrashSuspects::Reader value);
+  inline  ::citrongrade::rpc::CrashSuspects::Builder initCrashSuspects();
+  inline void adoptCrashSuspects(::capnp::Orphan< ::citrongrade::rpc::CrashSuspects>&& value);
+  inline ::capnp::Orphan< ::citrongrade::rpc::CrashSuspects> disownCrashSuspects();
+
+  inline  ::uint64_t getCrashLedgerVersion();
+  inline void setCrashLedgerVersion( ::uint64_t value);
+
+  inline  ::uint64_t getCrashReportsReceived();
+  inline void setCrashReportsReceived( ::uint64_t value);
+
+  inline  ::uint64_t getCrashReportsStored();
+  inline void setCrashReportsStored( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1563,6 +1767,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::citrongrade::rpc::Evacuations::Pipeline getEvacuations();
+  inline  ::citrongrade::rpc::CrashSuspects::Pipeline getCrashSuspects();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2760,6 +2965,9 @@
 
   inline  ::uint32_t getLongestLeaseMs() const;
 
+  inline bool hasCrashSuspects() const;
+  inline  ::citrongrade::rpc::CrashSuspects::Reader getCrashSuspects() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2823,6 +3031,13 @@
   inline  ::uint32_t getLongestLeaseMs();
   inline void setLongestLeaseMs( ::uint32_t value);
 
+  inline bool hasCrashSuspects();
+  inline  ::citrongrade::rpc::CrashSuspects::Builder getCrashSuspects();
+  inline void setCrashSuspects( ::citrongrade::rpc::CrashSuspects::Reader value);
+  inline  ::citrongrade::rpc::CrashSuspects::Builder initCrashSuspects();
+  inline void adoptCrashSuspects(::capnp::Orphan< ::citrongrade::rpc::CrashSuspects>&& value);
+  inline ::capnp::Orphan< ::citrongrade::rpc::CrashSuspects> disownCrashSuspects();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2841,6 +3056,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::citrongrade::rpc::CrashSuspects::Pipeline getCrashSuspects();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2931,6 +3147,234 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool CrashSuspects::Reader::hasCrashIds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspects::Builder::hasCrashIds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashSuspects::Reader::getCrashIds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::getCrashIds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashSuspects::Builder::setCrashIds( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashSuspects::Builder::setCrashIds(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::initCrashIds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspects::Builder::adoptCrashIds(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashSuspects::Builder::disownCrashIds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashSuspects::Reader::hasFingerprint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspects::Builder::hasFingerprint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashSuspects::Reader::getFingerprint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashSuspects::Builder::setFingerprint( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void CrashSuspects::Builder::setFingerprint(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::initFingerprint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspects::Builder::adoptFingerprint(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashSuspects::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CrashSuspects::Reader::hasAgeS() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspects::Builder::hasAgeS() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashSuspects::Reader::getAgeS() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::getAgeS() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashSuspects::Builder::setAgeS( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void CrashSuspects::Builder::setAgeS(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::initAgeS(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspects::Builder::adoptAgeS(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> CrashSuspects::Builder::disownAgeS() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool CrashSuspects::Reader::hasCrashCount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspects::Builder::hasCrashCount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashSuspects::Reader::getCrashCount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::getCrashCount() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CrashSuspects::Builder::setCrashCount( ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void CrashSuspects::Builder::setCrashCount(::kj::ArrayPtr<const  ::uint8_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::initCrashCount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspects::Builder::adoptCrashCount(
+    ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>> CrashSuspects::Builder::disownCrashCount() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint8_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool CrashSuspects::Reader::hasCrash() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspects::Builder::hasCrash() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashSuspects::Reader::getCrash() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::getCrash() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void CrashSuspects::Builder::setCrash( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void CrashSuspects::Builder::setCrash(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::initCrash(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspects::Builder::adoptCrash(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> CrashSuspects::Builder::disownCrash() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool CrashSuspects::Reader::hasIsCleared() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspects::Builder::hasIsCleared() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader CrashSuspects::Reader::getIsCleared() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::getIsCleared() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void CrashSuspects::Builder::setIsCleared( ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void CrashSuspects::Builder::setIsCleared(::kj::ArrayPtr<const bool> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspects::Builder::initIsCleared(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspects::Builder::adoptIsCleared(
+    ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>> CrashSuspects::Builder::disownIsCleared() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<bool,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool MeshHeartbeat::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3397,40 +3841,40 @@
       ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MeshHeartbeat::Reader::hasCrashSuspects() const {
+inline bool MeshHeartbeat::Reader::hasObsoleteCrashSuspects() const {
   return !_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeat::Builder::hasCrashSuspects() {
+inline bool MeshHeartbeat::Builder::hasObsoleteCrashSuspects() {
   return !_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeat::Reader::getCrashSuspects() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeat::Reader::getObsoleteCrashSuspects() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::getCrashSuspects() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::getObsoleteCrashSuspects() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeat::Builder::setCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void MeshHeartbeat::Builder::setObsoleteCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline void MeshHeartbeat::Builder::setCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void MeshHeartbeat::Builder::setObsoleteCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::initCrashSuspects(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::initObsoleteCrashSuspects(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeat::Builder::adoptCrashSuspects(
+inline void MeshHeartbeat::Builder::adoptObsoleteCrashSuspects(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeat::Builder::disownCrashSuspects() {
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeat::Builder::disownObsoleteCrashSuspects() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
@@ -3634,6 +4078,87 @@
       ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MeshHeartbeat::Reader::hasCrashSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasCrashSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citrongrade::rpc::CrashSuspects::Reader MeshHeartbeat::Reader::getCrashSuspects() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::citrongrade::rpc::CrashSuspects::Builder MeshHeartbeat::Builder::getCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::CrashSuspects::Pipeline MeshHeartbeat::Pipeline::getCrashSuspects() {
+  return  ::citrongrade::rpc::CrashSuspects::Pipeline(_typeless.getPointerField(10));
+}
+#endif  // !CAPNP_LITE
+inline void MeshHeartbeat::Builder::setCrashSuspects( ::citrongrade::rpc::CrashSuspects::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::citrongrade::rpc::CrashSuspects::Builder MeshHeartbeat::Builder::initCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::adoptCrashSuspects(
+    ::capnp::Orphan< ::citrongrade::rpc::CrashSuspects>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citrongrade::rpc::CrashSuspects> MeshHeartbeat::Builder::disownCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MeshHeartbeat::Reader::getCrashReportsSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeat::Builder::getCrashReportsSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setCrashReportsSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshHeartbeat::Reader::getCrashReportVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeat::Builder::getCrashReportVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setCrashReportVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshHeartbeat::Reader::getCrashLedgerVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeat::Builder::getCrashLedgerVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setCrashLedgerVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MeshHeartbeat::Released::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4746,40 +5271,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool MeshHeartbeatReply::Reader::hasCrashSuspects() const {
+inline bool MeshHeartbeatReply::Reader::hasObsoleteCrashSuspects() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool MeshHeartbeatReply::Builder::hasCrashSuspects() {
+inline bool MeshHeartbeatReply::Builder::hasObsoleteCrashSuspects() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeatReply::Reader::getCrashSuspects() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeatReply::Reader::getObsoleteCrashSuspects() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeatReply::Builder::getCrashSuspects() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeatReply::Builder::getObsoleteCrashSuspects() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void MeshHeartbeatReply::Builder::setCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void MeshHeartbeatReply::Builder::setObsoleteCrashSuspects( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void MeshHeartbeatReply::Builder::setCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void MeshHeartbeatReply::Builder::setObsoleteCrashSuspects(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeatReply::Builder::initCrashSuspects(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeatReply::Builder::initObsoleteCrashSuspects(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void MeshHeartbeatReply::Builder::adoptCrashSuspects(
+inline void MeshHeartbeatReply::Builder::adoptObsoleteCrashSuspects(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeatReply::Builder::disownCrashSuspects() {
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeatReply::Builder::disownObsoleteCrashSuspects() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
@@ -4981,6 +5506,87 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool MeshHeartbeatReply::Reader::hasCrashSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeatReply::Builder::hasCrashSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citrongrade::rpc::CrashSuspects::Reader MeshHeartbeatReply::Reader::getCrashSuspects() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::citrongrade::rpc::CrashSuspects::Builder MeshHeartbeatReply::Builder::getCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::CrashSuspects::Pipeline MeshHeartbeatReply::Pipeline::getCrashSuspects() {
+  return  ::citrongrade::rpc::CrashSuspects::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void MeshHeartbeatReply::Builder::setCrashSuspects( ::citrongrade::rpc::CrashSuspects::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::citrongrade::rpc::CrashSuspects::Builder MeshHeartbeatReply::Builder::initCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeatReply::Builder::adoptCrashSuspects(
+    ::capnp::Orphan< ::citrongrade::rpc::CrashSuspects>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citrongrade::rpc::CrashSuspects> MeshHeartbeatReply::Builder::disownCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MeshHeartbeatReply::Reader::getCrashLedgerVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeatReply::Builder::getCrashLedgerVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeatReply::Builder::setCrashLedgerVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshHeartbeatReply::Reader::getCrashReportsReceived() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeatReply::Builder::getCrashReportsReceived() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeatReply::Builder::setCrashReportsReceived( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MeshHeartbeatReply::Reader::getCrashReportsStored() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeatReply::Builder::getCrashReportsStored() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeatReply::Builder::setCrashReportsStored( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t MeshConfigRequest::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6605,6 +7211,45 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StoredMesh::Reader::hasCrashSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredMesh::Builder::hasCrashSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citrongrade::rpc::CrashSuspects::Reader StoredMesh::Reader::getCrashSuspects() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::citrongrade::rpc::CrashSuspects::Builder StoredMesh::Builder::getCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::CrashSuspects::Pipeline StoredMesh::Pipeline::getCrashSuspects() {
+  return  ::citrongrade::rpc::CrashSuspects::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void StoredMesh::Builder::setCrashSuspects( ::citrongrade::rpc::CrashSuspects::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::citrongrade::rpc::CrashSuspects::Builder StoredMesh::Builder::initCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void StoredMesh::Builder::adoptCrashSuspects(
+    ::capnp::Orphan< ::citrongrade::rpc::CrashSuspects>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citrongrade::rpc::CrashSuspects> StoredMesh::Builder::disownCrashSuspects() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::CrashSuspects>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "modules/protocol/crash_suspects_codec.h"
 #include "modules/protocol/malformed_message_error.h"
 #include "modules/protocol/mesh.capnp.h"
 #include "modules/protocol/packed_message.h"
@@ -91,20 +92,6 @@
   return member;
 }
 
-template <typename List>
-std::vector<std::uint64_t> ReadNumbers(List list) {
-  std::vector<std::uint64_t> numbers;
-  numbers.reserve(list.size());
-  for (const std::uint64_t number : list)
-    numbers.push_back(number);
-  return numbers;
-}
-
-kj::ArrayPtr<const std::uint64_t> NumbersOf(
-    const std::vector<std::uint64_t>& numbers) {
-  return kj::arrayPtr(numbers.data(), numbers.size());
-}
-
 void WriteReleased(const std::vector<Heartbeat::ReleasedRange>& released,
                    rpc::MeshHeartbeat::Builder out) {
   auto list = out.initReleased(static_cast<unsigned>(released.size()));
@@ -172,7 +159,10 @@
     heartbeat.slot_request_counts.push_back({arrivals[i], arrivals[i + 1]});
   heartbeat.mean_service_time_us = in.getMeanWorkUs();
   heartbeat.long_run_us = in.getLongRunUs();
-  heartbeat.crash_suspects = ReadNumbers(in.getCrashSuspects());
+  heartbeat.crash_report.suspects = ReadCrashSuspects(in.getCrashSuspects());
+  heartbeat.crash_report.since = in.getCrashReportsSince();
+  heartbeat.crash_report.version = in.getCrashReportVersion();
+  heartbeat.crash_report.ledger_version = in.getCrashLedgerVersion();
   heartbeat.evacuations = ReadEvacuations(in.getEvacuations());
   return heartbeat;
 }
@@ -285,7 +275,10 @@
     reply.view.assignments.push_back({run.getService(), ReadRun(run)});
   for (const auto owners : in.getOwners())
     ReadKeyOwners(owners, reply.view.assignments);
-  reply.crash_suspects = ReadNumbers(in.getCrashSuspects());
+  reply.crash_report.suspects = ReadCrashSuspects(in.getCrashSuspects());
+  reply.crash_report.ledger_version = in.getCrashLedgerVersion();
+  reply.crash_report.received = in.getCrashReportsReceived();
+  reply.crash_report.stored = in.getCrashReportsStored();
   reply.config_version = in.getConfigVersion();
   reply.config_source = in.getConfigSource();
   reply.config_age_ms = in.getConfigAgeMs();
@@ -393,6 +386,7 @@
   record.epoch = in.getEpoch();
   record.leader = in.getLeader();
   record.max_lease = std::chrono::milliseconds(in.getLongestLeaseMs());
+  record.crash_suspects = ReadCrashSuspects(in.getCrashSuspects());
   for (const auto voter : in.getVoters())
     record.voters.emplace_back(voter);
   for (const auto keys : in.getKeys())
@@ -439,7 +433,10 @@
   WriteArrivals(heartbeat.slot_request_counts, out);
   out.setMeanWorkUs(heartbeat.mean_service_time_us);
   out.setLongRunUs(heartbeat.long_run_us);
-  out.setCrashSuspects(NumbersOf(heartbeat.crash_suspects));
+  WriteCrashSuspects(heartbeat.crash_report.suspects, out.initCrashSuspects());
+  out.setCrashReportsSince(heartbeat.crash_report.since);
+  out.setCrashReportVersion(heartbeat.crash_report.version);
+  out.setCrashLedgerVersion(heartbeat.crash_report.ledger_version);
   WriteEvacuations(heartbeat.evacuations, out.initEvacuations());
   return Pack(message);
 }
@@ -464,7 +461,10 @@
   for (unsigned i = 0; i < members.size(); ++i)
     WriteMember(reply.view.members[i], members[i]);
   WriteViewRuns(reply.view.assignments, out);
-  out.setCrashSuspects(NumbersOf(reply.crash_suspects));
+  WriteCrashSuspects(reply.crash_report.suspects, out.initCrashSuspects());
+  out.setCrashLedgerVersion(reply.crash_report.ledger_version);
+  out.setCrashReportsReceived(reply.crash_report.received);
+  out.setCrashReportsStored(reply.crash_report.stored);
   out.setConfigVersion(reply.config_version);
   out.setConfigSource(reply.config_source);
   out.setConfigAgeMs(reply.config_age_ms);
@@ -496,6 +496,7 @@
   out.setEpoch(record.epoch);
   out.setLeader(record.leader);
   out.setLongestLeaseMs(static_cast<std::uint32_t>(record.max_lease.count()));
+  WriteCrashSuspects(record.crash_suspects, out.initCrashSuspects());
   auto voters = out.initVoters(static_cast<unsigned>(record.voters.size()));
   for (unsigned i = 0; i < voters.size(); ++i)
     voters.set(i, record.voters[i]);
--- a/modules/protocol/mesh_message_codec_test.cc
+++ b/modules/protocol/mesh_message_codec_test.cc
@@ -48,6 +48,22 @@
   return table;
 }
 
+// As many as a leader stores, eight beside each crash.
+std::vector<CrashSuspect> ManySuspects() {
+  constexpr std::size_t kSuspects = 512;
+  constexpr std::size_t kSuspectsPerCrash = 8;
+  std::mt19937_64 random(kSuspects);
+  std::vector<CrashSuspect> suspects;
+  std::uint64_t crash = 0;
+  for (std::size_t i = 0; i < kSuspects; ++i) {
+    if (i % kSuspectsPerCrash == 0)
+      crash = random();
+    suspects.push_back(
+        {random(), {{crash, false}}, std::chrono::seconds(i / 2)});
+  }
+  return suspects;
+}
+
 std::string Packed(capnp::MessageBuilder& message) {
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
@@ -56,6 +72,12 @@
                      bytes.size());
 }
 
+std::vector<CrashSuspect> SampleSuspects() {
+  constexpr std::uint64_t kCrash = 0xfedc'ba98'7654'3210;
+  return {{1, {{7, false}}, std::chrono::seconds(0)},
+          {2, {{7, true}, {kCrash, false}}, std::chrono::seconds(90)}};
+}
+
 HeartbeatReply SampleReply() {
   HeartbeatReply reply;
   reply.is_leader = true;
@@ -78,6 +100,7 @@
   reply.config_source = "10.0.0.4:7240";
   reply.config_age_ms = 340;
   reply.evacuations = {17, {"derby"}};
+  reply.crash_report = {3, 2, SampleSuspects(), 9};
   return reply;
 }
 
@@ -97,6 +120,7 @@
   heartbeat.target.named_requests_per_second = 26.1;
   heartbeat.evacuations = {17, {"derby", "suape"}};
   heartbeat.long_run_us = 900'000;
+  heartbeat.crash_report = {4, 5, SampleSuspects(), 6};
   CHECK(MeshMessageCodec::DecodeHeartbeat(
             MeshMessageCodec::Encode(heartbeat)) == heartbeat);
 }
@@ -122,6 +146,7 @@
   CHECK(heartbeat.slot_request_counts ==
         std::vector<Heartbeat::SlotRequestCount>{{5, 7}});
   CHECK(heartbeat.long_run_us == 0);
+  CHECK(heartbeat.crash_report == CrashReport());
 }
 
 TEST_CASE("what others own takes little room") {
@@ -145,6 +170,7 @@
   record.leader = "a";
   record.voters = {"a", "b"};
   record.max_lease = std::chrono::milliseconds(2600);
+  record.crash_suspects = SampleSuspects();
   record.tables["divided"].Assign(
       SampleReply().view.assignments.front().assignment);
   CHECK(MeshMessageCodec::DecodeRecord(MeshMessageCodec::Encode(record)) ==
@@ -179,6 +205,7 @@
   for (std::size_t node = 0; node < kManyNodes; ++node)
     record.voters.push_back(AddressOf(node));
   record.tables["divided"] = TableOfSingleSlots(record.epoch);
+  record.crash_suspects = ManySuspects();
   const std::string bytes = MeshMessageCodec::Encode(record);
   CHECK(MeshMessageCodec::DecodeRecord(bytes) == record);
   CHECK_MESSAGE(bytes.size() < kLargestRecord, bytes.size());
--- a/modules/state/mesh/mesh_record.h
+++ b/modules/state/mesh/mesh_record.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "modules/state/mesh/crash_suspect.h"
 #include "modules/state/mesh/key_table.h"
 
 namespace citrongrade {
@@ -26,6 +27,7 @@
   // Upper bound of the duration of any lease granted to a node. Zero:
   // MeshTiming::lease applies.
   std::chrono::milliseconds max_lease{0};
+  std::vector<CrashSuspect> crash_suspects;
 
   friend bool operator==(const MeshRecord&, const MeshRecord&) = default;
 };
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -118,6 +118,7 @@
       m_poison_detector(
           std::make_unique<PoisonDetector>(clock,
                                            PoisonDetector::Parameters())),
+      m_crash_reporter(*m_poison_detector),
       m_long_runs(clock) {}
 
 TargetGateway::~TargetGateway() = default;
@@ -569,22 +570,14 @@
   return counts;
 }
 
-std::vector<std::uint64_t> TargetGateway::TakeCrashSuspects() {
-  std::vector<std::uint64_t> fingerprints;
-  for (const RequestFingerprint fingerprint : m_poison_detector->TakeReports())
-    fingerprints.push_back(fingerprint.value());
-  return fingerprints;
-}
-
-void TargetGateway::MergeCrashSuspects(
-    const std::vector<std::uint64_t>& suspects) {
-  std::vector<RequestFingerprint> fingerprints;
-  fingerprints.reserve(suspects.size());
-  for (const std::uint64_t suspect : suspects)
-    fingerprints.emplace_back(suspect);
-  m_poison_detector->MergePeerReports(fingerprints);
-  spdlog::info("event=crash-reports-merged reports={} suspects={}",
-               suspects.size(), m_poison_detector->suspect_count());
+void TargetGateway::OnCrashReportReply(const CrashReportReply& reply,
+                                       std::uint64_t leader_nonce) {
+  for (const RequestFingerprint fingerprint :
+       m_crash_reporter.OnReply(reply, leader_nonce)) {
+    spdlog::info("event=request-quarantined fingerprint={:016x} crashes={}",
+                 fingerprint.value(),
+                 m_poison_detector->CrashCount(fingerprint));
+  }
 }
 
 std::uint32_t TargetGateway::mean_service_time_us() const {
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -12,6 +12,7 @@
 #include "modules/coordination/load/load_identifiers.h"
 #include "modules/coordination/load/long_run_estimator.h"
 #include "modules/coordination/load/target_admission.h"
+#include "modules/coordination/mesh/crash_reporter.h"
 #include "modules/coordination/mesh/heartbeat.h"
 #include "modules/transport/async/task.h"
 #include "modules/transport/mesh/forward_metadata.h"
@@ -94,8 +95,9 @@
 
   // Requests received for each slot since the last call.
   std::vector<Heartbeat::SlotRequestCount> TakeSlotRequestCounts();
-  std::vector<std::uint64_t> TakeCrashSuspects();
-  void MergeCrashSuspects(const std::vector<std::uint64_t>& suspects);
+  CrashReport MakeCrashReport() const { return m_crash_reporter.MakeReport(); }
+  void OnCrashReportReply(const CrashReportReply& reply,
+                          std::uint64_t leader_nonce);
   const PoisonDetector& poison_detector() const { return *m_poison_detector; }
   std::uint32_t mean_service_time_us() const;
   // 95th percentile of the run times of the longest sharded route; 0 if
@@ -166,6 +168,7 @@
   AsyncConnectionPool& m_pool;
   TargetAdmission m_admission;
   std::unique_ptr<PoisonDetector> m_poison_detector;
+  CrashReporter m_crash_reporter;
   std::map<RequestTicket, std::shared_ptr<WaitingRequest>> m_waiting_requests;
   // Fingerprints of the requests that the target runs now.
   std::map<RequestTicket, std::uint64_t> m_running_fingerprints;
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -223,6 +223,8 @@
   std::string DumpState() const;
   // What the target beside this node has said of itself.
   nlohmann::json DumpCondition() const;
+  // Requests that ran beside crashes of targets, as far as this node knows.
+  nlohmann::json DumpCrashSuspects() const;
   // How long the target beside this node stays cold.
   milliseconds ColdLeft() const;
   std::string DumpMetrics() const;
@@ -420,13 +422,12 @@
   heartbeat.slot_request_counts = m_gateway.TakeSlotRequestCounts();
   heartbeat.mean_service_time_us = m_gateway.mean_service_time_us();
   heartbeat.long_run_us = m_gateway.long_run_us();
-  heartbeat.crash_suspects = m_gateway.TakeCrashSuspects();
+  heartbeat.crash_report = m_gateway.MakeCrashReport();
 }
 
 void RouterNode::Implementation::OnReply(const HeartbeatReply& reply) {
   m_target_controller.SetLease(m_agent.lease_until());
-  if (!reply.crash_suspects.empty())
-    m_gateway.MergeCrashSuspects(reply.crash_suspects);
+  m_gateway.OnCrashReportReply(reply.crash_report, reply.nonce);
 }
 
 void RouterNode::Implementation::OnViewChanged() {
@@ -602,6 +603,20 @@
   return json;
 }
 
+nlohmann::json RouterNode::Implementation::DumpCrashSuspects() const {
+  const PoisonDetector& detector = m_gateway.poison_detector();
+  nlohmann::json list = nlohmann::json::array();
+  for (const CrashSuspect& suspect : detector.Suspects()) {
+    const RequestFingerprint fingerprint(suspect.fingerprint);
+    list.push_back(
+        {{"fingerprint", fmt::format("{:016x}", suspect.fingerprint)},
+         {"crashes", detector.CrashCount(fingerprint)},
+         {"age_s", suspect.age.count()},
+         {"is_quarantined", detector.IsQuarantined(fingerprint)}});
+  }
+  return list;
+}
+
 std::string RouterNode::Implementation::DumpState() const {
   using Json = nlohmann::json;
   Json state;
@@ -628,6 +643,7 @@
                      {"waiting", m_gateway.waiting()},
                      {"long_run_ms", m_gateway.long_run_us() / 1e3}};
   state["target"].update(DumpCondition());
+  state["crash_suspects"] = DumpCrashSuspects();
   for (const MeshMember* member : m_agent.view().members()) {
     state["members"].push_back({{"address", member->address},
                                 {"service", member->service},
@@ -684,11 +700,16 @@
   add("citrongrade_target_unknown_total", static_cast<double>(counts.unknown));
   add("citrongrade_target_withdrawn_total",
       static_cast<double>(counts.withdrawn));
+  const PoisonDetector& detector = m_gateway.poison_detector();
   add("citrongrade_target_crashes_total", static_cast<double>(counts.crashes));
   add("citrongrade_quarantine_refusals_total",
       static_cast<double>(counts.quarantined));
   add("citrongrade_crash_suspects",
-      static_cast<double>(m_gateway.poison_detector().suspect_count()));
+      static_cast<double>(detector.suspect_count()));
+  add("citrongrade_quarantined_requests",
+      static_cast<double>(detector.quarantined_count()));
+  add("citrongrade_crash_suspects_evicted_total",
+      static_cast<double>(detector.evicted_count()));
   add("citrongrade_target_running", static_cast<double>(m_gateway.running()));
   add("citrongrade_target_waiting", static_cast<double>(m_gateway.waiting()));
   add("citrongrade_target_reserved_slots",
