Only requests sent to the lost process of a target are suspects of its crash

What callers see: none of its own; wrong suspects come near the quarantine of a request that harms nothing, and a crash that goes unseen lets one that crashes targets run once more.

Cause, by reading: a broken connection stayed a suspect until the next loss, whenever that was; one whose error arrived after the loss counted for the next process; requests that had only been admitted were suspects; and a target that was back before a refused connection was seen went through BeginIncarnation(), which reported no loss.

Change: requests are suspects from when they are sent, of the process that they were sent to, and only if their exchange ended at most 1 s before the first sign of the loss. A new process that reports while the old one was not known to be gone is a loss of the old one. Requests that were given up, at their deadline or as their caller left, are suspects if the process ended unexpectedly: the target may have worked on. An answer of 500 and more clears nothing: it may be a run that its time limit ended before the crash.

--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -158,6 +158,9 @@
   if (!is_same_incarnation) {
     if (m_incarnation.is_known() && !IsLaterIncarnation(report))
       return ReportResult::kOutdated;
+    // A process that is back at once may never have refused a connection.
+    if (m_incarnation.is_known() && m_state != State::kGone)
+      ReportLoss(m_last_report, true, "new-process");
     BeginIncarnation(report);
     m_state = State::kUnknown;
   } else if (report.sequence <= m_sequence) {
@@ -283,20 +286,35 @@
   if (!IsRefusing() || m_state == State::kGone)
     return;
   const TargetLossDetector::Connections open = CountConnections();
+  const Clock::TimePoint refusing_since = *m_loss_detector.refusing_since();
   switch (m_loss_detector.Review(open, m_state == State::kDraining,
                                  m_holds.HeldUntil())) {
     case TargetLossDetector::Verdict::kNotLost:
       break;
     case TargetLossDetector::Verdict::kProcessDied:
       m_loss_detector.EndRefusal();
+      ReportLoss(refusing_since, true, "process-died");
       DeclareGone("process-died");
       break;
     case TargetLossDetector::Verdict::kHoldsExpired:
+      ReportLoss(refusing_since, true, "refuses-and-holds-nothing");
       DeclareGone("refuses-and-holds-nothing");
       break;
   }
 }
 
+void TargetController::ReportLoss(Clock::TimePoint first_sign,
+                                  bool has_process_ended,
+                                  const char* reason) {
+  TargetLoss loss;
+  loss.target_id = m_incarnation.id;
+  loss.incarnation_number = m_incarnation_number;
+  loss.first_sign = first_sign;
+  loss.is_unexpected_end = has_process_ended && m_state == State::kServing;
+  loss.reason = reason;
+  m_listener.OnTargetLost(loss);
+}
+
 void TargetController::DeclareGone(const char* reason) {
   m_holds.Clear();
   m_assignments.clear();
@@ -304,7 +322,6 @@
   m_pool.CloseIdle(m_settings.address);
   m_command_pool->CloseIdle(m_settings.address);
   SetState(State::kGone, reason);
-  m_listener.OnTargetLost();
 }
 
 Task<> TargetController::AwaitListener() {
@@ -417,6 +434,7 @@
     m_lease_until = Clock::TimePoint::min();
     return;
   }
+  ReportLoss(m_last_contact, false, "silent");
   DeclareGone("silent");
 }
 
--- a/modules/transport/mesh/target_controller.h
+++ b/modules/transport/mesh/target_controller.h
@@ -21,6 +21,7 @@
 #include "modules/transport/http_address.h"
 #include "modules/transport/http_request.h"
 #include "modules/transport/http_response.h"
+#include "modules/transport/mesh/target_loss.h"
 #include "modules/transport/mesh/target_report.h"
 
 namespace boost::asio {
@@ -54,7 +55,8 @@
     // The target's state or holds changed; the leader should hear of it at
     // once.
     virtual void OnTargetChanged() = 0;
-    virtual void OnTargetLost() = 0;
+    // A process of the target ended, or counts as lost.
+    virtual void OnTargetLost(const TargetLoss& loss) = 0;
   };
 
   struct Settings {
@@ -218,6 +220,10 @@
   TargetLossDetector::Connections CountConnections();
   // Its holds have ended, or with its process: they are given on.
   void DeclareGone(const char* reason);
+  // `first_sign`: when this node could first know of it.
+  void ReportLoss(Clock::TimePoint first_sign,
+                  bool has_process_ended,
+                  const char* reason);
   // Tries to connect to a target that refuses, until it listens or another one
   // has started.
   Task<> AwaitListener();
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -21,6 +21,7 @@
 #include "modules/transport/http_errors.h"
 #include "modules/transport/mesh/hop_by_hop_headers.h"
 #include "modules/transport/mesh/target_controller.h"
+#include "modules/transport/mesh/target_loss.h"
 #include "modules/transport/mesh/wire_protocol.h"
 
 namespace citrongrade {
@@ -35,8 +36,14 @@
 constexpr milliseconds kMaxIdleIdempotent{4000};
 // Time reserved for sending the result to the node that received the request.
 constexpr milliseconds kReplyAllowance{5};
-// Connections that break within this time are attributed to the same crash.
+// A request whose exchange ended without an answer within this time before the
+// first sign of a crash may have caused it.
 constexpr milliseconds kCrashWindow{1000};
+// For how long such requests are remembered. A target that refuses connections
+// may be known to be lost only when its holds expire.
+constexpr milliseconds kUnansweredRetention{10000};
+// Bounds them where a target answers nothing.
+constexpr std::size_t kMaxUnanswered = 1024;
 // A process that dies closes its sockets one after the other: a connection may
 // still be accepted, or be reset, before one is refused. A target that leaves
 // gets no more requests that would meet the refusal, and its keys then waited
@@ -55,6 +62,7 @@
 constexpr milliseconds kRetryAfterTargetLoss{300};
 constexpr milliseconds kRetryAfterRefusal{100};
 constexpr milliseconds kRetryAfterWithdrawal{300};
+constexpr int kServerError = 500;
 
 std::uint64_t ComputeFingerprint(const HttpRequest& request) {
   std::uint64_t fingerprint =
@@ -87,7 +95,7 @@
   AdmissionGuard(TargetGateway& gateway, RequestTicket ticket)
       : m_gateway(gateway), m_ticket(ticket) {}
   ~AdmissionGuard() {
-    m_gateway.m_running_fingerprints.erase(m_ticket);
+    m_gateway.m_running_requests.erase(m_ticket);
     m_gateway.m_admission.OnFinished(m_ticket, m_work);
     m_gateway.ResumeWaiting();
   }
@@ -214,14 +222,9 @@
     co_return *refusal;
   }
   const std::uint64_t fingerprint = ComputeFingerprint(request);
-  if (m_poison_detector->IsQuarantined(RequestFingerprint(fingerprint))) {
-    ++m_counts.quarantined;
-    auto refusal = ForwardResult::NotRun(
-        RequestErrorCode::kQuarantined,
-        fmt::format("its runs crashed targets, fingerprint {:016x}",
-                    fingerprint));
-    CountResult(refusal);
-    co_return refusal;
+  if (auto refusal = CheckQuarantine(fingerprint)) {
+    CountResult(*refusal);
+    co_return *refusal;
   }
   UpdateAdmission();
   const RequestTicket ticket = m_next_ticket;
@@ -232,11 +235,11 @@
     CountResult(admission);
     co_return admission;
   }
-  m_running_fingerprints[ticket] = fingerprint;
   const Clock::TimePoint admitted = m_clock.Now();
   std::optional<Clock::TimePoint> sent_at;
-  ForwardResult result = co_await ForwardToTarget(
-      std::move(request), metadata, deadline, ticket, sent_at, context);
+  ForwardResult result =
+      co_await ForwardToTarget(std::move(request), metadata, deadline, ticket,
+                               fingerprint, sent_at, context);
   const Clock::TimePoint ended = m_clock.Now();
   result.times.queue = admission.times.queue;
   result.times.target_connect =
@@ -321,6 +324,7 @@
     const ForwardMetadata& metadata,
     Clock::TimePoint deadline,
     RequestTicket ticket,
+    std::uint64_t fingerprint,
     std::optional<Clock::TimePoint>& sent_at,
     RequestContext& context) {
   AdmissionGuard guard(*this, ticket);
@@ -374,6 +378,8 @@
   context.SetCancelCallback([&connection] { connection->Close(); });
   sent_at = started;
   ++m_counts.sent;
+  const RunningRequest running{fingerprint, incarnation_number};
+  m_running_requests[ticket] = running;
   try {
     AsyncHttpConnection::IsMatchingResponse is_answer =
         [this, id = metadata.request_id](const HttpResponse& answer) {
@@ -404,8 +410,10 @@
       OnRunEnded(metadata, run_time);
       if (response_info.is_authentic)
         m_controller.OnIncarnationConfirmed();
-      m_poison_detector->OnFinished(
-          RequestFingerprint(m_running_fingerprints[ticket]));
+      // The target's own failure may be a run that its time limit ended before
+      // it crashed the target.
+      if (response.head.status < kServerError)
+        m_poison_detector->OnFinished(RequestFingerprint(fingerprint));
     }
     m_pool.Release(address, std::move(connection));
     ForwardResult result = ClassifyResponse(std::move(response), response_info);
@@ -414,16 +422,19 @@
   } catch (const ResponseTimeoutError& error) {
     context.ClearCancelCallback();
     m_controller.OnCallEnded(false);
+    RecordUnanswered(running, false);
     co_return ForwardResult::Unknown(RequestErrorCode::kTargetTimeout,
                                      error.what());
   } catch (const HttpError& error) {
     context.ClearCancelCallback();
     if (context.is_caller_gone()) {
+      // The target may go on with it.
+      RecordUnanswered(running, false);
       co_return ForwardResult::Unknown(RequestErrorCode::kCancelled,
                                        "its caller is gone");
     }
     m_controller.OnExchangeBroken();
-    OnConnectionBroken(m_running_fingerprints[ticket]);
+    OnConnectionBroken(running);
     co_return ForwardResult::Unknown(RequestErrorCode::kTargetFailed,
                                      error.what());
   }
@@ -514,14 +525,34 @@
   ResumeWaiting();
 }
 
-void TargetGateway::OnConnectionBroken(std::uint64_t fingerprint) {
+std::optional<ForwardResult> TargetGateway::CheckQuarantine(
+    std::uint64_t fingerprint) {
+  const Clock::Duration left =
+      m_poison_detector->QuarantineLeft(RequestFingerprint(fingerprint));
+  if (left == Clock::Duration::zero())
+    return std::nullopt;
+  ++m_counts.quarantined;
+  return ForwardResult::NotRun(
+      RequestErrorCode::kQuarantined,
+      fmt::format("its runs crashed targets, fingerprint {:016x}", fingerprint),
+      std::chrono::ceil<milliseconds>(left));
+}
+
+void TargetGateway::RecordUnanswered(const RunningRequest& request,
+                                     bool is_broken) {
   const Clock::TimePoint now = m_clock.Now();
-  std::erase_if(m_broken_connections, [now](const BrokenConnection& broken) {
-    return now - broken.when > kCrashWindow;
+  std::erase_if(m_unanswered_requests, [now](const UnansweredRequest& one) {
+    return now - one.when > kUnansweredRetention;
   });
-  if (m_broken_connections.empty())
+  if (m_unanswered_requests.size() >= kMaxUnanswered)
+    m_unanswered_requests.erase(m_unanswered_requests.begin());
+  m_unanswered_requests.push_back({request, now, is_broken});
+}
+
+void TargetGateway::OnConnectionBroken(const RunningRequest& request) {
+  RecordUnanswered(request, true);
+  if (!std::exchange(m_is_probing, true))
     boost::asio::co_spawn(m_loop, ProbeTarget(), boost::asio::detached);
-  m_broken_connections.push_back({fingerprint, now});
 }
 
 Task<> TargetGateway::ProbeTarget() {
@@ -537,27 +568,42 @@
       m_pool.Release(address, std::move(connection));
     } catch (const ConnectRefusedError&) {
       m_controller.OnRefused();
-      co_return;
+      break;
     } catch (const ConnectError& error) {
       spdlog::debug("event=target-probe-failed reason=\"{}\"", error.what());
     }
   }
+  m_is_probing = false;
 }
 
-void TargetGateway::OnTargetLost() {
+void TargetGateway::OnTargetLost(const TargetLoss& loss) {
+  // What was sent to another process of the target has no part in the end of
+  // this one.
+  const auto is_lost = [&loss](const RunningRequest& request) {
+    return request.incarnation_number == loss.incarnation_number;
+  };
   std::vector<RequestFingerprint> suspects;
-  for (const BrokenConnection& broken : m_broken_connections)
-    suspects.emplace_back(broken.fingerprint);
-  m_broken_connections.clear();
-  for (const auto& [ticket, fingerprint] : m_running_fingerprints)
-    suspects.emplace_back(fingerprint);
+  for (const UnansweredRequest& one : m_unanswered_requests) {
+    if (is_lost(one.request) && one.when >= loss.first_sign - kCrashWindow &&
+        (one.is_broken || loss.is_unexpected_end))
+      suspects.emplace_back(one.request.fingerprint);
+  }
+  const std::size_t unanswered = suspects.size();
+  for (const auto& [ticket, request] : m_running_requests) {
+    if (is_lost(request))
+      suspects.emplace_back(request.fingerprint);
+  }
+  m_unanswered_requests.clear();
   if (suspects.empty())
     return;
   ++m_counts.crashes;
   m_poison_detector->OnCrash(suspects);
-  spdlog::info("event=target-crashed target={} running={} suspects={}",
-               m_controller.incarnation().id, suspects.size(),
-               m_poison_detector->suspect_count());
+  spdlog::info(
+      "event=target-crashed target={} reason={} unanswered={} running={} "
+      "suspects={} quarantined={}",
+      loss.target_id, loss.reason, unanswered, suspects.size() - unanswered,
+      m_poison_detector->suspect_count(),
+      m_poison_detector->quarantined_count());
 }
 
 std::vector<Heartbeat::SlotRequestCount>
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -29,6 +29,7 @@
 class RequestContext;
 class WireProtocol;
 class TargetController;
+struct TargetLoss;
 struct TargetResponseInfo;
 
 // Passes requests to this node's own target: checks that the target may serve
@@ -52,7 +53,7 @@
     std::uint64_t unknown = 0;
     // Rejected while they waited, because their sender withdrew them.
     std::uint64_t withdrawn = 0;
-    // Rejected because runs of them crashed targets.
+    // Rejected because runs of them crashed targets, here and elsewhere.
     std::uint64_t quarantined = 0;
     // Losses of the target with requests that ran on it.
     std::uint64_t crashes = 0;
@@ -89,9 +90,9 @@
   std::optional<double> rate_limit() const {
     return m_admission.rate_limiter().Rate();
   }
-  // The target's process is gone: the requests that it ran are suspected of the
-  // crash.
-  void OnTargetLost();
+  // A process of the target is gone: the requests that it ran are suspected of
+  // the crash.
+  void OnTargetLost(const TargetLoss& loss);
 
   // Requests received for each slot since the last call.
   std::vector<Heartbeat::SlotRequestCount> TakeSlotRequestCounts();
@@ -111,9 +112,18 @@
  private:
   struct WaitingRequest;
   class AdmissionGuard;
-  struct BrokenConnection {
+  struct RunningRequest {
     std::uint64_t fingerprint = 0;
+    // Of the target's process that it was sent to.
+    std::uint64_t incarnation_number = 0;
+  };
+  // A request that the target may have been running when its exchange ended
+  // without an answer.
+  struct UnansweredRequest {
+    RunningRequest request;
     Clock::TimePoint when;
+    // The connection broke; this node did not give the request up.
+    bool is_broken = false;
   };
 
   // The same as Run(), apart from what other nodes are told of the target.
@@ -143,6 +153,7 @@
                                       const ForwardMetadata& metadata,
                                       Clock::TimePoint deadline,
                                       RequestTicket ticket,
+                                      std::uint64_t fingerprint,
                                       std::optional<Clock::TimePoint>& sent_at,
                                       RequestContext& context);
   // Tells the admission what the controller knows of the target.
@@ -153,10 +164,12 @@
   void OnRunEnded(const ForwardMetadata& metadata, Clock::Duration run_time);
   ForwardResult ClassifyResponse(HttpResponse response,
                                  const TargetResponseInfo& response_info);
+  std::optional<ForwardResult> CheckQuarantine(std::uint64_t fingerprint);
+  void RecordUnanswered(const RunningRequest& request, bool is_broken);
   // Called when the connection of a running request breaks. Probes the target
   // at once: its process may have crashed because of this request, and other
   // callers should not have to wait until their own requests fail.
-  void OnConnectionBroken(std::uint64_t fingerprint);
+  void OnConnectionBroken(const RunningRequest& request);
   Task<> ProbeTarget();
   void ResumeWaiting();
   void CountResult(const ForwardResult& result);
@@ -170,9 +183,10 @@
   std::unique_ptr<PoisonDetector> m_poison_detector;
   CrashReporter m_crash_reporter;
   std::map<RequestTicket, std::shared_ptr<WaitingRequest>> m_waiting_requests;
-  // Fingerprints of the requests that the target runs now.
-  std::map<RequestTicket, std::uint64_t> m_running_fingerprints;
-  std::vector<BrokenConnection> m_broken_connections;
+  // Requests that have been sent to the target and not been answered.
+  std::map<RequestTicket, RunningRequest> m_running_requests;
+  std::vector<UnansweredRequest> m_unanswered_requests;
+  bool m_is_probing = false;
   RequestTicket m_next_ticket{1};
   std::map<std::uint32_t, std::uint32_t> m_slot_request_counts;
   LongRunEstimator m_long_runs;
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -36,6 +36,7 @@
 #include "modules/transport/mesh/router_metrics.h"
 #include "modules/transport/mesh/target_controller.h"
 #include "modules/transport/mesh/target_gateway.h"
+#include "modules/transport/mesh/target_loss.h"
 #include "platform/config_document.h"
 #include "platform/platform_store.h"
 #include "platform/platform_wire_protocol.h"
@@ -202,7 +203,7 @@
   void OnConfig(const RoutingConfig& config) override;
   void OnEvacuations(const ZoneEvacuations& evacuations) override;
   void OnTargetChanged() override;
-  void OnTargetLost() override;
+  void OnTargetLost(const TargetLoss& loss) override;
   void FillHeartbeat(Heartbeat& heartbeat) override;
   void OnReply(const HeartbeatReply& reply) override;
   void OnViewChanged() override;
@@ -410,8 +411,8 @@
   m_agent.TriggerHeartbeat();
 }
 
-void RouterNode::Implementation::OnTargetLost() {
-  m_gateway.OnTargetLost();
+void RouterNode::Implementation::OnTargetLost(const TargetLoss& loss) {
+  m_gateway.OnTargetLost(loss);
 }
 
 void RouterNode::Implementation::FillHeartbeat(Heartbeat& heartbeat) {
