A request that crashes targets is refused at its entry, and before it is sent

What callers saw: a quarantined request was forwarded to its target's node to be refused there, and its caller was told to come back within a third of its deadline, for ten minutes.

Cause: the quarantine was looked up once, when a request arrived at the node beside the target. One that waited there while the third crash was being reported still ran.

Change: the entry node refuses it at once, so that it is stopped by what either of the two nodes knows; the target's node asks again before it sends; Retry-After is how long the quarantine lasts.

--- a/modules/transport/mesh/request_router.cc
+++ b/modules/transport/mesh/request_router.cc
@@ -219,6 +219,8 @@
     result = ForwardResult::NotRun(RequestErrorCode::kNoOwner,
                                    "its owner is outside the route's regions",
                                    kRetryAfterNoOwner);
+  } else if (auto refusal = m_dependencies.gateway.CheckQuarantine(request)) {
+    result = std::move(*refusal);
   } else {
     routed.forbidden = MembersOutsideRegions(route);
     routed.forbidden.merge(MembersThatLeft(metadata.service));
@@ -649,7 +651,11 @@
     const milliseconds max_retry_after =
         std::max(left / kRetryAfterDivisor, milliseconds(0));
     const milliseconds wanted = std::max(result.retry_after, kMinRetryAfter);
-    result.retry_after = std::min(wanted, max_retry_after);
+    // A quarantined request is refused for minutes: its caller should not come
+    // back within its deadline.
+    const bool is_quarantined = result.error == RequestErrorCode::kQuarantined;
+    result.retry_after =
+        is_quarantined ? wanted : std::min(wanted, max_retry_after);
     response.head.status = kUnavailable;
     response.head.headers.push_back(
         {"Retry-After", FormatSeconds(result.retry_after)});
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -349,7 +349,11 @@
     co_return ForwardResult::NotRun(RequestErrorCode::kCancelled,
                                     "its caller is gone");
   }
-  if (auto refusal = CheckServable(metadata)) {
+  std::optional<ForwardResult> refusal = CheckServable(metadata);
+  // Its last crash may have become known while it waited.
+  if (!refusal)
+    refusal = CheckQuarantine(fingerprint);
+  if (refusal) {
     m_pool.Release(address, std::move(connection));
     co_return *refusal;
   }
@@ -538,6 +542,13 @@
       std::chrono::ceil<milliseconds>(left));
 }
 
+std::optional<ForwardResult> TargetGateway::CheckQuarantine(
+    const HttpRequest& request) {
+  if (m_poison_detector->suspect_count() == 0)
+    return std::nullopt;
+  return CheckQuarantine(ComputeFingerprint(request));
+}
+
 void TargetGateway::RecordUnanswered(const RunningRequest& request,
                                      bool is_broken) {
   const Clock::TimePoint now = m_clock.Now();
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -99,6 +99,9 @@
   CrashReport MakeCrashReport() const { return m_crash_reporter.MakeReport(); }
   void OnCrashReportReply(const CrashReportReply& reply,
                           std::uint64_t leader_nonce);
+  // Why the request must not run: runs of it have crashed targets. Empty if it
+  // may run.
+  std::optional<ForwardResult> CheckQuarantine(const HttpRequest& request);
   const PoisonDetector& poison_detector() const { return *m_poison_detector; }
   std::uint32_t mean_service_time_us() const;
   // 95th percentile of the run times of the longest sharded route; 0 if
