Soak: requests that crash targets, sent on and on at all nodes

Generation 5 of its faults; the check counts runs later than 3 s after the third crash that passed only nodes which had been left alone for 3 s, as the rule does.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """What goes wrong in a soak: each fault begins, and ends itself some time later.
 Several may be under way at once, on one node too."""
 
+import http.client
 import signal
 import threading
 import time
@@ -15,9 +16,15 @@
 COLD_MS = 3000
 # A named limit binds 3 s after it was first named.
 LIMITED = 4.0
-# The kinds of faults have grown three times: by evacuations and cold targets, by
-# what targets say in their answers, and by targets that refuse connections.
-LATEST = 4
+# The kinds of faults have grown four times: by evacuations and cold targets, by
+# what targets say in their answers, by targets that refuse connections, and by
+# requests that crash targets.
+LATEST = 5
+# A request that crashes targets is sent as often as this, at all nodes in turn,
+# and goes on for so long after its third crash is known.
+CRASH_SEND_S = 0.25
+CRASH_SPAN_S = 5.0
+CRASH_REVIVE_S = 0.3
 # Work that outlasts many a closed listener.
 LONG_WORK_MS = 400
 
@@ -53,6 +60,8 @@
             self.kinds += [(3, self.limited_target), (2, self.target_says_it_leaves)]
         if generation >= 4:
             self.kinds += [(3, self.closed_listener)]
+        if generation >= 5:
+            self.kinds += [(3, self.crashing_request)]
 
     def play(self, seconds):
         until = time.monotonic() + seconds
@@ -226,6 +235,26 @@
         if is_leaving:
             self.mesh.revive_target(node, keeps_id=False)
 
+    def crashing_request(self, node, length, pick):
+        name = f"crash-{len(self.log)}-{int(pick * 1000)}"
+        path, key = (f"/read/{name}", int(pick * 65536)) if pick < 0.6 else (f"/plain/{name}", None)
+        until = time.monotonic() + CRASH_SPAN_S + length
+        count = 0
+        while time.monotonic() < until:
+            entry = self.mesh.nodes[count % len(self.mesh.nodes)]
+            count += 1
+            threading.Thread(target=self.send_crashing, args=(entry, path, key, f"{name}-{entry.index}-{count}"), daemon=True).start()
+            time.sleep(CRASH_SEND_S)
+            self.mesh.revive_crashed(CRASH_REVIVE_S)
+
+    @staticmethod
+    def send_crashing(entry, path, key, attempt):
+        try:
+            entry.request(path, key, attempt, "POST", b"x")
+        except (OSError, http.client.HTTPException):
+            # Its node or target has ended.
+            pass
+
     def cold_target(self, node, length, pick):
         node.target_fault("cold", COLD_MS)
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -19,6 +19,10 @@
 # A request that reaches a target so long after its caller left is one too many;
 # a few may.
 LEFT_SLACK = 0.6
+# A request that has crashed so many targets may run so often later than that.
+CRASHES = 3
+LATE_RUNS = 3
+CRASH_SLACK = 3.0
 FEW = 3
 
 
@@ -41,6 +45,8 @@
                 later = [t for t in mesh.deaths[node.index] if t > life.started]
                 life.ended = min(later, default=life.ended)
                 lives.append(life)
+            elif event["event"] == "crash":
+                life.ended = min(life.ended, event["at"])
             elif event["event"] == "left":
                 life.left = life.left or event["at"]
             else:
@@ -57,6 +63,7 @@
     problems += check_drains(lives)
     problems += check_cold(lives)
     problems += check_said(mesh, lives, outcomes)
+    problems += check_crashing(mesh, lives)
     problems += check_holds(mesh, lives)
     problems += check_work(lives, mesh.thaws)
     return problems
@@ -134,6 +141,25 @@
     return problems
 
 
+def check_crashing(mesh, lives):
+    """Runs of requests that crash targets, long after their third crash."""
+    runs = defaultdict(list)
+    for life in lives:
+        for event in life.events:
+            if event["event"] == "run" and "/crash" in event["path"]:
+                runs[event["path"]].append((event["at"], int(event["attempt"].split("-")[-2]), life.node))
+    problems = []
+    for path, its in runs.items():
+        its.sort()
+        if len(its) <= CRASHES:
+            continue
+        third = its[CRASHES - 1][0]
+        late = [at for at, entry, node in its if at > third + CRASH_SLACK and mesh.was_calm(entry, at) and mesh.was_calm(node, at)]
+        if len(late) > LATE_RUNS:
+            problems.append(f"{path} reached targets {len(late)} times over {CRASH_SLACK} s after it had crashed {CRASHES}")
+    return problems
+
+
 class Hold:
     def __init__(self, life, event):
         self.life = life
--- a/tests/soak/soak_mesh.py
+++ b/tests/soak/soak_mesh.py
@@ -37,6 +37,10 @@
         self.cuts = [[] for _ in self.nodes]
         # By node: what its target says in all its answers.
         self.said = [{} for _ in self.nodes]
+        # By node: (begin, end) of the times in which it counts as disturbed.
+        self.disturbances = [[] for _ in self.nodes]
+        # Nodes whose targets a fault has ended and will start again.
+        self.killed_targets = set()
         self.ended_at = float("inf")
         self.version = 1
         self.routes = []
@@ -66,7 +70,9 @@
         return [node.store_link, node.target_proxy, *node.peer_links]
 
     def disturb(self, node, seconds):
-        until = time.monotonic() + seconds
+        now = time.monotonic()
+        until = now + seconds
+        self.disturbances[node.index].append((now, until))
         self.disturbed[node.index] = max(self.disturbed[node.index], until)
 
     def disturb_all(self, seconds):
@@ -82,6 +88,11 @@
         moments = self.restarts[origin] + self.pauses[origin] + self.thaws[origin]
         return any(begin <= moment <= end for moment in moments)
 
+    def was_calm(self, origin, at):
+        """Whether the node had been left alone for long enough at that time."""
+        is_disturbed = any(begin <= at and at - CALM <= end for begin, end in self.disturbances[origin])
+        return not is_disturbed and not self.was_cut_or_restarted(origin, at - CALM, at)
+
     def was_cut_or_restarted(self, origin, begin, end):
         is_cut = any(first <= end and begin <= last for first, last in self.cuts[origin])
         return is_cut or self.was_restarted(origin, begin, end)
@@ -111,16 +122,25 @@
             self.restarts[node.index].append(time.monotonic())
 
     def kill_target(self, node):
+        self.killed_targets.add(node.index)
         if node.target.poll() is None:
             node.target.kill()
             node.target.wait()
             self.deaths[node.index].append(time.monotonic())
 
     def revive_target(self, node, keeps_id):
+        self.killed_targets.discard(node.index)
         if node.target.poll() is not None:
             self.said[node.index] = {}
             node.start_target(keeps_id)
 
+    def revive_crashed(self, delay_s):
+        """Starts targets again that have ended by themselves."""
+        for node in self.nodes:
+            if node.target.poll() is not None and node.index not in self.killed_targets:
+                time.sleep(delay_s)
+                self.revive_target(node, keeps_id=False)
+
     def pause(self, node):
         if self.is_up(node):
             self.pauses[node.index].append(time.monotonic())
