A node without a leader learns of crashes from the stored record

A node that is cut off from all others and still reaches the store serves its own callers with its own target. It read the record again and again to find a leader, and did not use what that says of requests that crash targets. By reading; not shown by a run.

--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -593,6 +593,7 @@
   }
   const MeshRecord record = DecodeRecord(*stored.bytes);
   m_record_epoch = record.epoch;
+  m_listener.OnRecordRead(record);
   if (record.leader != m_identity.address &&
       !m_leader_tracker.HasRecentlyFailed(record.leader) &&
       !m_is_named_successor) {
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -57,6 +57,8 @@
     virtual void FillHeartbeat(Heartbeat& heartbeat) = 0;
     virtual void OnReply(const HeartbeatReply& reply) = 0;
     virtual void OnViewChanged() = 0;
+    // A node without a leader has read the stored record.
+    virtual void OnRecordRead(const MeshRecord& record) = 0;
   };
 
   struct Identity {
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -629,8 +629,17 @@
 
 void TargetGateway::OnCrashReportReply(const CrashReportReply& reply,
                                        std::uint64_t leader_nonce) {
-  for (const RequestFingerprint fingerprint :
-       m_crash_reporter.OnReply(reply, leader_nonce)) {
+  LogQuarantined(m_crash_reporter.OnReply(reply, leader_nonce));
+}
+
+void TargetGateway::MergeCrashSuspects(
+    const std::vector<CrashSuspect>& suspects) {
+  LogQuarantined(m_poison_detector->Merge(suspects));
+}
+
+void TargetGateway::LogQuarantined(
+    const std::vector<RequestFingerprint>& fingerprints) const {
+  for (const RequestFingerprint fingerprint : fingerprints) {
     spdlog::info("event=request-quarantined fingerprint={:016x} crashes={}",
                  fingerprint.value(),
                  m_poison_detector->CrashCount(fingerprint));
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -99,6 +99,7 @@
   CrashReport MakeCrashReport() const { return m_crash_reporter.MakeReport(); }
   void OnCrashReportReply(const CrashReportReply& reply,
                           std::uint64_t leader_nonce);
+  void MergeCrashSuspects(const std::vector<CrashSuspect>& suspects);
   // Why the request must not run: runs of it have crashed targets. Empty if it
   // may run.
   std::optional<ForwardResult> CheckQuarantine(const HttpRequest& request);
@@ -168,6 +169,8 @@
   ForwardResult ClassifyResponse(HttpResponse response,
                                  const TargetResponseInfo& response_info);
   std::optional<ForwardResult> CheckQuarantine(std::uint64_t fingerprint);
+  void LogQuarantined(
+      const std::vector<RequestFingerprint>& fingerprints) const;
   void RecordUnanswered(const RunningRequest& request, bool is_broken);
   // Called when the connection of a running request breaks. Probes the target
   // at once: its process may have crashed because of this request, and other
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -207,6 +207,7 @@
   void FillHeartbeat(Heartbeat& heartbeat) override;
   void OnReply(const HeartbeatReply& reply) override;
   void OnViewChanged() override;
+  void OnRecordRead(const MeshRecord& record) override;
 
   void UpdateColdLimit();
   Task<> TickLoop();
@@ -442,6 +443,11 @@
   m_router.OnViewChanged();
 }
 
+void RouterNode::Implementation::OnRecordRead(const MeshRecord& record) {
+  // A node that is cut off from all others still serves its own callers.
+  m_gateway.MergeCrashSuspects(record.crash_suspects);
+}
+
 Task<> RouterNode::Implementation::TickLoop() {
   boost::asio::steady_timer timer(m_loop);
   int ticks = 0;
