A node that starts beside a leaving target sends it nothing more

Its process was killed 0.82 s after the confirmation; the new one took the target's next report for the first word of the leaving (its log: from=unheard to=draining) and let requests pass for another drain period.

Change: a drain that a new process hears of at first counts as confirmed long ago.

--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -155,6 +155,7 @@
     const TargetReport& report) {
   const Clock::TimePoint now = m_clock.Now();
   const bool is_same_incarnation = report.incarnation == m_incarnation;
+  const bool is_first_incarnation = !m_incarnation.is_known();
   if (!is_same_incarnation) {
     if (m_incarnation.is_known() && !IsLaterIncarnation(report))
       return ReportResult::kOutdated;
@@ -186,7 +187,10 @@
   if (m_has_begun_to_drain) {
     SetState(State::kDraining, "has-said-that-it-leaves");
   } else if (report.is_draining) {
-    BeginDrain(now, "reported");
+    // An earlier process of this node may have confirmed it any time ago.
+    const bool may_be_confirmed = is_first_incarnation && !is_same_incarnation;
+    BeginDrain(may_be_confirmed ? now - m_settings.drain_period : now,
+               "reported");
   } else {
     SetState(State::kServing, "reported");
   }
--- a/tests/failures_soak_seeds_process_test.py
+++ b/tests/failures_soak_seeds_process_test.py
@@ -74,6 +74,11 @@
     def test_814106_a_target_that_refused_a_grant(self):
         self.play(814106, generation=4)
 
+    # Requests reach a target over 2 s after its leaving was confirmed: its node
+    # was killed meanwhile, and the new process began the drain anew.
+    def test_910000_a_drain_that_began_anew(self):
+        self.play(910000, generation=5)
+
 
 if __name__ == "__main__":
     unittest.main()
