Random orders of lost replies, nodes and leaders for the ledger of crashes

300 schedules with fixed seeds: what a live node, the leader or the store knows of a crash reaches every node, and counts once.

--- a/modules/coordination/mesh/crash_ledger_test.cc
+++ b/modules/coordination/mesh/crash_ledger_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -230,4 +231,65 @@
   CHECK(other->detector.IsQuarantined(kPoison));
 }
 
+// Guards against crashes that are forgotten, or counted twice, by any order of
+// lost replies, lost nodes and changes of leader: what a live node, the leader
+// or the store knows has to reach every node in the end.
+TEST_CASE("no order of losses forgets a crash that anybody knows") {
+  constexpr int kSchedules = 300;
+  constexpr int kSteps = 60;
+  constexpr std::size_t kNodes = 4;
+  for (std::uint64_t seed = 0; seed < kSchedules; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    Fixture mesh;
+    std::vector<std::shared_ptr<Node>> nodes;
+    const auto address_of = [](std::size_t i) { return std::to_string(i); };
+    for (std::size_t i = 0; i < kNodes; ++i)
+      nodes.push_back(mesh.Start(address_of(i)));
+    std::size_t crashes = 0;
+    // Crashes of which every copy may be gone.
+    std::size_t lost = 0;
+    for (int step = 0; step < kSteps; ++step) {
+      const std::size_t i = random() % kNodes;
+      switch (random() % 8) {
+        case 0:
+          nodes[i]->Crash({kPoison, RequestFingerprint(1000 + crashes)});
+          ++crashes;
+          break;
+        case 1: {
+          // Counts only what neither the leader nor the store may know.
+          for (const CrashSuspect& suspect :
+               nodes[i]->detector.UnreportedChanges(0))
+            lost += suspect.fingerprint == kPoison.value()
+                        ? suspect.crashes.size()
+                        : 0;
+          nodes[i] = mesh.Start(address_of(i));
+          break;
+        }
+        case 2:
+          mesh.Lead();
+          break;
+        case 3:
+          mesh.Store();
+          break;
+        default:
+          mesh.Beat(*nodes[i], random() % 4 == 0);
+      }
+    }
+    for (int round = 0; round < 4; ++round) {
+      for (const auto& node : nodes)
+        mesh.Beat(*node);
+      mesh.Store();
+    }
+    for (const auto& node : nodes) {
+      const std::size_t known = node->detector.CrashCount(kPoison);
+      CHECK(known <= crashes);
+      // A single crash stays with the node that saw it.
+      if (crashes >= lost + 2)
+        CHECK(known + lost >= crashes);
+      CHECK(node->detector.UnreportedChanges(0).empty());
+    }
+  }
+}
+
 }  // namespace citrongrade
