--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,8 +20,8 @@
 # what targets say in their answers, by targets that refuse connections, and by
 # requests that crash targets.
 LATEST = 5
-# A request that crashes targets is sent as often as this, at all nodes in turn,
-# and goes on for so long after its third crash is known.
+# A request that crashes targets is sent at this interval, at all nodes in turn,
+# for at least so long, and a target that it has crashed is down for so long.
 CRASH_SEND_S = 0.25
 CRASH_SPAN_S = 5.0
 CRASH_REVIVE_S = 0.3
