Count and log the suspects of crashes that the leader evicts

An operator could not see that the mesh forgets crashes: the leader keeps what is known of 512 requests that ran beside crashes in the stored record and evicts the rest, those with the fewest crashes first. Neither a metric nor a log line showed it, citrongrade_crash_suspects_evicted_total counts what a node's own memory evicts.

The leader logs event=crash-suspects-evicted for each report that evicts and counts in citrongrade_ledger_crash_suspects_evicted_total. Found by reading; the new case of crash_ledger_test could not be written before.

--- a/modules/coordination/mesh/crash_ledger.cc
+++ b/modules/coordination/mesh/crash_ledger.cc
@@ -1,5 +1,7 @@
 #include "modules/coordination/mesh/crash_ledger.h"
 
+#include <spdlog/spdlog.h>
+
 #include "modules/coordination/mesh/heartbeat.h"
 
 namespace citrongrade {
@@ -38,7 +40,7 @@
     node.incarnation = heartbeat.incarnation;
   }
   if (!report.suspects.empty())
-    m_detector.Merge(report.suspects);
+    Merge(report.suspects);
   // A node that has changed its leader leaves out what the last one received,
   // until this leader's first reply.
   if (report.since > node.received || report.version <= node.received)
@@ -53,6 +55,17 @@
     node.stored = report.version;
 }
 
+void CrashLedger::Merge(const std::vector<CrashSuspect>& reported) {
+  const std::uint64_t evicted_before = evicted_count();
+  m_detector.Merge(reported);
+  if (evicted_count() == evicted_before)
+    return;
+  spdlog::warn(
+      "event=crash-suspects-evicted evicted={} suspects={} reported={}",
+      evicted_count() - evicted_before, m_detector.suspect_count(),
+      reported.size());
+}
+
 CrashReportReply CrashLedger::MakeReply(const Heartbeat& heartbeat,
                                         bool is_own_version) const {
   CrashReportReply reply;
--- a/modules/coordination/mesh/crash_ledger.h
+++ b/modules/coordination/mesh/crash_ledger.h
@@ -41,7 +41,13 @@
   std::vector<CrashSuspect> BeginStore();
   void OnStored();
 
+  // Suspects that this ledger has evicted for lack of memory. They count as
+  // stored for the nodes that reported them.
+  std::uint64_t evicted_count() const { return m_detector.evicted_count(); }
+
  private:
+  void Merge(const std::vector<CrashSuspect>& reported);
+
   // Reports up to `reported` are part of version `ledger` of this ledger.
   struct Received {
     std::uint64_t reported = 0;
--- a/modules/coordination/mesh/crash_ledger_test.cc
+++ b/modules/coordination/mesh/crash_ledger_test.cc
@@ -231,6 +231,26 @@
   CHECK(other->detector.IsQuarantined(kPoison));
 }
 
+// Guards against crashes that the mesh forgets without a sign of it.
+TEST_CASE_FIXTURE(Fixture, "suspects that find no room are counted") {
+  auto node = Start("a");
+  std::uint64_t next = 1000;
+  const auto crash = [&node, &next](std::size_t count) {
+    std::vector<RequestFingerprint> running;
+    for (std::size_t i = 0; i < count; ++i)
+      running.emplace_back(next++);
+    node->Crash(running);
+  };
+  crash(512);
+  Beat(*node);
+  CHECK(ledger().evicted_count() == 0);
+  crash(3);
+  Beat(*node);
+  CHECK(ledger().evicted_count() == 3);
+  Beat(*node);
+  CHECK(ledger().evicted_count() == 3);
+}
+
 // Guards against crashes that are forgotten, or counted twice, by any order of
 // lost replies, lost nodes and changes of leader: what a live node, the leader
 // or the store knows has to reach every node in the end.
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -92,6 +92,7 @@
   // Voters of the stored record without a recent heartbeat.
   std::vector<std::string> MissingVoters() const;
   std::size_t node_count() const { return m_nodes.size(); }
+  const CrashLedger& crash_ledger() const { return m_crash_ledger; }
 
  private:
   struct Node {
--- a/modules/transport/mesh/mesh_agent.cc
+++ b/modules/transport/mesh/mesh_agent.cc
@@ -183,6 +183,10 @@
              kConfigBehindTimeout + m_store_read_jitter;
 }
 
+std::uint64_t MeshAgent::ledger_evicted_count() const {
+  return m_leader ? m_leader->crash_ledger().evicted_count() : 0;
+}
+
 Clock::Duration MeshAgent::TimeWithoutLeader() const {
   if (m_leader)
     return Clock::Duration(0);
--- a/modules/transport/mesh/mesh_agent.h
+++ b/modules/transport/mesh/mesh_agent.h
@@ -104,6 +104,9 @@
   // Upper bound of any lease that may be in force.
   std::chrono::milliseconds max_lease() const { return m_max_lease; }
   bool is_leader() const { return m_leader != nullptr; }
+  // Requests that ran beside crashes and that the ledger of this node's present
+  // term as leader has forgotten for lack of room; 0 while it doesn't lead.
+  std::uint64_t ledger_evicted_count() const;
   // Whether this node should read the configuration from the store itself,
   // rather than from other nodes only.
   bool should_read_store() const;
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -717,6 +717,8 @@
       static_cast<double>(detector.quarantined_count()));
   add("citrongrade_crash_suspects_evicted_total",
       static_cast<double>(detector.evicted_count()));
+  add("citrongrade_ledger_crash_suspects_evicted_total",
+      static_cast<double>(m_agent.ledger_evicted_count()));
   add("citrongrade_target_running", static_cast<double>(m_gateway.running()));
   add("citrongrade_target_waiting", static_cast<double>(m_gateway.waiting()));
   add("citrongrade_target_reserved_slots",
