citrongrade-node: only a proper run clears a request of crashes

Callers whose request crashes each target that runs it could go on doing so for ever through citrongrade-node, as long as a try in between was refused, answered with the target's own failure, or not answered in time: TargetDispatcher took each exchange whose connection held for a run without a crash, which clears the crashes before.

Only an answer below 500 to a request that was run clears now, as TargetGateway does it. node_crashing_request_process_test: three cases, all three served the fourth run on the code before, all refuse it as quarantined now.

--- a/modules/transport/target_dispatcher.cc
+++ b/modules/transport/target_dispatcher.cc
@@ -33,6 +33,7 @@
 constexpr std::chrono::milliseconds kRetryAfterNoGrant{250};
 constexpr std::size_t kRunRing = 4096;
 constexpr std::size_t kMaxThreads = 256;
+constexpr int kServerError = 500;
 
 }  // namespace
 
@@ -425,10 +426,13 @@
       break;
   }
   m_counts.late_answers += result.was_late ? 1 : 0;
-  const RequestFingerprint mark(run.transfer->request().fingerprint);
-  if (!result.connection_lost) {
-    m_poison.OnFinished(mark);
-    return;
+  // Neither a refusal nor a run without an answer shows that the request does
+  // no harm. The target's own failure may be a run that its time limit ended
+  // before it crashed the target.
+  if (result.outcome == TargetCallOutcome::kDone &&
+      result.status < kServerError) {
+    m_poison.OnFinished(
+        RequestFingerprint(run.transfer->request().fingerprint));
   }
   // All that ran when the first connection broke are suspects of one crash.
   if (crashed && !m_crash_noted) {
--- /dev/null
+++ b/tests/node_crashing_request_process_test.py
@@ -0,0 +1,73 @@
+"""A request that crashes the target of a citrongrade-node that runs it."""
+
+import sys
+import time
+import unittest
+
+from support.fake_target import FakeTarget, send
+from support.node_mesh import KEYED, KEYED_SETTINGS, Mesh, WORKSPACE, keyed_call
+from support.processes import ProgramGroup, wait_until
+
+BUILD_DIR = sys.argv.pop(1)
+CRASHES_TO_QUARANTINE = 3
+
+
+class CrashingRequestTest(unittest.TestCase):
+
+    def setUp(self):
+        programs = ProgramGroup(BUILD_DIR)
+        self.addCleanup(programs.__exit__)
+        mesh = Mesh(programs)
+        mesh.publish_service(KEYED_SETTINGS)
+        self.node = mesh.start_node(with_target=False)
+        self.behave = lambda handler: send(handler, b"good")
+        # One slot, so that a second request waits.
+        self.target = FakeTarget(self.node, WORKSPACE, KEYED,
+                                 lambda handler: self.behave(handler), slots=1)
+        self.addCleanup(self.target.close)
+        mesh.wait_until_served()
+
+    def post(self, body, **headers):
+        return keyed_call(self.node, "a", "POST", body=body, **headers)
+
+    def served(self, body):
+        return self.post(body).status == 200
+
+    def crash(self, body):
+        """Has one run of the request crash the target."""
+        self.behave = self.target.crash
+        self.assertEqual(self.post(body).headers["citrongrade-outcome"],
+                         "unknown")
+        self.target.restart()
+        self.behave = lambda handler: send(handler, b"good")
+        wait_until(lambda: self.served(b"innocent"), "the target serves again")
+
+    def check_not_cleared_by(self, behaviour, **headers):
+        for _ in range(CRASHES_TO_QUARANTINE):
+            self.crash(b"poison")
+            self.behave = behaviour
+            self.post(b"poison", **headers)
+            self.behave = lambda handler: send(handler, b"good")
+            wait_until(lambda: self.served(b"innocent"), "the target is free")
+        self.assertIn(b"quarantined", self.post(b"poison").body)
+
+    # Guards against a refusal that is taken for a run without a crash, so that
+    # a request which crashes each target that runs it is never quarantined.
+    def test_a_refusal_clears_nothing(self):
+        self.check_not_cleared_by(lambda handler: send(
+            handler, b"", 503, extra=[("Citrongrade-Outcome", "not-run")]))
+
+    # Guards against the target's own failure that is taken for a run without a
+    # crash: its time limit may have ended the run before the crash.
+    def test_a_failure_of_the_target_clears_nothing(self):
+        self.check_not_cleared_by(lambda handler: send(handler, b"", 500))
+
+    # Guards against a run without an answer that is taken for one that ended.
+    def test_a_run_that_is_not_answered_clears_nothing(self):
+        self.check_not_cleared_by(
+            lambda handler: (time.sleep(0.6), send(handler, b"late")),
+            Citrongrade_Deadline_Ms="300")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/support/fake_target.py
+++ b/tests/support/fake_target.py
@@ -6,6 +6,8 @@
 
 from support.processes import call
 
+ACCEPT_POLL_SECONDS = 0.02
+
 
 class FakeTarget:
     """Announces itself to a node; `behave(handler)` answers each request.
@@ -13,7 +15,7 @@
     `seen` holds (method, path, headers) of all requests, cancels included.
     """
 
-    def __init__(self, node, workspace, service, behave):
+    def __init__(self, node, workspace, service, behave, slots=12):
         outer = self
         self.seen = []
         self._stop = threading.Event()
@@ -35,33 +37,53 @@
             def log_message(self, *_):
                 pass
 
-        self._server = http.server.ThreadingHTTPServer(("127.0.0.1", 0),
-                                                       Handler)
-        self._server.daemon_threads = True
+        self._handler = Handler
+        self._server = self._listen(0)
         self._announcement = json.dumps({
-            "workspace": workspace, "service": service, "slots": 12,
+            "workspace": workspace, "service": service, "slots": slots,
             "connections": 50, "checks_grants": False, "state": "serving",
             "address": "127.0.0.1:%d" % self._server.server_address[1]})
         self._control = node.control
-        self._threads = [threading.Thread(target=self._server.serve_forever),
-                         threading.Thread(target=self._announce)]
-        for thread in self._threads:
-            thread.start()
+        self._announcer = threading.Thread(target=self._announce)
+        self._announcer.start()
+
+    def _listen(self, port):
+        server = http.server.ThreadingHTTPServer(("127.0.0.1", port),
+                                                 self._handler)
+        server.daemon_threads = True
+        threading.Thread(target=server.serve_forever,
+                         args=(ACCEPT_POLL_SECONDS,)).start()
+        return server
+
+    def _end_listener(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+    def crash(self, handler):
+        """Refuses connections from now on, and breaks that of `handler`."""
+        self._end_listener()
+        hang_up(handler)
+
+    def restart(self):
+        """Listens again at the same address after a crash, and announces that."""
+        self._server = self._listen(self._server.server_address[1])
+        self._announce_once()
 
     def _announce(self):
         while not self._stop.is_set():
             try:
-                call(self._control, "POST", "/v1/targets", self._announcement)
+                self._announce_once()
             except OSError:
                 pass
             self._stop.wait(0.2)
 
+    def _announce_once(self):
+        call(self._control, "POST", "/v1/targets", self._announcement)
+
     def close(self):
         self._stop.set()
-        self._server.shutdown()
-        self._server.server_close()
-        for thread in self._threads:
-            thread.join()
+        self._end_listener()
+        self._announcer.join()
 
     def cancels(self):
         return [path for method, path, _ in self.seen
