citrongrade-node: a request that waits is no suspect of a crash

A proper request that waited three times while others crashed its target was refused with 422 quarantined: all requests under way at the node became suspects, those too that the target had not got yet. Only requests that were started are suspects now.

--- a/modules/transport/target_dispatcher.cc
+++ b/modules/transport/target_dispatcher.cc
@@ -438,8 +438,10 @@
   if (crashed && !m_crash_noted) {
     m_crash_noted = true;
     std::vector<RequestFingerprint> suspects;
-    for (const auto& [ticket, other] : m_runs)
-      suspects.emplace_back(other->transfer->request().fingerprint);
+    for (const auto& [ticket, other] : m_runs) {
+      if (other->transfer->is_started())
+        suspects.emplace_back(other->transfer->request().fingerprint);
+    }
     m_poison.OnCrash(suspects);
   }
 }
--- a/tests/node_crashing_request_process_test.py
+++ b/tests/node_crashing_request_process_test.py
@@ -1,6 +1,7 @@
 """A request that crashes the target of a citrongrade-node that runs it."""
 
 import sys
+import threading
 import time
 import unittest
 
@@ -68,6 +69,31 @@
             lambda handler: (time.sleep(0.6), send(handler, b"late")),
             Citrongrade_Deadline_Ms="300")
 
+    # Guards against requests that are quarantined because they waited while
+    # others crashed the target.
+    def test_a_waiting_request_is_no_suspect(self):
+        for number in range(CRASHES_TO_QUARANTINE):
+            is_waiting = threading.Event()
+            self.behave = lambda handler: (is_waiting.wait(5),
+                                           self.target.crash(handler))
+            self.target.seen.clear()
+            poison = threading.Thread(target=self.post,
+                                      args=(b"poison-%d" % number,))
+            poison.start()
+            wait_until(lambda: self.target.seen, "the request runs")
+            waiting = threading.Thread(target=self.post, args=(b"waiting",))
+            waiting.start()
+            wait_until(lambda: self.node.dump()["dispatcher"]["admission"]["waiting"],
+                       "the second request waits")
+            is_waiting.set()
+            poison.join()
+            waiting.join()
+            self.target.restart()
+            self.behave = lambda handler: send(handler, b"good")
+            wait_until(lambda: self.served(b"innocent"),
+                       "the target serves again")
+        self.assertEqual(self.post(b"waiting").status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
