--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -188,8 +188,7 @@
     SetState(State::kDraining, "has-said-that-it-leaves");
   } else if (report.is_draining) {
     // An earlier process of this node may have confirmed it any time ago.
-    const bool may_be_confirmed = is_first_incarnation && !is_same_incarnation;
-    BeginDrain(may_be_confirmed ? now - m_settings.drain_period : now,
+    BeginDrain(is_first_incarnation ? now - m_settings.drain_period : now,
                "reported");
   } else {
     SetState(State::kServing, "reported");
