A waiting request whose key moves is refused at once

Callers whose requests waited for a slot of a target that began to leave, or whose keys moved for balance, waited until the slot was free, only to hear then that the target did not hold the key any more: 503 after 1.0 s for all 17 such requests of platform_moved_keys_process_test (runs of 1 s), in three of three runs. By then the entry no longer looked for the next owner. Each of them also took its turn from a request that could be run, and what a limited target takes: that is the other cause of the 19 of 24 requests in platform_target_says (trace: gaps of 150 to 350 ms in which admitted requests ended with "the target does not hold the key").

The gateway now looks at each tick (25 ms) for waiting requests whose slots the target no longer has, or releases, and refuses them with lease-lost. A hold that has lapsed for a moment changes nothing.

--- a/modules/coordination/mesh/target_hold_tracker.cc
+++ b/modules/coordination/mesh/target_hold_tracker.cc
@@ -166,6 +166,10 @@
          (hold->state == State::kReleasing || hold->state == State::kReturned);
 }
 
+bool TargetHoldTracker::IsAssigned(std::uint32_t slot) const {
+  return FindHold(slot) != nullptr && !IsBeingReleased(slot);
+}
+
 bool TargetHoldTracker::HasReturnedAllRanges() const {
   return std::all_of(m_holds.begin(), m_holds.end(), [](const Hold& hold) {
     return hold.state == State::kReturned;
--- a/modules/coordination/mesh/target_hold_tracker.h
+++ b/modules/coordination/mesh/target_hold_tracker.h
@@ -59,6 +59,9 @@
   bool IsAwaitingGrant(std::uint32_t slot) const;
   // The slot is about to be served by another target.
   bool IsBeingReleased(std::uint32_t slot) const;
+  // The target holds the slot, or is to be granted it. Also true while the hold
+  // has lapsed for lack of a renewal.
+  bool IsAssigned(std::uint32_t slot) const;
   // Ranges that the target has released or whose holds have expired.
   virtual std::vector<ReturnedRange> ReturnedRanges() = 0;
   // Time after which the target holds nothing unless there are new grants.
--- a/modules/transport/mesh/target_controller.h
+++ b/modules/transport/mesh/target_controller.h
@@ -160,6 +160,7 @@
   bool IsBeingReleased(std::uint32_t slot) const {
     return m_holds.IsBeingReleased(slot);
   }
+  bool IsAssigned(std::uint32_t slot) const { return m_holds.IsAssigned(slot); }
   const TargetIncarnation& incarnation() const { return m_incarnation; }
   // Changes whenever what was sent before no longer concerns the present
   // process of the target.
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -79,14 +79,18 @@
 struct TargetGateway::WaitingRequest {
   WaitingRequest(boost::asio::io_context& loop, const ForwardMetadata& metadata)
       : wakeup(loop),
+        slot(metadata.key ? std::optional(SlotOfKey(*metadata.key))
+                          : std::nullopt),
         sender_id(metadata.sender_id),
         request_id(metadata.request_id) {}
 
   boost::asio::steady_timer wakeup;
+  const std::optional<std::uint32_t> slot;
   const std::uint64_t sender_id;
   const std::string request_id;
   std::optional<TargetAdmission::Verdict> verdict;
   bool is_withdrawn = false;
+  bool has_key_moved = false;
 };
 
 // Frees the request's place at the target when the request ends, on every path.
@@ -290,6 +294,11 @@
                                       "its sender stops",
                                       kRetryAfterWithdrawal);
     }
+    if (waiting_request->has_key_moved) {
+      co_return ForwardResult::NotRun(RequestErrorCode::kLeaseLost,
+                                      "the key moves to another target",
+                                      RetryAfterMove());
+    }
     if (!waiting_request->verdict)
       m_admission.Withdraw(ticket);
     verdict =
@@ -470,6 +479,17 @@
   return ForwardResult::Answered(std::move(response));
 }
 
+void TargetGateway::RefuseMovedKeys() {
+  for (const auto& [ticket, waiting_request] : m_waiting_requests) {
+    if (!waiting_request->slot ||
+        m_controller.IsAssigned(*waiting_request->slot) ||
+        !m_admission.Withdraw(ticket))
+      continue;
+    waiting_request->has_key_moved = true;
+    waiting_request->wakeup.cancel();
+  }
+}
+
 void TargetGateway::ResumeWaiting() {
   const TargetAdmission::Changes changes = m_admission.Poll();
   const auto wake = [this](RequestTicket ticket,
@@ -526,6 +546,7 @@
 
 void TargetGateway::Tick() {
   UpdateAdmission();
+  RefuseMovedKeys();
   ResumeWaiting();
 }
 
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -177,6 +177,10 @@
   // callers should not have to wait until their own requests fail.
   void OnConnectionBroken(const RunningRequest& request);
   Task<> ProbeTarget();
+  // Refuses the waiting requests whose keys have begun to move. They would take
+  // their turn, and what the target's limit allows, from requests that it can
+  // run.
+  void RefuseMovedKeys();
   void ResumeWaiting();
   void CountResult(const ForwardResult& result);
 
