--- a/modules/transport/request_transfer.cc
+++ b/modules/transport/request_transfer.cc
@@ -63,11 +63,6 @@
   return true;
 }
 
-bool RequestTransfer::is_started() const {
-  const std::lock_guard lock(m_implementation->mutex);
-  return m_implementation->phase == Implementation::Phase::kStarted;
-}
-
 bool RequestTransfer::Cancel() {
   Implementation& self = *m_implementation;
   std::function<void()> on_cancel;
--- a/modules/transport/request_transfer.h
+++ b/modules/transport/request_transfer.h
@@ -42,7 +42,6 @@
 
   // True once: from then on it may have run. False after Cancel.
   bool TryStart();
-  bool is_started() const;
   // True: it was not started and never will be. False: it may run, or have run.
   bool Cancel();
   bool is_cancelled() const;
--- a/modules/transport/target_call.cc
+++ b/modules/transport/target_call.cc
@@ -74,7 +74,6 @@
     if (!Start(check_grant))
       return m_result;
     const HttpResponseHead response = ReadHead();
-    m_result.status = response.status;
     PassAnswer(response);
   } catch (const ConnectError& error) {
     m_result.connection_lost = true;
--- a/modules/transport/target_call.h
+++ b/modules/transport/target_call.h
@@ -32,8 +32,6 @@
     bool connection_lost = false;
     // No answer came in time; the target may still work on it.
     bool timed_out = false;
-    // Of the target's answer; 0 without one.
-    int status = 0;
     // The caller was gone when the answer came.
     bool was_late = false;
     // A small whole answer.
--- a/modules/transport/target_dispatcher.cc
+++ b/modules/transport/target_dispatcher.cc
@@ -33,7 +33,6 @@
 constexpr std::chrono::milliseconds kRetryAfterNoGrant{250};
 constexpr std::size_t kRunRing = 4096;
 constexpr std::size_t kMaxThreads = 256;
-constexpr int kServerError = 500;
 
 }  // namespace
 
@@ -426,22 +425,17 @@
       break;
   }
   m_counts.late_answers += result.was_late ? 1 : 0;
-  // Neither a refusal nor a run without an answer shows that the request does
-  // no harm. The target's own failure may be a run that its time limit ended
-  // before it crashed the target.
-  if (result.outcome == TargetCallOutcome::kDone &&
-      result.status < kServerError) {
-    m_poison.OnFinished(
-        RequestFingerprint(run.transfer->request().fingerprint));
+  const RequestFingerprint mark(run.transfer->request().fingerprint);
+  if (!result.connection_lost) {
+    m_poison.OnFinished(mark);
+    return;
   }
   // All that ran when the first connection broke are suspects of one crash.
   if (crashed && !m_crash_noted) {
     m_crash_noted = true;
     std::vector<RequestFingerprint> suspects;
-    for (const auto& [ticket, other] : m_runs) {
-      if (other->transfer->is_started())
-        suspects.emplace_back(other->transfer->request().fingerprint);
-    }
+    for (const auto& [ticket, other] : m_runs)
+      suspects.emplace_back(other->transfer->request().fingerprint);
     m_poison.OnCrash(suspects);
   }
 }
