node_graceful_stop: callers end with a failed test

When a node did not stop in time the test's callers went on for ever and the whole check hung instead of naming the test. The checks are as before.

--- a/tests/node_graceful_stop_process_test.py
+++ b/tests/node_graceful_stop_process_test.py
@@ -71,6 +71,7 @@
     def leave_under_load(self, leave):
         leaving = self.mesh.nodes[1]
         load = Load(self.mesh.nodes)
+        self.addCleanup(load.stop)
         time.sleep(1)
         leave(leaving)
         status = leaving.process.wait()
@@ -111,6 +112,7 @@
     def test_target_drains(self):
         leaving = self.mesh.nodes[2]
         load = Load(self.mesh.nodes)
+        self.addCleanup(load.stop)
         time.sleep(0.5)
         call(leaving.target_address, "POST", "/v1/control", {"drain": True})
         wait_until(lambda: leaving.dump()["coordinator"] is None,
