TargetGateway: a waiting request that is refused carries its refusal

A withdrawn request and one whose key moved each had a flag and a branch of its own, and the refusal of a moved key stood twice.

--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -89,8 +89,8 @@
   const std::uint64_t sender_id;
   const std::string request_id;
   std::optional<TargetAdmission::Verdict> verdict;
-  bool is_withdrawn = false;
-  bool has_key_moved = false;
+  // Why it waits no longer, if that isn't for the admission to say.
+  std::optional<ForwardResult> refusal;
 };
 
 // Frees the request's place at the target when the request ends, on every path.
@@ -141,6 +141,12 @@
                                        m_admission.mean_service_time()));
 }
 
+ForwardResult TargetGateway::RefuseMovedKey() const {
+  return ForwardResult::NotRun(RequestErrorCode::kLeaseLost,
+                               "the key moves to another target",
+                               RetryAfterMove());
+}
+
 std::optional<ForwardResult> TargetGateway::CheckServable(
     const ForwardMetadata& metadata) const {
   if (m_controller.service() != metadata.service) {
@@ -165,11 +171,8 @@
   const std::uint32_t slot = SlotOfKey(*metadata.key);
   const Clock::Duration hold_left = m_controller.RemainingHold(slot);
   if (hold_left == Clock::Duration::zero()) {
-    if (m_controller.IsBeingReleased(slot)) {
-      return ForwardResult::NotRun(RequestErrorCode::kLeaseLost,
-                                   "the key moves to another target",
-                                   RetryAfterMove());
-    }
+    if (m_controller.IsBeingReleased(slot))
+      return RefuseMovedKey();
     return ForwardResult::NotRun(RequestErrorCode::kNoOwner,
                                  "the target does not hold the key",
                                  RetryAfterMove());
@@ -289,16 +292,8 @@
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     context.ClearCancelCallback();
     m_waiting_requests.erase(ticket);
-    if (waiting_request->is_withdrawn) {
-      co_return ForwardResult::NotRun(RequestErrorCode::kNodeDraining,
-                                      "its sender stops",
-                                      kRetryAfterWithdrawal);
-    }
-    if (waiting_request->has_key_moved) {
-      co_return ForwardResult::NotRun(RequestErrorCode::kLeaseLost,
-                                      "the key moves to another target",
-                                      RetryAfterMove());
-    }
+    if (waiting_request->refusal)
+      co_return *waiting_request->refusal;
     if (!waiting_request->verdict)
       m_admission.Withdraw(ticket);
     verdict =
@@ -485,7 +480,7 @@
         m_controller.IsAssigned(*waiting_request->slot) ||
         !m_admission.Withdraw(ticket))
       continue;
-    waiting_request->has_key_moved = true;
+    waiting_request->refusal = RefuseMovedKey();
     waiting_request->wakeup.cancel();
   }
 }
@@ -524,7 +519,9 @@
         !request_ids.contains(waiting_request->request_id) ||
         !m_admission.Withdraw(ticket))
       continue;
-    waiting_request->is_withdrawn = true;
+    waiting_request->refusal =
+        ForwardResult::NotRun(RequestErrorCode::kNodeDraining,
+                              "its sender stops", kRetryAfterWithdrawal);
     waiting_request->wakeup.cancel();
     ++count;
   }
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -141,6 +141,8 @@
   Task<> AwaitGrant(const ForwardMetadata& metadata);
   // Time after which a moving key can be expected to be served again.
   std::chrono::milliseconds RetryAfterMove() const;
+  // Refusal of a request whose key another target takes over.
+  ForwardResult RefuseMovedKey() const;
   // Returns the reason why the request can't be sent to the target now; empty
   // if it can.
   std::optional<ForwardResult> CheckServable(
