--- a/modules/coordination/mesh/crash_ledger.h
+++ b/modules/coordination/mesh/crash_ledger.h
@@ -23,9 +23,9 @@
 // the nodes. A report is acknowledged once it is stored.
 //
 // Usage: create it with what the claimed record contains. Pass it every
-// heartbeat; while NeedsStore(), store Suspects() and report the begin and the
-// end of that. Not thread-safe. See also CrashReporter, the nodes' part, and
-// PoisonDetector, which decides.
+// heartbeat; while NeedsStore(), store what BeginStore() returns and call
+// OnStored() when that has taken effect. Not thread-safe. See also
+// CrashReporter, the nodes' part, and PoisonDetector, which decides.
 class CrashLedger {
  public:
   CrashLedger(const Clock& clock, const std::vector<CrashSuspect>& stored);
