Tests of crashing requests, soak: one loop, one record of disturbances

Two cases of platform_crashing_request had the same loop, which is a generator now. The soak kept the end of each node's disturbances beside their list; it is read from the list. Names in node_crashing_request.

--- a/tests/node_crashing_request_process_test.py
+++ b/tests/node_crashing_request_process_test.py
@@ -13,6 +13,10 @@
 CRASHES_TO_QUARANTINE = 3
 
 
+def serve(handler):
+    send(handler, b"good")
+
+
 class CrashingRequestTest(unittest.TestCase):
 
     def setUp(self):
@@ -21,7 +25,7 @@
         mesh = Mesh(programs)
         mesh.publish_service(KEYED_SETTINGS)
         self.node = mesh.start_node(with_target=False)
-        self.behave = lambda handler: send(handler, b"good")
+        self.behave = serve
         # One slot, so that a second request waits.
         self.target = FakeTarget(self.node, WORKSPACE, KEYED,
                                  lambda handler: self.behave(handler), slots=1)
@@ -40,7 +44,7 @@
         self.assertEqual(self.post(body).headers["citrongrade-outcome"],
                          "unknown")
         self.target.restart()
-        self.behave = lambda handler: send(handler, b"good")
+        self.behave = serve
         wait_until(lambda: self.served(b"innocent"), "the target serves again")
 
     def check_not_cleared_by(self, behaviour, **headers):
@@ -48,7 +52,7 @@
             self.crash(b"poison")
             self.behave = behaviour
             self.post(b"poison", **headers)
-            self.behave = lambda handler: send(handler, b"good")
+            self.behave = serve
             wait_until(lambda: self.served(b"innocent"), "the target is free")
         self.assertIn(b"quarantined", self.post(b"poison").body)
 
@@ -73,8 +77,8 @@
     # others crashed the target.
     def test_a_waiting_request_is_no_suspect(self):
         for number in range(CRASHES_TO_QUARANTINE):
-            is_waiting = threading.Event()
-            self.behave = lambda handler: (is_waiting.wait(5),
+            may_crash = threading.Event()
+            self.behave = lambda handler: (may_crash.wait(5),
                                            self.target.crash(handler))
             self.target.seen.clear()
             poison = threading.Thread(target=self.post,
@@ -85,11 +89,11 @@
             waiting.start()
             wait_until(lambda: self.node.dump()["dispatcher"]["admission"]["waiting"],
                        "the second request waits")
-            is_waiting.set()
+            may_crash.set()
             poison.join()
             waiting.join()
             self.target.restart()
-            self.behave = lambda handler: send(handler, b"good")
+            self.behave = serve
             wait_until(lambda: self.served(b"innocent"),
                        "the target serves again")
         self.assertEqual(self.post(b"waiting").status, 200)
--- a/tests/platform_crashing_request_process_test.py
+++ b/tests/platform_crashing_request_process_test.py
@@ -106,6 +106,16 @@
     def await_crashes(self, count, seconds=20):
         self.mesh.wait_for(lambda: len(self.run_times()) >= count, seconds, f"{count} crashes")
 
+    def crashes_until_stopped(self, seconds):
+        """Yields after each of some crashes, until none follows for so long."""
+        for _ in range(8):
+            seen = len(self.run_times())
+            try:
+                self.await_crashes(seen + 1, seconds)
+            except AssertionError:
+                return
+            yield
+
     def kill_and_start(self, nodes):
         for node in nodes:
             node.process.send_signal(signal.SIGKILL)
@@ -172,13 +182,7 @@
     # Guards against counts below the limit that start from zero after a restart.
     def test_all_nodes_are_killed_after_each_crash(self):
         self.begin()
-        for _ in range(8):
-            seen = len(self.run_times())
-            try:
-                self.await_crashes(seen + 1, seconds=4)
-            except AssertionError:
-                # The request is stopped.
-                break
+        for _ in self.crashes_until_stopped(4):
             time.sleep(0.6)
             self.replace(self.mesh.nodes)
         time.sleep(CONTACT_S + 2)
@@ -187,13 +191,7 @@
     # Guards against reports of a crash that are lost with the leader.
     def test_the_leader_is_killed_at_each_crash(self):
         self.begin()
-        for _ in range(8):
-            seen = len(self.run_times())
-            try:
-                self.await_crashes(seen + 1, seconds=8)
-            except AssertionError:
-                # The request is stopped.
-                break
+        for _ in self.crashes_until_stopped(8):
             leader = self.mesh.leader()
             if leader:
                 self.replace([leader])
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -263,13 +263,13 @@
         if zone in self.evacuated:
             return
         self.evacuated.add(zone)
-        calm = {n: self.mesh.disturbed[n.index] for n in self.mesh.nodes if self.mesh.zone_of(n) == zone and self.mesh.is_calm(n)}
+        calm = {n: self.mesh.disturbed_until(n) for n in self.mesh.nodes if self.mesh.zone_of(n) == zone and self.mesh.is_calm(n)}
         self.mesh.evacuate(zone)
         time.sleep(EVACUATE)
         in_force = time.monotonic()
         time.sleep(length)
         for one, disturbed in calm.items():
-            if self.mesh.disturbed[one.index] == disturbed:
+            if self.mesh.disturbed_until(one) == disturbed:
                 self.check_evacuated(one, in_force, time.monotonic())
         self.mesh.end_evacuation(zone)
         self.evacuated.discard(zone)
--- a/tests/soak/soak_mesh.py
+++ b/tests/soak/soak_mesh.py
@@ -25,8 +25,6 @@
     def __init__(self, router, divided=4, undivided=2, grants="request"):
         super().__init__(router, divided, undivided, grants)
         self.proxies = ProxyLoop()
-        # By node: until when it counts as disturbed.
-        self.disturbed = [0.0] * len(self.nodes)
         # By node: when its target was killed, and when the node was thawed.
         self.deaths = [[] for _ in self.nodes]
         self.thaws = [[] for _ in self.nodes]
@@ -71,17 +69,18 @@
 
     def disturb(self, node, seconds):
         now = time.monotonic()
-        until = now + seconds
-        self.disturbances[node.index].append((now, until))
-        self.disturbed[node.index] = max(self.disturbed[node.index], until)
+        self.disturbances[node.index].append((now, now + seconds))
 
     def disturb_all(self, seconds):
         for node in self.nodes:
             self.disturb(node, seconds)
 
+    def disturbed_until(self, node):
+        return max((end for _, end in self.disturbances[node.index]), default=0.0)
+
     def is_calm(self, node):
         """It was left alone for long enough."""
-        return time.monotonic() > self.disturbed[node.index] + CALM
+        return time.monotonic() > self.disturbed_until(node) + CALM
 
     def was_restarted(self, origin, begin, end):
         """Whether the node was ended, started, frozen or thawed in that time."""
