--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import time
+import traceback
 
 CASE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(CASE, "..", "lib"))
@@ -58,4 +59,8 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    try:
+        sys.exit(main())
+    except Exception:
+        traceback.print_exc()
+        sys.exit(lib.COULD_NOT_RUN)
