--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 import os
 import sys
 import time
+import traceback
 
 CASE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(CASE, "..", "lib"))
@@ -29,11 +30,11 @@
     lab.note("trouble", node=node.index)
     before = count(node, "check-in")
     if lib.TROUBLE:
-        with open(lab.delay, "w") as file:
+        with open(node.delay, "w") as file:
             file.write(str(LATE_S))
     lab.wait_for(lambda: count(node, "check-in") > before, 3, "a check-in")
     time.sleep(0.05)
-    with open(lab.delay, "w") as file:
+    with open(node.delay, "w") as file:
         file.write("0")
     lib.call(node.at(18606), "PUT", "/test/leave")
     lab.wait_for(lambda: count(node, "delete-ended") > 0, 3, "the confirmation")
@@ -58,11 +59,11 @@
 
 def main():
     lab = lib.Lab(CASE, sharded=7, plain=3, work_ms=160)
-    lab.delay = os.path.join(lab.folder, "delay")
     try:
         for node in lab.nodes[:7]:
             node.checkin_address = node.at(18605)
-            link = [sys.executable, os.path.join(lib.LIB, "late_link.py"), node.at(18605), node.at(18604), lab.delay]
+            node.delay = os.path.join(lab.folder, f"delay-{node.index}")
+            link = [sys.executable, os.path.join(lib.LIB, "late_link.py"), node.at(18605), node.at(18604), node.delay]
             lab.spawn(link, os.path.join(lab.folder, "link.err"))
         node, confirmed, started, gone = play(lab)
     except lib.CouldNotRun as error:
@@ -85,4 +86,8 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    try:
+        sys.exit(main())
+    except Exception:
+        traceback.print_exc()
+        sys.exit(lib.COULD_NOT_RUN)
