A request is sent only once on a connection, a release on its own

Cause: answers are matched by the request's id, and a refused request goes to the same target again with the same id, often on the same connection. A second copy of the refusal there passes for the answer to the retry. Grants and releases have no ids at all: the second answer to a grant ended a release while requests ran on its keys, and the keys were given on.

A refusal without an id counts only as the first answer on its connection. A release has a connection of its own. Answers that name another request are counted.

--- a/modules/transport/async/async_connection_pool.cc
+++ b/modules/transport/async/async_connection_pool.cc
@@ -1,6 +1,7 @@
 #include "modules/transport/async/async_connection_pool.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace citrongrade {
@@ -21,22 +22,49 @@
 
 AsyncConnectionPool::~AsyncConnectionPool() = default;
 
-Task<std::unique_ptr<AsyncHttpConnection>> AsyncConnectionPool::Acquire(
-    HttpAddress address,
-    Clock::Duration max_idle) {
+std::unique_ptr<AsyncHttpConnection> AsyncConnectionPool::TakeIdle(
+    const HttpAddress& address,
+    Clock::Duration max_idle,
+    std::optional<std::string_view> request_id) {
   std::vector<Idle>& idle = m_idle[address];
   const Clock::TimePoint now = m_clock.Now();
-  while (!idle.empty()) {
-    Idle last = std::move(idle.back());
-    idle.pop_back();
-    if (now - last.since > max_idle) {
-      // The remaining connections have been idle even longer.
-      idle.push_back(std::move(last));
-      break;
-    }
-    if (now < last.expires && !last.connection->IsStale())
-      co_return std::move(last.connection);
+  // The connections before one that has been idle for too long have been idle
+  // even longer.
+  for (std::size_t at = idle.size();
+       at > 0 && now - idle[at - 1].since <= max_idle; --at) {
+    const Idle& one = idle[at - 1];
+    const bool is_usable = now < one.expires && !one.connection->IsStale();
+    if (is_usable && request_id &&
+        one.connection->sent_request_ids().Contains(*request_id))
+      continue;
+    std::unique_ptr<AsyncHttpConnection> taken =
+        std::move(idle[at - 1].connection);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at - 1));
+    if (is_usable)
+      return taken;
   }
+  return nullptr;
+}
+
+Task<std::unique_ptr<AsyncHttpConnection>> AsyncConnectionPool::Acquire(
+    HttpAddress address,
+    Clock::Duration max_idle) {
+  if (auto idle = TakeIdle(address, max_idle, std::nullopt))
+    co_return std::move(idle);
+  co_return co_await OpenNew(std::move(address));
+}
+
+Task<std::unique_ptr<AsyncHttpConnection>> AsyncConnectionPool::AcquireFor(
+    HttpAddress address,
+    Clock::Duration max_idle,
+    std::string_view request_id) {
+  if (auto idle = TakeIdle(address, max_idle, request_id))
+    co_return std::move(idle);
+  co_return co_await OpenNew(std::move(address));
+}
+
+Task<std::unique_ptr<AsyncHttpConnection>> AsyncConnectionPool::OpenNew(
+    HttpAddress address) {
   ++m_opened_count;
   co_return co_await AsyncHttpConnection::Open(m_loop, address,
                                                m_settings.connect_timeout);
--- a/modules/transport/async/async_connection_pool.h
+++ b/modules/transport/async/async_connection_pool.h
@@ -3,6 +3,8 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string_view>
 #include <vector>
 
 #include "modules/coordination/clock.h"
@@ -34,6 +36,14 @@
   // `max_idle`, or opens a new one. Throws ConnectRefusedError, ConnectError.
   Task<std::unique_ptr<AsyncHttpConnection>> Acquire(HttpAddress address,
                                                      Clock::Duration max_idle);
+  // The same, but never returns a connection that has carried a request with
+  // this id.
+  Task<std::unique_ptr<AsyncHttpConnection>> AcquireFor(
+      HttpAddress address,
+      Clock::Duration max_idle,
+      std::string_view request_id);
+  // Opens a connection that has carried nothing yet. Throws as Acquire() does.
+  Task<std::unique_ptr<AsyncHttpConnection>> OpenNew(HttpAddress address);
   // Keeps the connection for reuse, or closes it if it isn't reusable or enough
   // idle connections are kept.
   void Release(const HttpAddress& address,
@@ -58,6 +68,13 @@
     Clock::TimePoint expires;
   };
 
+  // Takes the most recently used connection that fits; empty if there is none.
+  // Closes those that it finds stale or expired.
+  std::unique_ptr<AsyncHttpConnection> TakeIdle(
+      const HttpAddress& address,
+      Clock::Duration max_idle,
+      std::optional<std::string_view> request_id);
+
   boost::asio::io_context& m_loop;
   const Clock& m_clock;
   const Settings m_settings;
--- a/modules/transport/async/async_http_connection.cc
+++ b/modules/transport/async/async_http_connection.cc
@@ -351,8 +351,12 @@
   m_implementation->Close();
 }
 
+void AsyncHttpConnection::AddRequestId(std::string_view request_id) {
+  m_sent_request_ids.Add(request_id);
+}
+
 bool AsyncHttpConnection::is_reusable() const {
-  return m_implementation->is_reusable();
+  return m_implementation->is_reusable() && !m_sent_request_ids.is_full();
 }
 
 bool AsyncHttpConnection::IsStale() const {
--- a/modules/transport/async/async_http_connection.h
+++ b/modules/transport/async/async_http_connection.h
@@ -2,8 +2,10 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "modules/coordination/clock.h"
+#include "modules/transport/async/sent_request_ids.h"
 #include "modules/transport/async/task.h"
 #include "modules/transport/http_address.h"
 #include "modules/transport/http_request.h"
@@ -61,7 +63,13 @@
   // bytes still in transit are dropped.
   void Close();
 
-  // True if the last call succeeded and neither side closes the connection.
+  // Records that the next call carries a request with this id. Calls that carry
+  // no id need not be recorded. See SentRequestIds.
+  void AddRequestId(std::string_view request_id);
+  const SentRequestIds& sent_request_ids() const { return m_sent_request_ids; }
+
+  // True if the last call succeeded, neither side closes the connection, and it
+  // may carry further requests.
   bool is_reusable() const;
   // True if the peer has closed the connection or has sent bytes that belong to
   // no request.
@@ -75,6 +83,7 @@
   explicit AsyncHttpConnection(std::shared_ptr<Implementation> implementation);
 
   std::shared_ptr<Implementation> m_implementation;
+  SentRequestIds m_sent_request_ids;
 };
 
 }  // namespace citrongrade
--- a/modules/transport/async/async_http_test.cc
+++ b/modules/transport/async/async_http_test.cc
@@ -309,6 +309,43 @@
   });
 }
 
+// Guards against a request that is sent twice on one connection, where a second
+// answer to the first send passes for the answer to the second.
+TEST_CASE_FIXTURE(EchoServer, "a connection carries a request id only once") {
+  AsyncConnectionPool pool(loop, clock, {});
+  RunTask(loop, [&]() -> Task<> {
+    for (const char* id : {"a", "b", "a", "b", "c"}) {
+      auto connection = co_await pool.AcquireFor(kServer, kTimeout, id);
+      CHECK_FALSE(connection->sent_request_ids().Contains(id));
+      connection->AddRequestId(id);
+      HttpRequest request;
+      request.method = "GET";
+      co_await connection->Call(request, kTimeout);
+      pool.Release(kServer, std::move(connection));
+    }
+  });
+  CHECK(pool.opened_count() == 2);
+}
+
+// Guards against a connection whose record of ids grows without bound, or that
+// is used on after ids have been left out of it.
+TEST_CASE_FIXTURE(EchoServer,
+                  "a connection is retired when its record of ids is full") {
+  AsyncConnectionPool pool(loop, clock, {});
+  RunTask(loop, [&]() -> Task<> {
+    for (std::size_t i = 0; i <= SentRequestIds::kMaxCount; ++i) {
+      const std::string id = std::to_string(i);
+      auto connection = co_await pool.AcquireFor(kServer, kTimeout, id);
+      connection->AddRequestId(id);
+      HttpRequest request;
+      request.method = "GET";
+      co_await connection->Call(request, kTimeout);
+      pool.Release(kServer, std::move(connection));
+    }
+  });
+  CHECK(pool.opened_count() == 2);
+}
+
 // A caller disconnects while its request is being handled. The handling must
 // stop, and the server must not learn of the disconnect only by writing.
 TEST_CASE_FIXTURE(EchoServer,
--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -500,10 +500,16 @@
 }
 
 Task<HttpResponse> TargetController::CallTarget(HttpRequest command,
-                                                Clock::Duration timeout) {
+                                                Clock::Duration timeout,
+                                                ConnectionReuse reuse) {
   const Clock::TimePoint started = m_clock.Now();
-  auto connection =
-      co_await m_command_pool->Acquire(m_settings.address, kMaxCommandIdle);
+  std::unique_ptr<AsyncHttpConnection> connection;
+  if (reuse == ConnectionReuse::kAllowed) {
+    connection =
+        co_await m_command_pool->Acquire(m_settings.address, kMaxCommandIdle);
+  } else {
+    connection = co_await m_command_pool->OpenNew(m_settings.address);
+  }
   const Clock::Duration left = timeout - (m_clock.Now() - started);
   AsyncHttpConnection::IsMatchingResponse is_answer =
       [this](const HttpResponse& response) {
@@ -515,17 +521,19 @@
       co_await connection->Call(std::move(command), left, std::move(is_answer));
   OnSignals(m_protocol.ReadTargetSignals(response),
             TargetCondition::AnswerKind::kCommand, sent_at, incarnation_number);
-  m_command_pool->Release(m_settings.address, std::move(connection));
+  if (reuse == ConnectionReuse::kAllowed)
+    m_command_pool->Release(m_settings.address, std::move(connection));
   co_return response;
 }
 
 Task<TargetController::CommandResult> TargetController::SendCommand(
     HttpRequest command,
     Clock::Duration timeout,
+    ConnectionReuse reuse,
     std::uint64_t incarnation_number) {
   CommandResult result;
   try {
-    result.response = co_await CallTarget(std::move(command), timeout);
+    result.response = co_await CallTarget(std::move(command), timeout, reuse);
   } catch (const ConnectRefusedError&) {
     if (incarnation_number == m_incarnation_number)
       OnRefused();
@@ -557,8 +565,9 @@
     co_return;
   }
   HttpRequest command = m_protocol.MakeGrantRequest(grant);
-  const CommandResult result = co_await SendCommand(
-      std::move(command), PushHoldTracker::kCallTimeout, incarnation_number);
+  const CommandResult result =
+      co_await SendCommand(std::move(command), PushHoldTracker::kCallTimeout,
+                           ConnectionReuse::kAllowed, incarnation_number);
   if (!result.is_current)
     co_return;
   if (!result.was_sent) {
@@ -591,8 +600,9 @@
 Task<> TargetController::SendRelease(PushHoldTracker::Release release,
                                      std::uint64_t incarnation_number) {
   HttpRequest command = m_protocol.MakeReleaseRequest(release);
-  const CommandResult result = co_await SendCommand(
-      std::move(command), kReleaseTimeout, incarnation_number);
+  const CommandResult result =
+      co_await SendCommand(std::move(command), kReleaseTimeout,
+                           ConnectionReuse::kForbidden, incarnation_number);
   if (!result.is_current)
     co_return;
   if (!result.was_sent) {
--- a/modules/transport/mesh/target_controller.h
+++ b/modules/transport/mesh/target_controller.h
@@ -193,11 +193,19 @@
     bool is_connection_broken = false;
   };
 
+  // Whether a command may use a connection that has carried another command.
+  // Answers to commands don't say which command they answer. A second answer to
+  // a grant would end a release while requests still run on its keys.
+  enum class ConnectionReuse { kAllowed, kForbidden };
+
   // Makes one call, on a connection that carries only grants and releases.
-  Task<HttpResponse> CallTarget(HttpRequest command, Clock::Duration timeout);
+  Task<HttpResponse> CallTarget(HttpRequest command,
+                                Clock::Duration timeout,
+                                ConnectionReuse reuse);
   // The same, and updates the target's state by the result.
   Task<CommandResult> SendCommand(HttpRequest command,
                                   Clock::Duration timeout,
+                                  ConnectionReuse reuse,
                                   std::uint64_t incarnation_number);
   Task<> SendGrant(PushHoldTracker::Grant grant,
                    std::uint64_t incarnation_number);
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -335,9 +335,13 @@
   const HttpAddress address = m_controller.address();
   std::unique_ptr<AsyncHttpConnection> connection;
   try {
-    connection = co_await m_pool.Acquire(address, metadata.is_idempotent
-                                                      ? kMaxIdleIdempotent
-                                                      : kMaxIdleNonIdempotent);
+    // On a connection that has carried this id, a second answer to the earlier
+    // send passes for the answer to this one: a repeated refusal told callers
+    // that a request which ran had not.
+    connection = co_await m_pool.AcquireFor(
+        address,
+        metadata.is_idempotent ? kMaxIdleIdempotent : kMaxIdleNonIdempotent,
+        metadata.request_id);
   } catch (const ConnectRefusedError& error) {
     m_controller.OnRefused();
     co_return ForwardResult::NotRun(RequestErrorCode::kTargetUnavailable,
@@ -386,16 +390,17 @@
   context.SetCancelCallback([&connection] { connection->Close(); });
   sent_at = started;
   ++m_counts.sent;
+  connection->AddRequestId(metadata.request_id);
   const RunningRequest running{fingerprint, incarnation_number};
   m_running_requests[ticket] = running;
   try {
     AsyncHttpConnection::IsMatchingResponse is_answer =
-        [this, id = metadata.request_id](const HttpResponse& answer) {
-          const TargetResponseInfo response_info =
-              m_protocol.ReadTargetResponse(answer);
-          return response_info.request_id == id ||
-                 (response_info.request_id.empty() &&
-                  response_info.did_not_run);
+        [this, &metadata, &connection](const HttpResponse& answer) {
+          const bool is_answer =
+              IsAnswerTo(metadata.request_id, *connection, answer);
+          if (!is_answer)
+            ++m_counts.ignored_answers;
+          return is_answer;
         };
     HttpRequest outgoing =
         m_protocol.MakeTargetRequest(std::move(request), target_info);
@@ -448,6 +453,18 @@
   }
 }
 
+bool TargetGateway::IsAnswerTo(const std::string& request_id,
+                               const AsyncHttpConnection& connection,
+                               const HttpResponse& answer) const {
+  const TargetResponseInfo info = m_protocol.ReadTargetResponse(answer);
+  if (info.request_id == request_id)
+    return true;
+  // A refusal that names no request may be a second answer to an earlier one,
+  // unless there was none.
+  return info.request_id.empty() && info.did_not_run &&
+         connection.sent_request_ids().count() == 1;
+}
+
 void TargetGateway::OnRunEnded(const ForwardMetadata& metadata,
                                Clock::Duration run_time) {
   m_has_measured_service_time = true;
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -25,6 +25,7 @@
 namespace citrongrade {
 
 class AsyncConnectionPool;
+class AsyncHttpConnection;
 class PoisonDetector;
 class RequestContext;
 class WireProtocol;
@@ -51,6 +52,8 @@
     std::uint64_t answered = 0;
     std::uint64_t not_run = 0;
     std::uint64_t unknown = 0;
+    // Answers that named another request than the one in progress.
+    std::uint64_t ignored_answers = 0;
     // Rejected while they waited, because their sender withdrew them.
     std::uint64_t withdrawn = 0;
     // Rejected because runs of them crashed targets, here and elsewhere.
@@ -162,6 +165,11 @@
                                       std::uint64_t fingerprint,
                                       std::optional<Clock::TimePoint>& sent_at,
                                       RequestContext& context);
+  // Whether an answer is the one to the last request sent on the connection. It
+  // isn't if it names another request.
+  bool IsAnswerTo(const std::string& request_id,
+                  const AsyncHttpConnection& connection,
+                  const HttpResponse& answer) const;
   // Tells the admission what the controller knows of the target.
   void UpdateAdmission();
   // Refusal of a request for which there is no room in time.
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -705,6 +705,8 @@
       static_cast<double>(counts.answered));
   add("citrongrade_target_not_run_total", static_cast<double>(counts.not_run));
   add("citrongrade_target_unknown_total", static_cast<double>(counts.unknown));
+  add("citrongrade_target_ignored_answers_total",
+      static_cast<double>(counts.ignored_answers));
   add("citrongrade_target_withdrawn_total",
       static_cast<double>(counts.withdrawn));
   const PoisonDetector& detector = m_gateway.poison_detector();
