--- a/modules/coordination/mesh/heartbeat.h
+++ b/modules/coordination/mesh/heartbeat.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "modules/coordination/mesh/crash_report.h"
+#include "modules/coordination/mesh/departure_report.h"
 #include "modules/state/mesh/key_slot.h"
 #include "modules/state/mesh/target_incarnation.h"
 #include "modules/state/mesh/zone_evacuations.h"
@@ -105,6 +106,7 @@
   // if unknown, also from nodes that don't report it.
   std::uint32_t long_run_us = 0;
   CrashReport crash_report;
+  DepartureReport departures;
   // As this node knows them.
   ZoneEvacuations evacuations;
 
--- a/modules/coordination/mesh/heartbeat_reply.h
+++ b/modules/coordination/mesh/heartbeat_reply.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "modules/coordination/mesh/crash_report_reply.h"
+#include "modules/coordination/mesh/departure_reply.h"
 #include "modules/state/mesh/mesh_view.h"
 #include "modules/state/mesh/zone_evacuations.h"
 
@@ -34,6 +35,7 @@
   bool reads_store = false;
   ViewDelta view;
   CrashReportReply crash_report;
+  DepartureReply departures;
   // The newest version that any node has.
   std::uint64_t config_version = 0;
   // Time since it was last known that no newer version is in force.
--- a/modules/coordination/mesh/mesh_leader.cc
+++ b/modules/coordination/mesh/mesh_leader.cc
@@ -94,7 +94,8 @@
                             timing.max_clock_drift),
       m_assigner(claimed.epoch, claimed.tables),
       m_round_started(clock.Now()),
-      m_crash_ledger(clock, claimed.crash_suspects) {
+      m_crash_ledger(clock, claimed.crash_suspects),
+      m_departure_ledger(clock, claimed.departures) {
   m_leadership_lease.SetVoters(claimed.voters);
   m_view.BeginEpoch(claimed.epoch);
   for (const auto& [service, table] : claimed.tables)
@@ -143,6 +144,7 @@
       m_assigner.OnReleased(heartbeat.address, released);
   }
   m_crash_ledger.OnHeartbeat(heartbeat);
+  m_departure_ledger.OnHeartbeat(heartbeat);
   const Heartbeat::Target& known = node.last_heartbeat.target;
   if (heartbeat.target.state == Heartbeat::TargetState::kServing &&
       (known.state != Heartbeat::TargetState::kServing ||
@@ -249,6 +251,7 @@
                                    heartbeat.address);
   reply.crash_report =
       m_crash_ledger.MakeReply(heartbeat, heartbeat.leader_nonce == m_nonce);
+  reply.departures = m_departure_ledger.MakeReply(heartbeat.address);
   const auto found = m_nodes.find(heartbeat.address);
   if (found == m_nodes.end() || !HasAuthority())
     return reply;
@@ -266,6 +269,13 @@
   if (m_has_resigned || heartbeat.is_urgent ||
       heartbeat.epoch != m_view.epoch())
     return true;
+  // A target waits for the confirmation that it leaves. A node that names no
+  // version runs an earlier program, or hears this leader for the first time.
+  const std::uint64_t known_version = heartbeat.departures.known_version;
+  if (HasAuthority() && heartbeat.leader_nonce == m_nonce &&
+      known_version > 0 &&
+      known_version < m_departure_ledger.VersionOf(heartbeat.address))
+    return true;
   // A change to the node's own keys can't wait for the next update to all
   // nodes.
   const auto concerned = m_required_view_versions.find(heartbeat.address);
@@ -482,7 +492,7 @@
 }
 
 bool MeshLeader::NeedsStore() const {
-  if (m_crash_ledger.NeedsStore())
+  if (m_crash_ledger.NeedsStore() || m_departure_ledger.NeedsStore())
     return true;
   if (m_assigner.change_count() > m_published_unstored)
     return true;
@@ -506,6 +516,7 @@
   m_pending_record->tables = m_assigner.tables();
   m_pending_record->max_lease = longest_lease;
   m_pending_record->crash_suspects = m_crash_ledger.BeginStore();
+  m_pending_record->departures = m_departure_ledger.BeginStore();
   if (voters != m_stored_record.voters) {
     m_leadership_lease.SetPendingVoters(voters);
     m_pending_record->voters = std::move(voters);
@@ -522,6 +533,7 @@
   m_leadership_lease.SetVoters(m_stored_record.voters);
   m_lease_duration.OnStoreCompleted();
   m_crash_ledger.OnStored();
+  m_departure_ledger.OnStored();
   for (const KeyAssigner::Change& change : std::exchange(m_pending_changes, {}))
     PublishAssignment(change);
 }
--- a/modules/coordination/mesh/mesh_leader.h
+++ b/modules/coordination/mesh/mesh_leader.h
@@ -11,6 +11,7 @@
 
 #include "modules/coordination/clock.h"
 #include "modules/coordination/mesh/crash_ledger.h"
+#include "modules/coordination/mesh/departure_ledger.h"
 #include "modules/coordination/mesh/heartbeat.h"
 #include "modules/coordination/mesh/heartbeat_reply.h"
 #include "modules/coordination/mesh/key_assigner.h"
@@ -176,6 +177,7 @@
   // Number of readers chosen in a row since one of them reached the store.
   unsigned m_failed_reader_choices = 0;
   CrashLedger m_crash_ledger;
+  DepartureLedger m_departure_ledger;
   // By node: the first view version that contains all changes to the node's own
   // keys.
   std::map<std::string, std::uint64_t> m_required_view_versions;
--- a/modules/coordination/mesh/mesh_leader_test.cc
+++ b/modules/coordination/mesh/mesh_leader_test.cc
@@ -84,6 +84,7 @@
     heartbeat.leader_stamp_ns = reply.stamp_ns;
     heartbeat.epoch = reply.view.epoch;
     heartbeat.view_version = reply.view.version;
+    heartbeat.departures.known_version = reply.departures.version;
     heartbeat.released.clear();
     heartbeat.slot_request_counts.clear();
     replies[address] = reply;
--- a/modules/protocol/mesh.capnp
+++ b/modules/protocol/mesh.capnp
@@ -32,6 +32,16 @@
   isCleared @5 :List(Bool);
 }
 
+# Targets that have said to their nodes that they leave, in columns.
+struct Departures {
+  # Hashes of the mesh addresses of their nodes; empty where that is the sender
+  # or the receiver.
+  node @0 :List(UInt32);
+  idHash @1 :List(UInt64);
+  # 0: unknown. Empty if all are.
+  startedUnixMs @2 :List(Int64);
+}
+
 struct MeshHeartbeat {
   address @0 :Text;
   dataAddress @1 :Text;
@@ -80,6 +90,11 @@
   crashReportVersion @37 :UInt64;
   # The leader's version that the node has merged; 0: none.
   crashLedgerVersion @38 :UInt64;
+  # Targets that leave and are not known to be stored, ids that have been taken
+  # by new processes, and the version of the leader's last reply.
+  departures @39 :Departures;
+  retractedDepartures @40 :List(UInt64);
+  departuresVersion @41 :UInt64;
 
   struct Released {
     service @0 :Text;
@@ -158,6 +173,9 @@
   # Versions of the node's reports that have been merged, and stored.
   crashReportsReceived @23 :UInt64;
   crashReportsStored @24 :UInt64;
+  # All that are stored for the receiver, and a version, from 1 on.
+  storedDepartures @25 :Departures;
+  departuresVersion @26 :UInt64;
 }
 
 struct MeshConfigRequest {
@@ -270,4 +288,5 @@
   keys @4 :List(StoredKeys);
   longestLeaseMs @5 :UInt32;
   crashSuspects @6 :CrashSuspects;
+  departures @7 :Departures;
 }
--- a/modules/protocol/mesh.capnp.h
+++ b/modules/protocol/mesh.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(b0980035f580847d);
 CAPNP_DECLARE_SCHEMA(c88e80ed14cf3d49);
 CAPNP_DECLARE_SCHEMA(9d6eb21f630ddd85);
+CAPNP_DECLARE_SCHEMA(d7c7b5401d907539);
 CAPNP_DECLARE_SCHEMA(a74a30e248e45cf0);
 CAPNP_DECLARE_SCHEMA(d98985fa4cf0c55e);
 CAPNP_DECLARE_SCHEMA(d830fe406b94f282);
@@ -88,6 +89,21 @@
   };
 };
 
+struct Departures {
+  Departures() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d7c7b5401d907539, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct MeshHeartbeat {
   MeshHeartbeat() = delete;
 
@@ -97,7 +113,7 @@
   struct Released;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 18, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(a74a30e248e45cf0, 19, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -172,7 +188,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afed84799603774a, 10, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(afed84799603774a, 11, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -342,7 +358,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bc85cf3fbc8a6568, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(bc85cf3fbc8a6568, 2, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -656,6 +672,110 @@
 };
 #endif  // !CAPNP_LITE
 
+class Departures::Reader {
+public:
+  typedef Departures Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getNode() const;
+
+  inline bool hasIdHash() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getIdHash() const;
+
+  inline bool hasStartedUnixMs() const;
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader getStartedUnixMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Departures::Builder {
+public:
+  typedef Departures Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getNode();
+  inline void setNode( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setNode(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownNode();
+
+  inline bool hasIdHash();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getIdHash();
+  inline void setIdHash( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setIdHash(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initIdHash(unsigned int size);
+  inline void adoptIdHash(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownIdHash();
+
+  inline bool hasStartedUnixMs();
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder getStartedUnixMs();
+  inline void setStartedUnixMs( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStartedUnixMs(::kj::ArrayPtr<const  ::int64_t> value);
+  inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder initStartedUnixMs(unsigned int size);
+  inline void adoptStartedUnixMs(::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> disownStartedUnixMs();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Departures::Pipeline {
+public:
+  typedef Departures Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class MeshHeartbeat::Reader {
 public:
   typedef MeshHeartbeat Reads;
@@ -762,6 +882,14 @@
 
   inline  ::uint64_t getCrashLedgerVersion() const;
 
+  inline bool hasDepartures() const;
+  inline  ::citrongrade::rpc::Departures::Reader getDepartures() const;
+
+  inline bool hasRetractedDepartures() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRetractedDepartures() const;
+
+  inline  ::uint64_t getDeparturesVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -953,6 +1081,24 @@
   inline  ::uint64_t getCrashLedgerVersion();
   inline void setCrashLedgerVersion( ::uint64_t value);
 
+  inline bool hasDepartures();
+  inline  ::citrongrade::rpc::Departures::Builder getDepartures();
+  inline void setDepartures( ::citrongrade::rpc::Departures::Reader value);
+  inline  ::citrongrade::rpc::Departures::Builder initDepartures();
+  inline void adoptDepartures(::capnp::Orphan< ::citrongrade::rpc::Departures>&& value);
+  inline ::capnp::Orphan< ::citrongrade::rpc::Departures> disownDepartures();
+
+  inline bool hasRetractedDepartures();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRetractedDepartures();
+  inline void setRetractedDepartures( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRetractedDepartures(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRetractedDepartures(unsigned int size);
+  inline void adoptRetractedDepartures(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRetractedDepartures();
+
+  inline  ::uint64_t getDeparturesVersion();
+  inline void setDeparturesVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -973,6 +1119,7 @@
 
   inline  ::citrongrade::rpc::Evacuations::Pipeline getEvacuations();
   inline  ::citrongrade::rpc::CrashSuspects::Pipeline getCrashSuspects();
+  inline  ::citrongrade::rpc::Departures::Pipeline getDepartures();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1608,6 +1755,11 @@
 
   inline  ::uint64_t getCrashReportsStored() const;
 
+  inline bool hasStoredDepartures() const;
+  inline  ::citrongrade::rpc::Departures::Reader getStoredDepartures() const;
+
+  inline  ::uint64_t getDeparturesVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1748,6 +1900,16 @@
   inline  ::uint64_t getCrashReportsStored();
   inline void setCrashReportsStored( ::uint64_t value);
 
+  inline bool hasStoredDepartures();
+  inline  ::citrongrade::rpc::Departures::Builder getStoredDepartures();
+  inline void setStoredDepartures( ::citrongrade::rpc::Departures::Reader value);
+  inline  ::citrongrade::rpc::Departures::Builder initStoredDepartures();
+  inline void adoptStoredDepartures(::capnp::Orphan< ::citrongrade::rpc::Departures>&& value);
+  inline ::capnp::Orphan< ::citrongrade::rpc::Departures> disownStoredDepartures();
+
+  inline  ::uint64_t getDeparturesVersion();
+  inline void setDeparturesVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1768,6 +1930,7 @@
 
   inline  ::citrongrade::rpc::Evacuations::Pipeline getEvacuations();
   inline  ::citrongrade::rpc::CrashSuspects::Pipeline getCrashSuspects();
+  inline  ::citrongrade::rpc::Departures::Pipeline getStoredDepartures();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2968,6 +3131,9 @@
   inline bool hasCrashSuspects() const;
   inline  ::citrongrade::rpc::CrashSuspects::Reader getCrashSuspects() const;
 
+  inline bool hasDepartures() const;
+  inline  ::citrongrade::rpc::Departures::Reader getDepartures() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3038,6 +3204,13 @@
   inline void adoptCrashSuspects(::capnp::Orphan< ::citrongrade::rpc::CrashSuspects>&& value);
   inline ::capnp::Orphan< ::citrongrade::rpc::CrashSuspects> disownCrashSuspects();
 
+  inline bool hasDepartures();
+  inline  ::citrongrade::rpc::Departures::Builder getDepartures();
+  inline void setDepartures( ::citrongrade::rpc::Departures::Reader value);
+  inline  ::citrongrade::rpc::Departures::Builder initDepartures();
+  inline void adoptDepartures(::capnp::Orphan< ::citrongrade::rpc::Departures>&& value);
+  inline ::capnp::Orphan< ::citrongrade::rpc::Departures> disownDepartures();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3057,6 +3230,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::citrongrade::rpc::CrashSuspects::Pipeline getCrashSuspects();
+  inline  ::citrongrade::rpc::Departures::Pipeline getDepartures();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3375,6 +3549,120 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool Departures::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Departures::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Departures::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Departures::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Departures::Builder::setNode( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Departures::Builder::setNode(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Departures::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Departures::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Departures::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Departures::Reader::hasIdHash() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Departures::Builder::hasIdHash() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Departures::Reader::getIdHash() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Departures::Builder::getIdHash() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Departures::Builder::setIdHash( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Departures::Builder::setIdHash(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Departures::Builder::initIdHash(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Departures::Builder::adoptIdHash(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Departures::Builder::disownIdHash() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Departures::Reader::hasStartedUnixMs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Departures::Builder::hasStartedUnixMs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader Departures::Reader::getStartedUnixMs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder Departures::Builder::getStartedUnixMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Departures::Builder::setStartedUnixMs( ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Departures::Builder::setStartedUnixMs(::kj::ArrayPtr<const  ::int64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>::Builder Departures::Builder::initStartedUnixMs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Departures::Builder::adoptStartedUnixMs(
+    ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>> Departures::Builder::disownStartedUnixMs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::int64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool MeshHeartbeat::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4159,6 +4447,97 @@
       ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MeshHeartbeat::Reader::hasDepartures() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasDepartures() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citrongrade::rpc::Departures::Reader MeshHeartbeat::Reader::getDepartures() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::citrongrade::rpc::Departures::Builder MeshHeartbeat::Builder::getDepartures() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::Departures::Pipeline MeshHeartbeat::Pipeline::getDepartures() {
+  return  ::citrongrade::rpc::Departures::Pipeline(_typeless.getPointerField(11));
+}
+#endif  // !CAPNP_LITE
+inline void MeshHeartbeat::Builder::setDepartures( ::citrongrade::rpc::Departures::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::citrongrade::rpc::Departures::Builder MeshHeartbeat::Builder::initDepartures() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::adoptDepartures(
+    ::capnp::Orphan< ::citrongrade::rpc::Departures>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citrongrade::rpc::Departures> MeshHeartbeat::Builder::disownDepartures() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline bool MeshHeartbeat::Reader::hasRetractedDepartures() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeat::Builder::hasRetractedDepartures() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader MeshHeartbeat::Reader::getRetractedDepartures() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::getRetractedDepartures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeat::Builder::setRetractedDepartures( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline void MeshHeartbeat::Builder::setRetractedDepartures(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder MeshHeartbeat::Builder::initRetractedDepartures(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void MeshHeartbeat::Builder::adoptRetractedDepartures(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> MeshHeartbeat::Builder::disownRetractedDepartures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MeshHeartbeat::Reader::getDeparturesVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeat::Builder::getDeparturesVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeat::Builder::setDeparturesVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MeshHeartbeat::Released::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5587,6 +5966,59 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MeshHeartbeatReply::Reader::hasStoredDepartures() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool MeshHeartbeatReply::Builder::hasStoredDepartures() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citrongrade::rpc::Departures::Reader MeshHeartbeatReply::Reader::getStoredDepartures() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::citrongrade::rpc::Departures::Builder MeshHeartbeatReply::Builder::getStoredDepartures() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::Departures::Pipeline MeshHeartbeatReply::Pipeline::getStoredDepartures() {
+  return  ::citrongrade::rpc::Departures::Pipeline(_typeless.getPointerField(9));
+}
+#endif  // !CAPNP_LITE
+inline void MeshHeartbeatReply::Builder::setStoredDepartures( ::citrongrade::rpc::Departures::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::citrongrade::rpc::Departures::Builder MeshHeartbeatReply::Builder::initStoredDepartures() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void MeshHeartbeatReply::Builder::adoptStoredDepartures(
+    ::capnp::Orphan< ::citrongrade::rpc::Departures>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citrongrade::rpc::Departures> MeshHeartbeatReply::Builder::disownStoredDepartures() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MeshHeartbeatReply::Reader::getDeparturesVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MeshHeartbeatReply::Builder::getDeparturesVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void MeshHeartbeatReply::Builder::setDeparturesVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t MeshConfigRequest::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7250,6 +7682,45 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool StoredMesh::Reader::hasDepartures() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoredMesh::Builder::hasDepartures() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::citrongrade::rpc::Departures::Reader StoredMesh::Reader::getDepartures() const {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::citrongrade::rpc::Departures::Builder StoredMesh::Builder::getDepartures() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::citrongrade::rpc::Departures::Pipeline StoredMesh::Pipeline::getDepartures() {
+  return  ::citrongrade::rpc::Departures::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void StoredMesh::Builder::setDepartures( ::citrongrade::rpc::Departures::Reader value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::citrongrade::rpc::Departures::Builder StoredMesh::Builder::initDepartures() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void StoredMesh::Builder::adoptDepartures(
+    ::capnp::Orphan< ::citrongrade::rpc::Departures>&& value) {
+  ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::citrongrade::rpc::Departures> StoredMesh::Builder::disownDepartures() {
+  return ::capnp::_::PointerHelpers< ::citrongrade::rpc::Departures>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/modules/protocol/mesh_message_codec.cc
+++ b/modules/protocol/mesh_message_codec.cc
@@ -1,5 +1,6 @@
 #include "modules/protocol/mesh_message_codec.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -128,6 +129,73 @@
   return target;
 }
 
+void WriteDepartedTargets(const std::vector<DepartedTarget>& targets,
+                          rpc::Departures::Builder out) {
+  const auto count = static_cast<unsigned>(targets.size());
+  const bool has_start_times = std::any_of(
+      targets.begin(), targets.end(),
+      [](const auto& target) { return target.started_unix_ms != 0; });
+  auto id_hash = out.initIdHash(count);
+  auto started = out.initStartedUnixMs(has_start_times ? count : 0);
+  for (unsigned i = 0; i < count; ++i) {
+    id_hash.set(i, targets[i].id_hash);
+    if (has_start_times)
+      started.set(i, targets[i].started_unix_ms);
+  }
+}
+
+std::vector<DepartedTarget> ReadDepartedTargets(rpc::Departures::Reader in) {
+  const auto id_hash = in.getIdHash();
+  const auto started = in.getStartedUnixMs();
+  if (started.size() > 0 && started.size() != id_hash.size())
+    throw MalformedMessageError("columns of different lengths");
+  std::vector<DepartedTarget> targets;
+  for (unsigned i = 0; i < id_hash.size(); ++i)
+    targets.push_back({id_hash[i], started.size() > 0 ? started[i] : 0});
+  return targets;
+}
+
+void WriteDepartures(const std::vector<TargetDeparture>& departures,
+                     rpc::Departures::Builder out) {
+  std::vector<DepartedTarget> targets;
+  auto node = out.initNode(static_cast<unsigned>(departures.size()));
+  for (unsigned i = 0; i < node.size(); ++i) {
+    node.set(i, departures[i].node_hash);
+    targets.push_back(departures[i].target);
+  }
+  WriteDepartedTargets(targets, out);
+}
+
+std::vector<TargetDeparture> ReadDepartures(rpc::Departures::Reader in) {
+  const std::vector<DepartedTarget> targets = ReadDepartedTargets(in);
+  const auto node = in.getNode();
+  if (node.size() != targets.size())
+    throw MalformedMessageError("columns of different lengths");
+  std::vector<TargetDeparture> departures;
+  for (unsigned i = 0; i < node.size(); ++i)
+    departures.push_back({node[i], targets[i]});
+  return departures;
+}
+
+DepartureReport ReadDepartureReport(rpc::MeshHeartbeat::Reader in) {
+  DepartureReport report;
+  report.unstored = ReadDepartedTargets(in.getDepartures());
+  for (const std::uint64_t id_hash : in.getRetractedDepartures())
+    report.retracted_ids.push_back(id_hash);
+  report.known_version = in.getDeparturesVersion();
+  return report;
+}
+
+void WriteDepartureReport(const DepartureReport& report,
+                          rpc::MeshHeartbeat::Builder out) {
+  WriteDepartedTargets(report.unstored, out.initDepartures());
+  auto retracted = out.initRetractedDepartures(
+      static_cast<unsigned>(report.retracted_ids.size()));
+  for (unsigned i = 0; i < retracted.size(); ++i)
+    retracted.set(i, report.retracted_ids[i]);
+  out.setDeparturesVersion(report.known_version);
+}
+
 Heartbeat ReadHeartbeat(rpc::MeshHeartbeat::Reader in) {
   Heartbeat heartbeat;
   heartbeat.address = in.getAddress();
@@ -163,6 +231,7 @@
   heartbeat.crash_report.since = in.getCrashReportsSince();
   heartbeat.crash_report.version = in.getCrashReportVersion();
   heartbeat.crash_report.ledger_version = in.getCrashLedgerVersion();
+  heartbeat.departures = ReadDepartureReport(in);
   heartbeat.evacuations = ReadEvacuations(in.getEvacuations());
   return heartbeat;
 }
@@ -279,6 +348,8 @@
   reply.crash_report.ledger_version = in.getCrashLedgerVersion();
   reply.crash_report.received = in.getCrashReportsReceived();
   reply.crash_report.stored = in.getCrashReportsStored();
+  reply.departures.stored = ReadDepartedTargets(in.getStoredDepartures());
+  reply.departures.version = in.getDeparturesVersion();
   reply.config_version = in.getConfigVersion();
   reply.config_source = in.getConfigSource();
   reply.config_age_ms = in.getConfigAgeMs();
@@ -387,6 +458,7 @@
   record.leader = in.getLeader();
   record.max_lease = std::chrono::milliseconds(in.getLongestLeaseMs());
   record.crash_suspects = ReadCrashSuspects(in.getCrashSuspects());
+  record.departures = ReadDepartures(in.getDepartures());
   for (const auto voter : in.getVoters())
     record.voters.emplace_back(voter);
   for (const auto keys : in.getKeys())
@@ -437,6 +509,7 @@
   out.setCrashReportsSince(heartbeat.crash_report.since);
   out.setCrashReportVersion(heartbeat.crash_report.version);
   out.setCrashLedgerVersion(heartbeat.crash_report.ledger_version);
+  WriteDepartureReport(heartbeat.departures, out);
   WriteEvacuations(heartbeat.evacuations, out.initEvacuations());
   return Pack(message);
 }
@@ -465,6 +538,8 @@
   out.setCrashLedgerVersion(reply.crash_report.ledger_version);
   out.setCrashReportsReceived(reply.crash_report.received);
   out.setCrashReportsStored(reply.crash_report.stored);
+  WriteDepartedTargets(reply.departures.stored, out.initStoredDepartures());
+  out.setDeparturesVersion(reply.departures.version);
   out.setConfigVersion(reply.config_version);
   out.setConfigSource(reply.config_source);
   out.setConfigAgeMs(reply.config_age_ms);
@@ -497,6 +572,7 @@
   out.setLeader(record.leader);
   out.setLongestLeaseMs(static_cast<std::uint32_t>(record.max_lease.count()));
   WriteCrashSuspects(record.crash_suspects, out.initCrashSuspects());
+  WriteDepartures(record.departures, out.initDepartures());
   auto voters = out.initVoters(static_cast<unsigned>(record.voters.size()));
   for (unsigned i = 0; i < voters.size(); ++i)
     voters.set(i, record.voters[i]);
--- a/modules/protocol/mesh_message_codec_test.cc
+++ b/modules/protocol/mesh_message_codec_test.cc
@@ -48,6 +48,16 @@
   return table;
 }
 
+// As many as a leader stores.
+std::vector<TargetDeparture> ManyDepartures() {
+  constexpr std::size_t kDepartures = 40;
+  std::mt19937_64 random(kDepartures);
+  std::vector<TargetDeparture> departures;
+  for (std::size_t i = 0; i < kDepartures; ++i)
+    departures.push_back({static_cast<std::uint32_t>(random()), {random(), 0}});
+  return departures;
+}
+
 // As many as a leader stores, eight beside each crash.
 std::vector<CrashSuspect> ManySuspects() {
   constexpr std::size_t kSuspects = 512;
@@ -101,6 +111,7 @@
   reply.config_age_ms = 340;
   reply.evacuations = {17, {"derby"}};
   reply.crash_report = {3, 2, SampleSuspects(), 9};
+  reply.departures = {{{11, 0}, {12, 0}}, 8};
   return reply;
 }
 
@@ -119,6 +130,7 @@
   heartbeat.target.cold_requests_per_second = 12.15;
   heartbeat.target.named_requests_per_second = 26.1;
   heartbeat.evacuations = {17, {"derby", "suape"}};
+  heartbeat.departures = {{{11, 5}, {12, 0}}, {13}, 7};
   heartbeat.long_run_us = 900'000;
   heartbeat.crash_report = {4, 5, SampleSuspects(), 6};
   CHECK(MeshMessageCodec::DecodeHeartbeat(
@@ -171,6 +183,7 @@
   record.voters = {"a", "b"};
   record.max_lease = std::chrono::milliseconds(2600);
   record.crash_suspects = SampleSuspects();
+  record.departures = {{1, {11, 5}}, {2, {12, 0}}};
   record.tables["divided"].Assign(
       SampleReply().view.assignments.front().assignment);
   CHECK(MeshMessageCodec::DecodeRecord(MeshMessageCodec::Encode(record)) ==
@@ -206,6 +219,7 @@
     record.voters.push_back(AddressOf(node));
   record.tables["divided"] = TableOfSingleSlots(record.epoch);
   record.crash_suspects = ManySuspects();
+  record.departures = ManyDepartures();
   const std::string bytes = MeshMessageCodec::Encode(record);
   CHECK(MeshMessageCodec::DecodeRecord(bytes) == record);
   CHECK_MESSAGE(bytes.size() < kLargestRecord, bytes.size());
--- a/modules/state/mesh/mesh_record.h
+++ b/modules/state/mesh/mesh_record.h
@@ -9,6 +9,7 @@
 
 #include "modules/state/mesh/crash_suspect.h"
 #include "modules/state/mesh/key_table.h"
+#include "modules/state/mesh/target_departure.h"
 
 namespace citrongrade {
 
@@ -28,6 +29,8 @@
   // MeshTiming::lease applies.
   std::chrono::milliseconds max_lease{0};
   std::vector<CrashSuspect> crash_suspects;
+  // In order.
+  std::vector<TargetDeparture> departures;
 
   friend bool operator==(const MeshRecord&, const MeshRecord&) = default;
 };
--- a/modules/transport/mesh/target_controller.cc
+++ b/modules/transport/mesh/target_controller.cc
@@ -52,6 +52,10 @@
 // Shorter for a draining target, which should get its confirmation soon; its
 // keys are planned to move within this time.
 constexpr std::chrono::milliseconds kDrainingGrantReplyWait{250};
+// A target gives up on a confirmation after a second. The rest is for the reply
+// to its report, and for the way back.
+constexpr std::chrono::milliseconds kDepartureWait{650};
+constexpr std::chrono::milliseconds kDeparturePollInterval{10};
 
 const char* SourceName(TargetCondition::AnswerKind kind) {
   switch (kind) {
@@ -88,6 +92,7 @@
           clock,
           AsyncConnectionPool::Settings())),
       m_listener(listener),
+      m_departures(clock),
       m_loss_detector(clock),
       m_push_holds(clock),
       m_polled_holds(clock, settings.max_lease),
@@ -110,10 +115,16 @@
   m_listener.OnTargetChanged();
 }
 
-void TargetController::BeginDrain(Clock::TimePoint confirmed_at,
-                                  const char* reason) {
+void TargetController::RecordDeparture(Clock::TimePoint confirmed_at) {
   m_has_begun_to_drain = true;
   m_drain_confirmed_at = confirmed_at;
+  if (m_incarnation.is_known())
+    m_departures.Add(m_incarnation);
+}
+
+void TargetController::BeginDrain(Clock::TimePoint confirmed_at,
+                                  const char* reason) {
+  RecordDeparture(confirmed_at);
   SetState(State::kDraining, reason);
 }
 
@@ -132,6 +143,9 @@
   m_sequence = 0;
   m_unanswered_calls = 0;
   m_has_begun_to_drain = false;
+  m_was_heard_from_start = report.sequence <= kMaxStartupSequence;
+  if (m_departures.Find(m_incarnation, m_was_heard_from_start) == nullptr)
+    m_departures.Retract(m_incarnation.id);
   m_loss_detector.BeginIncarnation();
   m_pool.CloseIdle(m_settings.address);
   m_command_pool->CloseIdle(m_settings.address);
@@ -178,15 +192,9 @@
   const bool has_been_given_up = m_state == State::kGone && IsRefusing();
   if (m_state == State::kDraining || has_been_given_up)
     return ReportResult::kAccepted;
-  const auto left = m_left_before_report.find(report.incarnation.id);
-  if (!is_same_incarnation && left != m_left_before_report.end() &&
-      report.sequence > kMaxStartupSequence) {
-    BeginDrain(left->second, "left-before");
+  if (DrainIfDeparted())
     return ReportResult::kAccepted;
-  }
-  if (m_has_begun_to_drain) {
-    SetState(State::kDraining, "has-said-that-it-leaves");
-  } else if (report.is_draining) {
+  if (report.is_draining) {
     // An earlier process of this node may have confirmed it any time ago.
     BeginDrain(is_first_incarnation ? now - m_settings.drain_period : now,
                "reported");
@@ -245,19 +253,71 @@
   co_return m_polled_holds.MakeGrantReply(reported_at, GrantableUntil());
 }
 
+bool TargetController::DrainIfDeparted() {
+  if (!m_has_begun_to_drain) {
+    const DepartureTracker::Departure* departure =
+        m_departures.Find(m_incarnation, m_was_heard_from_start);
+    if (departure == nullptr)
+      return false;
+    m_has_begun_to_drain = true;
+    // An earlier process of this node may have confirmed it any time ago.
+    m_drain_confirmed_at =
+        departure->heard_at.value_or(m_clock.Now() - m_settings.drain_period);
+  }
+  SetState(State::kDraining, "has-said-that-it-leaves");
+  return true;
+}
+
 void TargetController::OnLeave(const std::string& target_id) {
-  if (!m_incarnation.is_known()) {
-    // This process has just started, and has not had a report yet. Its answer
-    // is binding all the same: a report that is still on its way must not bring
-    // the target requests.
-    if (m_left_before_report.size() < kMaxPastTargetIds)
-      m_left_before_report.try_emplace(target_id, m_clock.Now());
+  // The answer binds also for a target that this process has not heard of, or
+  // has declared gone: a report that is still on its way must not bring it
+  // requests.
+  if (target_id != m_incarnation.id) {
+    m_departures.Add({target_id, 0});
+    m_listener.OnTargetChanged();
     return;
   }
-  if (target_id != m_incarnation.id || m_state == State::kDraining ||
-      m_state == State::kGone)
-    return;
-  BeginDrain(m_clock.Now(), "left");
+  if (m_state == State::kGone) {
+    RecordDeparture(m_clock.Now());
+    m_listener.OnTargetChanged();
+  } else if (m_state != State::kDraining) {
+    BeginDrain(m_clock.Now(), "left");
+  }
+}
+
+Task<bool> TargetController::AwaitDepartureStored(std::string target_id) {
+  const Clock::TimePoint give_up_at = m_clock.Now() + kDepartureWait;
+  boost::asio::steady_timer timer(m_loop);
+  while (!m_departures.IsStored(target_id)) {
+    if (m_clock.Now() >= give_up_at) {
+      spdlog::warn("event=departure-not-stored target={}", target_id);
+      co_return false;
+    }
+    timer.expires_after(kDeparturePollInterval);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+  co_return true;
+}
+
+void TargetController::OnDepartures(const DepartureReply& reply) {
+  const bool was_loaded = m_departures.is_loaded();
+  m_departures.OnReply(reply);
+  UpdateDeparted(was_loaded);
+}
+
+void TargetController::OnDeparturesStored(
+    const std::vector<DepartedTarget>& stored) {
+  const bool was_loaded = m_departures.is_loaded();
+  m_departures.OnStored(stored);
+  UpdateDeparted(was_loaded);
+}
+
+void TargetController::UpdateDeparted(bool was_loaded) {
+  if (m_state == State::kServing && !DrainIfDeparted())
+    m_departures.Retract(m_incarnation.id);
+  // It was reported as unheard of until now.
+  if (!was_loaded && m_state != State::kUnknown)
+    m_listener.OnTargetChanged();
 }
 
 void TargetController::OnRefused() {
@@ -651,7 +711,7 @@
 }
 
 bool TargetController::IsServing() const {
-  if (IsEvacuated() || IsRefusing())
+  if (IsEvacuated() || IsRefusing() || !m_departures.is_loaded())
     return false;
   if (m_state == State::kServing)
     return true;
@@ -668,7 +728,9 @@
       cold_until() - m_clock.Now());
   target.warm_up_left_ms = static_cast<std::uint32_t>(
       std::max<std::int64_t>(0, warm_up_left.count()));
-  switch (m_state) {
+  // An earlier process of this node may have confirmed that it leaves.
+  const bool is_known = m_departures.is_loaded();
+  switch (is_known ? m_state : State::kUnknown) {
     case State::kUnknown:
       target.state = Heartbeat::TargetState::kUnknown;
       break;
--- a/modules/transport/mesh/target_controller.h
+++ b/modules/transport/mesh/target_controller.h
@@ -12,6 +12,7 @@
 
 #include "modules/coordination/clock.h"
 #include "modules/coordination/load/target_condition.h"
+#include "modules/coordination/mesh/departure_tracker.h"
 #include "modules/coordination/mesh/heartbeat.h"
 #include "modules/coordination/mesh/polling_hold_tracker.h"
 #include "modules/coordination/mesh/push_hold_tracker.h"
@@ -100,6 +101,13 @@
       const TargetReport& report);
   // The target leaves without having reported that it drains.
   void OnLeave(const std::string& target_id);
+  // Waits for a short time until it is stored that the target leaves. Returns
+  // whether it is: only then may this be confirmed to the target, as it binds
+  // each later process of this node.
+  Task<bool> AwaitDepartureStored(std::string target_id);
+  // What the leader says, or the stored record.
+  void OnDepartures(const DepartureReply& reply);
+  void OnDeparturesStored(const std::vector<DepartedTarget>& stored);
   // The target's address refuses connections.
   void OnRefused();
   // A request is on its way to the target, on an open connection, until the
@@ -174,6 +182,9 @@
 
   Heartbeat::Target MakeHeartbeatTarget();
   std::vector<Heartbeat::ReleasedRange> MakeHeartbeatReleases();
+  DepartureReport MakeDepartureReport() const {
+    return m_departures.MakeReport();
+  }
 
  private:
   struct WaitingReport;
@@ -214,8 +225,14 @@
   bool IsEvacuated() const;
   bool IsLaterIncarnation(const TargetReport& report) const;
   void BeginIncarnation(const TargetReport& report);
+  // Drains the target if it has said that it leaves, to this process of the
+  // node or to an earlier one. Returns whether it has.
+  bool DrainIfDeparted();
+  // `was_loaded`: whether departures were known before.
+  void UpdateDeparted(bool was_loaded);
   void SetState(State state, const char* reason);
-  // The target leaves. That is final for its process.
+  // The target has said that it leaves. That is final for its process.
+  void RecordDeparture(Clock::TimePoint confirmed_at);
   void BeginDrain(Clock::TimePoint confirmed_at, const char* reason);
   void ApplyReportedHolds(const TargetReport& report);
   bool HasGrantReply() const;
@@ -274,12 +291,13 @@
   std::chrono::milliseconds m_cold_start{0};
   // Since when the target's zone has been evacuated, as this node knows it.
   std::optional<Clock::TimePoint> m_evacuated_since;
-  bool m_has_begun_to_drain = false;
   Clock::TimePoint m_drain_confirmed_at;
   Clock::TimePoint m_last_contact;
   Clock::TimePoint m_last_report;
-  // Targets that left before their first report to this process, and when.
-  std::map<std::string, Clock::TimePoint> m_left_before_report;
+  DepartureTracker m_departures;
+  // The present incarnation has been heard from its first reports on.
+  bool m_was_heard_from_start = false;
+  bool m_has_begun_to_drain = false;
   // Ids of earlier incarnations.
   std::vector<std::string> m_past_target_ids;
   unsigned m_unanswered_calls = 0;
--- a/programs/citrongrade-router/report_handler.cc
+++ b/programs/citrongrade-router/report_handler.cc
@@ -15,6 +15,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
 
 HttpResponse Respond(int status, std::string body = "{}") {
   HttpResponse response = HttpResponse::WithStatus(status, std::move(body));
@@ -32,7 +33,9 @@
     co_return Respond(kNotFound);
   if (request.method == "DELETE") {
     m_target_controller.OnLeave(id);
-    co_return Respond(kOk);
+    co_return Respond(co_await m_target_controller.AwaitDepartureStored(id)
+                          ? kOk
+                          : kUnavailable);
   }
   if (request.method != "PUT")
     co_return Respond(kBadRequest);
@@ -54,6 +57,9 @@
                    report.sequence);
       co_return Respond(kOk);
     }
+    if (report.is_draining &&
+        !co_await m_target_controller.AwaitDepartureStored(id))
+      co_return Respond(kUnavailable);
     const auto reply = co_await m_target_controller.AwaitGrantReply(report);
     co_return Respond(kOk, TargetReportCodec::EncodeReply(reply));
   } catch (const platform::InvalidReportError& error) {
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "modules/coordination/load/memory_budget.h"
 #include "modules/coordination/load/poison_detector.h"
@@ -425,9 +426,13 @@
   heartbeat.mean_service_time_us = m_gateway.mean_service_time_us();
   heartbeat.long_run_us = m_gateway.long_run_us();
   heartbeat.crash_report = m_gateway.MakeCrashReport();
+  heartbeat.departures = m_target_controller.MakeDepartureReport();
 }
 
 void RouterNode::Implementation::OnReply(const HeartbeatReply& reply) {
+  // A leader without authority may not know what the present one has stored.
+  if (reply.lease_ms > 0)
+    m_target_controller.OnDepartures(reply.departures);
   m_target_controller.SetLease(m_agent.lease_until());
   m_gateway.OnCrashReportReply(reply.crash_report, reply.nonce);
 }
@@ -446,6 +451,14 @@
 void RouterNode::Implementation::OnRecordRead(const MeshRecord& record) {
   // A node that is cut off from all others still serves its own callers.
   m_gateway.MergeCrashSuspects(record.crash_suspects);
+  const std::uint32_t node =
+      TargetDeparture::HashNode(m_agent.identity().address);
+  std::vector<DepartedTarget> departed;
+  for (const TargetDeparture& departure : record.departures) {
+    if (departure.node_hash == node)
+      departed.push_back(departure.target);
+  }
+  m_target_controller.OnDeparturesStored(departed);
 }
 
 Task<> RouterNode::Implementation::TickLoop() {
