Waiting coroutines are destroyed before what they use

What operators saw (review, crash at a stop): a router whose request outlasts the grace ends by SIGSEGV, after all callers have their answers.

Cause: coroutines that still wait are destroyed with the event loop, which is the last member to go; their guards then use TargetGateway, which is gone.

Change: EventLoop::DestroyWaiting() is called first in the destructor. Logging ends after the node has been destroyed, not before. The shutdown tests ask for exit code 0.

--- a/programs/citrongrade-router/main.cc
+++ b/programs/citrongrade-router/main.cc
@@ -83,8 +83,10 @@
   // Otherwise a write to a connection that its peer has closed would end the
   // process.
   std::signal(SIGPIPE, SIG_IGN);
-  RouterNode node(settings, file);
-  node.Run();
+  {
+    RouterNode node(settings, file);
+    node.Run();
+  }
   spdlog::shutdown();
   return EXIT_SUCCESS;
 }
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -24,6 +23,7 @@
 #include "modules/coordination/steady_clock.h"
 #include "modules/transport/async/async_connection_pool.h"
 #include "modules/transport/async/async_http_server.h"
+#include "modules/transport/async/event_loop.h"
 #include "modules/transport/mesh/body_flow_controller.h"
 #include "modules/transport/mesh/config_follower.h"
 #include "modules/transport/mesh/config_transfer.h"
@@ -197,6 +197,7 @@
  public:
   Implementation(const RouterSettings& settings,
                  const platform::SettingsFile& file);
+  ~Implementation() override { m_loop.DestroyWaiting(); }
 
   void Run();
 
@@ -240,7 +241,7 @@
   const bool m_has_contended_capacity;
   const SteadyClock m_clock{};
   const MeshTiming m_timing{};
-  boost::asio::io_context m_loop{1};
+  EventLoop m_loop;
   LoopMonitor m_monitor;
   MemoryBudget m_body_budget;
   const platform::PlatformWireProtocol m_wire_protocol{};
--- a/tests/platform_shutdown_process_test.py
+++ b/tests/platform_shutdown_process_test.py
@@ -122,13 +122,13 @@
         return [run[0] for run in self.plain.runs() if run[0].startswith(prefix)]
 
     def stop(self, node, again_after=None):
-        """Tells the node to stop and waits for its end within the grace."""
+        """Tells the node to stop and waits for its proper end within the grace."""
         began = time.monotonic()
         node.process.send_signal(signal.SIGTERM)
         if again_after:
             time.sleep(again_after)
             node.process.send_signal(signal.SIGTERM)
-        node.process.wait(timeout=10)
+        self.assertEqual(node.process.wait(timeout=10), 0)
         self.assertLess(time.monotonic() - began, GRACE_S)
 
     def answers(self, callers):
