Responses that are being received share a bounded memory

What callers saw: nothing yet.

Cause: each response was bounded by itself, their sum was not.

Change: ResponseMemory, a quarter of the process's limit, counts what all receptions from targets and nodes hold. When it is out, the largest is ended; its caller hears that the outcome is unknown. It counts neither as a broken connection nor as a crash of the target.

--- a/modules/transport/async/async_connection_pool.cc
+++ b/modules/transport/async/async_connection_pool.cc
@@ -66,8 +66,8 @@
 Task<std::unique_ptr<AsyncHttpConnection>> AsyncConnectionPool::OpenNew(
     HttpAddress address) {
   ++m_opened_count;
-  co_return co_await AsyncHttpConnection::Open(m_loop, address,
-                                               m_settings.connect_timeout);
+  co_return co_await AsyncHttpConnection::Open(
+      m_loop, address, m_settings.connect_timeout, m_settings.response_memory);
 }
 
 bool AsyncConnectionPool::DropClosed(const HttpAddress& address) {
--- a/modules/transport/async/async_connection_pool.h
+++ b/modules/transport/async/async_connection_pool.h
@@ -25,6 +25,8 @@
     // close idle connections.
     Clock::Duration idle_timeout = std::chrono::seconds(5);
     Clock::Duration connect_timeout = std::chrono::milliseconds(500);
+    // See AsyncHttpConnection::Open().
+    ResponseMemory* response_memory = nullptr;
   };
 
   AsyncConnectionPool(boost::asio::io_context& loop,
--- a/modules/transport/async/async_http_connection.cc
+++ b/modules/transport/async/async_http_connection.cc
@@ -20,6 +20,7 @@
 #include <string>
 #include <utility>
 
+#include "modules/coordination/load/response_memory.h"
 #include "modules/transport/async/beast_headers.h"
 #include "modules/transport/async/socket_probe.h"
 #include "modules/transport/http_errors.h"
@@ -38,6 +39,9 @@
 constexpr int kContinue = 100;
 constexpr std::uint64_t kMaxResponseBodyBytes = std::uint64_t{16} << 20U;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 32 * 1024;
+// A body of unknown length is moved to twice the memory when it outgrows what
+// it has.
+constexpr std::size_t kBodyGrowthFactor = 2;
 // TCP_USER_TIMEOUT in milliseconds: the connection fails when sent bytes stay
 // unacknowledged for this long. Without it, a lost connection would hold a call
 // until its timeout.
@@ -114,6 +118,8 @@
     throw ResponseTimeoutError(text);
   if (error == http::error::end_of_stream)
     throw ConnectionClosedError(text);
+  if (error == http::error::body_limit)
+    throw BodyTooLargeError(text);
   if (error == http::error::partial_message)
     throw TruncatedBodyError(text);
   if (error.category() ==
@@ -129,8 +135,11 @@
 class AsyncHttpConnection::Implementation
     : public std::enable_shared_from_this<Implementation> {
  public:
-  Implementation(asio::io_context& loop, const HttpAddress& address)
-      : m_host(address.ToString()),
+  Implementation(asio::io_context& loop,
+                 const HttpAddress& address,
+                 ResponseMemory* response_memory)
+      : m_response_memory(response_memory),
+        m_host(address.ToString()),
         m_endpoint(asio::ip::make_address(address.ip), address.port),
         m_stream(loop) {}
 
@@ -152,10 +161,12 @@
   void StartWrite(const std::shared_ptr<OutgoingRequest>& outgoing);
   Task<HttpResponse> ReadResponse(std::shared_ptr<OutgoingRequest> outgoing,
                                   Clock::Duration progress_timeout);
-  Task<> ReadWithProgressTimeout(Parser& parser,
-                                 Clock::Duration progress_timeout,
-                                 boost::system::error_code& error);
+  // Reads the response piece by piece, as far as there is memory for it.
+  Task<> ReadPieces(Parser& parser,
+                    Clock::Duration progress_timeout,
+                    boost::system::error_code& error);
 
+  ResponseMemory* const m_response_memory;
   const std::string m_host;
   const tcp::endpoint m_endpoint;
   beast::tcp_stream m_stream;
@@ -186,16 +197,32 @@
   m_is_reusable = true;
 }
 
-Task<> AsyncHttpConnection::Implementation::ReadWithProgressTimeout(
+Task<> AsyncHttpConnection::Implementation::ReadPieces(
     Parser& parser,
     Clock::Duration progress_timeout,
     boost::system::error_code& error) {
+  bool has_memory = true;
+  std::optional<ResponseMemory::Reception> reception;
+  if (m_response_memory != nullptr) {
+    reception.emplace(*m_response_memory, [this, &has_memory] {
+      has_memory = false;
+      m_stream.close();
+    });
+  }
   parser.eager(true);
   while (!error && !parser.is_done()) {
     co_await http::async_read_some(
         m_stream, m_buffer, parser,
         asio::redirect_error(asio::use_awaitable, error));
-    m_stream.expires_after(progress_timeout);
+    if (progress_timeout > Clock::Duration(0))
+      m_stream.expires_after(progress_timeout);
+    const std::size_t bytes = kBodyGrowthFactor * parser.get().body().size();
+    if (reception && !reception->TryGrowTo(bytes))
+      has_memory = false;
+    if (!has_memory) {
+      m_stream.close();
+      throw BodyTooLargeError(m_host + ": no memory for the response");
+    }
   }
 }
 
@@ -233,13 +260,7 @@
     parser.body_limit(kMaxResponseBodyBytes);
     parser.header_limit(kMaxResponseHeaderBytes);
     boost::system::error_code error;
-    if (progress_timeout > Clock::Duration(0)) {
-      co_await ReadWithProgressTimeout(parser, progress_timeout, error);
-    } else {
-      co_await http::async_read(
-          m_stream, m_buffer, parser,
-          asio::redirect_error(asio::use_awaitable, error));
-    }
+    co_await ReadPieces(parser, progress_timeout, error);
     if (error)
       ThrowReadError(error, parser.got_some(), m_host);
     if (parser.get().result_int() == kContinue && outgoing->pending_body &&
@@ -310,8 +331,10 @@
 Task<std::unique_ptr<AsyncHttpConnection>> AsyncHttpConnection::Open(
     asio::io_context& loop,
     HttpAddress address,
-    Clock::Duration timeout) {
-  auto implementation = std::make_shared<Implementation>(loop, address);
+    Clock::Duration timeout,
+    ResponseMemory* response_memory) {
+  auto implementation =
+      std::make_shared<Implementation>(loop, address, response_memory);
   co_await implementation->Connect(timeout);
   co_return std::unique_ptr<AsyncHttpConnection>(
       new AsyncHttpConnection(std::move(implementation)));
--- a/modules/transport/async/async_http_connection.h
+++ b/modules/transport/async/async_http_connection.h
@@ -17,6 +17,8 @@
 
 namespace citrongrade {
 
+class ResponseMemory;
+
 // A keep-alive HTTP/1.1 client connection on the event loop, built on
 // Boost.Beast. It carries one call at a time. See also: HttpClientConnection,
 // which uses threads; AsyncConnectionPool, which keeps idle connections.
@@ -27,11 +29,14 @@
   using IsMatchingResponse = std::function<bool(const HttpResponse&)>;
 
   // Throws ConnectRefusedError if nothing listens at the address, and
-  // ConnectError on any other failure.
+  // ConnectError on any other failure. `response_memory` bounds what responses
+  // take while they are received; null: only each by itself is bounded. It must
+  // outlive the connection.
   static Task<std::unique_ptr<AsyncHttpConnection>> Open(
       boost::asio::io_context& loop,
       HttpAddress address,
-      Clock::Duration timeout);
+      Clock::Duration timeout,
+      ResponseMemory* response_memory = nullptr);
 
   ~AsyncHttpConnection();
   AsyncHttpConnection(const AsyncHttpConnection&) = delete;
@@ -40,9 +45,10 @@
   // Sends the request and reads the complete response. The peer may respond
   // before it has read the whole body. Throws ResponseTimeoutError,
   // ConnectionClosedError (before the first byte of a response),
-  // TruncatedBodyError (after it) and MalformedResponseError; a call pending at
-  // Close() fails the same way. If `timeout` is not positive, nothing is sent
-  // and ResponseTimeoutError is thrown.
+  // TruncatedBodyError (after it), BodyTooLargeError (no memory for it) and
+  // MalformedResponseError; a call pending at Close() fails the same way. If
+  // `timeout` is not positive, nothing is sent and ResponseTimeoutError is
+  // thrown.
   Task<HttpResponse> Call(HttpRequest request,
                           Clock::Duration timeout,
                           IsMatchingResponse is_matching_response = nullptr);
--- a/modules/transport/mesh/target_gateway.cc
+++ b/modules/transport/mesh/target_gateway.cc
@@ -438,6 +438,14 @@
     RecordUnanswered(running, false);
     co_return ForwardResult::Unknown(RequestErrorCode::kTargetTimeout,
                                      error.what());
+  } catch (const BodyTooLargeError& error) {
+    // This node gave it up, so it says nothing of the target's process.
+    context.ClearCancelCallback();
+    m_controller.OnCallEnded(true);
+    RecordUnanswered(running, false);
+    ++m_counts.endless_answers;
+    co_return ForwardResult::Unknown(RequestErrorCode::kTruncatedAnswer,
+                                     error.what());
   } catch (const HttpError& error) {
     context.ClearCancelCallback();
     if (context.is_caller_gone()) {
--- a/modules/transport/mesh/target_gateway.h
+++ b/modules/transport/mesh/target_gateway.h
@@ -54,6 +54,8 @@
     std::uint64_t unknown = 0;
     // Answers that named another request than the one in progress.
     std::uint64_t ignored_answers = 0;
+    // Answers that were given up, as they were too long or memory was out.
+    std::uint64_t endless_answers = 0;
     // Rejected while they waited, because their sender withdrew them.
     std::uint64_t withdrawn = 0;
     // Rejected because runs of them crashed targets, here and elsewhere.
--- a/programs/citrongrade-router/router_node.cc
+++ b/programs/citrongrade-router/router_node.cc
@@ -18,6 +18,7 @@
 
 #include "modules/coordination/load/memory_budget.h"
 #include "modules/coordination/load/poison_detector.h"
+#include "modules/coordination/load/response_memory.h"
 #include "modules/coordination/load/weighted_destinations.h"
 #include "modules/coordination/mesh/mesh_timing.h"
 #include "modules/coordination/steady_clock.h"
@@ -78,6 +79,8 @@
 // Share of the process's memory for the bodies of requests. A body that is
 // being forwarded is held twice.
 constexpr double kBodyMemoryShare = 0.25;
+// Share for responses that are being received.
+constexpr double kResponseMemoryShare = 0.25;
 constexpr double kBytesPerMegabyte = 1 << 20;
 // A limit that a target names for less than this moves no keys: they would be
 // moved back at once, and each move interrupts them.
@@ -107,6 +110,12 @@
   const Function m_function;
 };
 
+AsyncConnectionPool::Settings MakePoolSettings(ResponseMemory& memory) {
+  AsyncConnectionPool::Settings settings;
+  settings.response_memory = &memory;
+  return settings;
+}
+
 AsyncHttpServer::Settings MakeServerSettings(const HttpAddress& address) {
   AsyncHttpServer::Settings settings;
   settings.address = address;
@@ -244,6 +253,7 @@
   EventLoop m_loop;
   LoopMonitor m_monitor;
   MemoryBudget m_body_budget;
+  ResponseMemory m_response_memory;
   const platform::PlatformWireProtocol m_wire_protocol{};
   const platform::ConfigDocument m_config_decoder{};
   AsyncConnectionPool m_target_pool;
@@ -282,8 +292,10 @@
       m_monitor(m_clock),
       m_body_budget(static_cast<std::uint64_t>(
           file.memory_mb * kBytesPerMegabyte * kBodyMemoryShare)),
-      m_target_pool(m_loop, m_clock, {}),
-      m_peer_pool(m_loop, m_clock, {}),
+      m_response_memory(static_cast<std::uint64_t>(
+          file.memory_mb * kBytesPerMegabyte * kResponseMemoryShare)),
+      m_target_pool(m_loop, m_clock, MakePoolSettings(m_response_memory)),
+      m_peer_pool(m_loop, m_clock, MakePoolSettings(m_response_memory)),
       m_store_pool(m_loop, m_clock, {}),
       m_store(m_store_pool, {file.store}),
       m_config(m_loop, m_clock, m_store, m_config_decoder, *this),
@@ -721,6 +733,12 @@
   add("citrongrade_target_unknown_total", static_cast<double>(counts.unknown));
   add("citrongrade_target_ignored_answers_total",
       static_cast<double>(counts.ignored_answers));
+  add("citrongrade_target_endless_answers_total",
+      static_cast<double>(counts.endless_answers));
+  add("citrongrade_response_memory_bytes",
+      static_cast<double>(m_response_memory.used()));
+  add("citrongrade_responses_evicted_total",
+      static_cast<double>(m_response_memory.evicted_count()));
   add("citrongrade_target_withdrawn_total",
       static_cast<double>(counts.withdrawn));
   const PoisonDetector& detector = m_gateway.poison_detector();
