--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,10 +16,17 @@
 COLD_MS = 3000
 # A named limit binds 3 s after it was first named.
 LIMITED = 4.0
-# The kinds of faults have grown four times: by evacuations and cold targets, by
-# what targets say in their answers, by targets that refuse connections, and by
-# requests that crash targets.
-LATEST = 5
+# The kinds of faults have grown five times: by evacuations and cold targets, by
+# what targets say in their answers, by targets that refuse connections, by
+# requests that crash targets, and by second answers and targets that leave while
+# their node is killed.
+LATEST = 6
+# Second answers and refusals, in percent, while a target sends them.
+REPEATED = 20
+REFUSED = 30
+# From a confirmed leaving to the end of the node, and from there to its start.
+KILL_AFTER = 0.2
+NODE_DOWN = 0.3
 # A request that crashes targets is sent at this interval, at all nodes in turn,
 # for at least so long, and a target that it has crashed is down for so long.
 CRASH_SEND_S = 0.25
@@ -62,6 +69,8 @@
             self.kinds += [(3, self.closed_listener)]
         if generation >= 5:
             self.kinds += [(3, self.crashing_request)]
+        if generation >= 6:
+            self.kinds += [(3, self.second_answers), (2, self.forgotten_leaving)]
 
     def play(self, seconds):
         until = time.monotonic() + seconds
@@ -255,6 +264,28 @@
             # Its node or target has ended.
             pass
 
+    def second_answers(self, node, length, pick):
+        faults = {"repeat": REPEATED, "repeat_commands": REPEATED, "shed_some": REFUSED}
+        node.target_fault("repeat_ms", 0 if pick < 0.5 else int(100 * pick))
+        for name, percent in faults.items():
+            node.target_fault(name, percent)
+        time.sleep(length)
+        for name in faults:
+            node.target_fault(name, 0)
+
+    def forgotten_leaving(self, node, length, pick):
+        way = "drain" if pick < 0.3 else "leave"
+        node.tell_target(f"/{way}?late={int(500 + 2000 * pick)}")
+        time.sleep(KILL_AFTER)
+        self.mesh.disturb(node, length)
+        self.mesh.kill_node(node)
+        time.sleep(NODE_DOWN)
+        self.mesh.disturb(node, 0)
+        self.mesh.start_node(node)
+        time.sleep(DRAIN + length)
+        self.mesh.kill_target(node)
+        self.mesh.revive_target(node, keeps_id=False)
+
     def cold_target(self, node, length, pick):
         node.target_fault("cold", COLD_MS)
 
--- a/tests/soak/soak_mesh.py
+++ b/tests/soak/soak_mesh.py
@@ -181,7 +181,7 @@
 
     @staticmethod
     def heal_target(node):
-        for name, value in (("unanswered", 0), ("shed", 0), ("work", 5)):
+        for name, value in (("unanswered", 0), ("shed", 0), ("shed_some", 0), ("repeat", 0), ("repeat_commands", 0), ("work", 5)):
             node.target_fault(name, value)
         node.target_says()
         return True
