Tests: one life_of() for all that a node's targets did

The test of second answers wrote again what the test of closed listeners had. It stands beside TargetLife now; assertions are unchanged. Run after it: both files pass (3 and 8 cases).

--- a/tests/platform_closed_listener_process_test.py
+++ b/tests/platform_closed_listener_process_test.py
@@ -14,7 +14,7 @@
 
 from mesh_callers import MeshCallers  # noqa: E402
 from platform_mesh import Mesh  # noqa: E402
-from promises import TargetLife, check_work, holds_of  # noqa: E402
+from promises import check_work, holds_of, life_of  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 # Two targets may hold a key together for so long, if neither works on it.
@@ -25,13 +25,6 @@
 WORK_MS = 900
 
 
-def life_of(node):
-    """All that the node's targets did, as one life."""
-    life = TargetLife(node.index, 0.0, f"node {node.index}")
-    life.events = node.events()
-    return life
-
-
 class ClosedListenerCase(unittest.TestCase):
     """A mesh under load, and the checks of its keys."""
 
--- a/tests/platform_second_answers_process_test.py
+++ b/tests/platform_second_answers_process_test.py
@@ -13,7 +13,7 @@
 
 from mesh_callers import MeshCallers  # noqa: E402
 from platform_mesh import Mesh  # noqa: E402
-from promises import TargetLife, check_work  # noqa: E402
+from promises import check_work, life_of  # noqa: E402
 
 ROUTER = os.path.join(BUILD_DIR, "citrongrade-router")
 PROMISES_NOT_RUN = (408, 421, 429, 503)
@@ -75,12 +75,7 @@
         time.sleep(4)
         callers.stop()
         self.assertGreater(len(events_of(self.mesh.nodes, "release")), 0)
-        lives = []
-        for node in self.mesh.nodes:
-            life = TargetLife(node.index, 0.0, f"node {node.index}")
-            life.events = node.events()
-            lives.append(life)
-        problems = check_work(lives)
+        problems = check_work([life_of(node) for node in self.mesh.nodes])
         self.assertEqual(problems[:5], [], f"{len(problems)} in all")
 
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -54,6 +54,13 @@
     return lives
 
 
+def life_of(node):
+    """All that the node's targets did, as one life."""
+    life = TargetLife(node.index, 0.0, f"node {node.index}")
+    life.events = node.events()
+    return life
+
+
 def check(mesh, outcomes):
     """What was broken, one line each."""
     lives = read_lives(mesh)
