--- a/modules/transport/async/async_http_test.cc
+++ b/modules/transport/async/async_http_test.cc
@@ -309,19 +309,24 @@
   });
 }
 
+// Makes one call, on a connection that has not carried the id.
+Task<> CallWithId(AsyncConnectionPool& pool, std::string id) {
+  auto connection = co_await pool.AcquireFor(kServer, kTimeout, id);
+  CHECK_FALSE(connection->sent_request_ids().Contains(id));
+  connection->AddRequestId(id);
+  HttpRequest request;
+  request.method = "GET";
+  co_await connection->Call(request, kTimeout);
+  pool.Release(kServer, std::move(connection));
+}
+
 // Guards against a request that is sent twice on one connection, where a second
 // answer to the first send passes for the answer to the second.
 TEST_CASE_FIXTURE(EchoServer, "a connection carries a request id only once") {
   AsyncConnectionPool pool(loop, clock, {});
   RunTask(loop, [&]() -> Task<> {
     for (const char* id : {"a", "b", "a", "b", "c"}) {
-      auto connection = co_await pool.AcquireFor(kServer, kTimeout, id);
-      CHECK_FALSE(connection->sent_request_ids().Contains(id));
-      connection->AddRequestId(id);
-      HttpRequest request;
-      request.method = "GET";
-      co_await connection->Call(request, kTimeout);
-      pool.Release(kServer, std::move(connection));
+      co_await CallWithId(pool, id);
     }
   });
   CHECK(pool.opened_count() == 2);
@@ -334,13 +339,7 @@
   AsyncConnectionPool pool(loop, clock, {});
   RunTask(loop, [&]() -> Task<> {
     for (std::size_t i = 0; i <= SentRequestIds::kMaxCount; ++i) {
-      const std::string id = std::to_string(i);
-      auto connection = co_await pool.AcquireFor(kServer, kTimeout, id);
-      connection->AddRequestId(id);
-      HttpRequest request;
-      request.method = "GET";
-      co_await connection->Call(request, kTimeout);
-      pool.Release(kServer, std::move(connection));
+      co_await CallWithId(pool, std::to_string(i));
     }
   });
   CHECK(pool.opened_count() == 2);
